--- /dev/null
+++ b/hemlockspoke/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters between the core and the network, logs and metrics."""
--- /dev/null
+++ b/hemlockspoke/daemon.py
@@ -0,0 +1,5 @@
+"""The daemon: wiring, start and graceful stop."""
+
+
+def main():
+    """Run the daemon."""
--- /dev/null
+++ b/hemlockspoke/messages.py
@@ -0,0 +1,247 @@
+"""Messages between daemons and their wire form.
+
+On the wire a message is a msgpack array of its type name and its fields in the
+order of ``__slots__``. Values are numbers, strings, lists and maps only.
+"""
+
+import msgpack
+
+from hemlockspoke.registry import Registry
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+PROTOCOL_VERSION = 1
+
+message_types = Registry("message type")
+
+
+class BadFrame(Exception):
+    """A frame that is no message of this protocol."""
+
+
+class Message:
+    """Base of all messages; fields are the slots of the subclass.
+
+    >>> Ping(token=7).token
+    7
+    """
+
+    __slots__ = ()
+    type_name = ""
+
+    def __init__(self, **fields):
+        for name in self.__slots__:
+            setattr(self, name, fields.pop(name))
+        if fields:
+            raise TypeError(f"unknown fields {sorted(fields)}")
+
+    def __eq__(self, other):
+        if type(self) is not type(other):
+            return NotImplemented
+        return self.to_fields() == other.to_fields()
+
+    __hash__ = None
+
+    def __repr__(self):
+        fields = ", ".join(f"{n}={getattr(self, n)!r}" for n in self.__slots__)
+        return f"{type(self).__name__}({fields})"
+
+    def to_fields(self):
+        """Return the field values in wire order."""
+        return [getattr(self, name) for name in self.__slots__]
+
+
+def message(type_name):
+    """Register a message class under its wire name."""
+
+    def decorate(cls):
+        cls.type_name = type_name
+        return message_types.register(type_name)(cls)
+
+    return decorate
+
+
+def encode(item):
+    """Return the frame of a message, without its length."""
+    return msgpack.packb([item.type_name, *item.to_fields()], use_bin_type=True)
+
+
+def decode(frame):
+    """Return the message of a frame, or raise ``BadFrame``."""
+    try:
+        values = msgpack.unpackb(frame, raw=False, strict_map_key=False)
+    except (ValueError, msgpack.exceptions.UnpackException, RecursionError) as error:
+        raise BadFrame(f"not msgpack: {error}") from error
+    if not isinstance(values, list) or not values or not isinstance(values[0], str):
+        raise BadFrame("a frame is an array that starts with a type name")
+    if values[0] not in message_types:
+        raise BadFrame(f"unknown message type {values[0]!r}")
+    cls = message_types.get(values[0])
+    if len(values) - 1 != len(cls.__slots__):
+        raise BadFrame(f"{values[0]} has {len(values) - 1} fields")
+    return cls(**dict(zip(cls.__slots__, values[1:], strict=True)))
+
+
+@message("hello")
+class Hello(Message):
+    """First frame on a stream, in both directions."""
+
+    __slots__ = ("vm", "incarnation", "epoch", "protocol_version", "region")
+
+
+@message("ping")
+class Ping(Message):
+    """Heartbeat that asks for a ``Pong`` with the same token."""
+
+    __slots__ = ("token",)
+
+
+@message("pong")
+class Pong(Message):
+    """Answer to a ``Ping``."""
+
+    __slots__ = ("token",)
+
+
+@message("digest")
+class Digest(Message):
+    """Summary of the configuration in force.
+
+    ``store_contact_age_ms`` is the time since the sender, or a daemon that it has
+    heard of, last read the store.
+    """
+
+    __slots__ = ("digest", "store_contact_age_ms")
+
+
+@message("versions")
+class Versions(Message):
+    """Version of each configuration object; asks for what is newer.
+
+    ``reply`` is true in the answer to a ``Versions`` message, which ends the
+    exchange.
+    """
+
+    __slots__ = ("versions", "reply")
+
+
+@message("object_push")
+class ObjectPush(Message):
+    """One configuration object as the store holds it."""
+
+    __slots__ = ("key", "version", "value")
+
+
+@message("catalog_update")
+class CatalogUpdate(Message):
+    """What one server serves, as its holder has seen it.
+
+    ``indexes`` maps index name to a map of version (as a string) to
+    ``{"parts_total": n, "parts": [...]}``. ``sequence`` rises per holder.
+    ``available`` is false when the server drains or cannot be reached.
+    """
+
+    __slots__ = ("server", "incarnation", "sequence", "available", "indexes")
+
+
+@message("server_state")
+class ServerState(Message):
+    """State of a held server's gate: ``cold``, ``warming`` or ``warm``."""
+
+    __slots__ = ("server", "incarnation", "state", "sequence")
+
+
+@message("sub_query_batch")
+class SubQueryBatch(Message):
+    """Sub-queries of one query for servers of one holder.
+
+    ``items`` is a list of ``[sub_id, server, [part, ...]]``; ``query`` is the
+    caller's query and is sent once. ``remaining_ms`` is the time that is left.
+    """
+
+    __slots__ = (
+        "request_id",
+        "service",
+        "index",
+        "version",
+        "remaining_ms",
+        "traceparent",
+        "query",
+        "items",
+    )
+
+
+@message("sub_answer_batch")
+class SubAnswerBatch(Message):
+    """Answers to sub-queries of one request.
+
+    ``items`` is a list of ``[sub_id, status, version, parts]``. ``status`` is
+    ``ok`` or the value of a ``SubStatus``; ``parts`` maps part (as a string) to
+    rows and is empty unless the status is ``ok``.
+    """
+
+    __slots__ = ("request_id", "items")
+
+
+@message("cancel")
+class Cancel(Message):
+    """Cancels sub-queries of a request whose answers are no longer needed."""
+
+    __slots__ = ("request_id", "sub_ids")
+
+
+@message("order_send")
+class OrderSend(Message):
+    """Asks a holder to send one claimed order to one server, once."""
+
+    __slots__ = (
+        "request_id",
+        "service",
+        "server",
+        "idempotency_key",
+        "remaining_ms",
+        "traceparent",
+        "body",
+    )
+
+
+@message("order_answer")
+class OrderAnswer(Message):
+    """Result of an ``OrderSend``.
+
+    ``status`` is ``done``, ``not_run`` (the upstream said so), ``not_sent`` (the
+    holder has not sent the order and never will) or ``unknown``.
+    """
+
+    __slots__ = ("request_id", "status", "result", "detail")
+
+
+@message("attempt_query")
+class AttemptQuery(Message):
+    """Asks the VM of an attempt what became of it."""
+
+    __slots__ = ("request_id", "attempt")
+
+
+@message("attempt_answer")
+class AttemptAnswer(Message):
+    """What became of an attempt.
+
+    ``status`` is ``done``, ``not_run``, ``in_progress``, ``not_sent`` (and never
+    will be) or ``unknown``.
+    """
+
+    __slots__ = ("request_id", "attempt", "status", "result")
+
+
+class SubStatus:
+    """Values of the status of a sub-answer."""
+
+    OK = "ok"
+    # The holder did not send it: no free slot in time, or no share.
+    REFUSED = "refused"
+    # The holder sent it and the upstream did not run it.
+    SHED = "shed"
+    DRAINING = "draining"
+    VERSION_GONE = "version_gone"
+    FAILED = "failed"
+    UNREACHABLE = "unreachable"
--- /dev/null
+++ b/hemlockspoke/ports.py
@@ -0,0 +1,237 @@
+"""Interfaces between the core and the outside.
+
+Asynchronous methods return a twisted ``Deferred`` that fires with a ``Result``
+of the ``expression`` library. Expected failures are ``Error`` values; a failed
+``Deferred`` is a defect. Fakes in tests may return deferreds that have fired.
+"""
+
+from abc import ABC, abstractmethod
+
+
+class StoredObject:
+    """An object of the platform's store, at one version."""
+
+    __slots__ = ("key", "value", "version")
+
+    def __init__(self, key, version, value):
+        self.key = key
+        self.version = version
+        self.value = value
+
+    def __repr__(self):
+        return f"StoredObject({self.key!r}, {self.version})"
+
+
+class ObjectList:
+    """Objects under a prefix and the revision of the store at that reading.
+
+    ``value`` is None in each object when only versions were asked for.
+    """
+
+    __slots__ = ("objects", "revision")
+
+    def __init__(self, revision, objects):
+        self.revision = revision
+        self.objects = list(objects)
+
+
+class ListedVm:
+    """A VM in the platform's list; ``state`` is ``live`` or ``leaving``."""
+
+    __slots__ = ("address", "failure_domain", "region", "state", "vm")
+
+    def __init__(self, vm, address, region, failure_domain, state):
+        self.vm = vm
+        self.address = address
+        self.region = region
+        self.failure_domain = failure_domain
+        self.state = state
+
+
+class VmList:
+    """One reading of the platform's list, which may be ``lag_ms`` old."""
+
+    __slots__ = ("lag_ms", "vms")
+
+    def __init__(self, lag_ms, vms):
+        self.lag_ms = lag_ms
+        self.vms = list(vms)
+
+
+class Store(ABC):
+    """The platform's object API. Errors are ``StoreError``."""
+
+    @abstractmethod
+    def get(self, key):
+        """Return ``Result[StoredObject, StoreError]``."""
+
+    @abstractmethod
+    def put(self, key, value, if_version):
+        """Write if the version is ``if_version`` (0: absent).
+
+        Returns ``Result[int, StoreError]`` with the new version.
+        """
+
+    @abstractmethod
+    def list(self, prefix, values=True):
+        """Return ``Result[ObjectList, StoreError]``."""
+
+    @abstractmethod
+    def watch(self, prefix, since_revision, wait_ms):
+        """Wait for changes; ``Result[ObjectList, StoreError]``."""
+
+    @abstractmethod
+    def list_vms(self):
+        """Return ``Result[VmList, StoreError]``."""
+
+
+class UpstreamReply:
+    """Answer of an upstream to a query: rows for each part of one version."""
+
+    __slots__ = ("incarnation", "parts", "version")
+
+    def __init__(self, incarnation, version, parts):
+        self.incarnation = incarnation
+        self.version = version
+        self.parts = parts
+
+
+class OrderReply:
+    """Answer of an upstream that has run an order."""
+
+    __slots__ = ("incarnation", "result")
+
+    def __init__(self, incarnation, result):
+        self.incarnation = incarnation
+        self.result = result
+
+
+class UpstreamStatus:
+    """What an upstream says of itself; it lags and may mislead.
+
+    ``indexes`` has the form that ``CatalogUpdate`` describes.
+    """
+
+    __slots__ = ("incarnation", "indexes", "load", "state")
+
+    def __init__(self, incarnation, state, load, indexes):
+        self.incarnation = incarnation
+        self.state = state
+        self.load = load
+        self.indexes = indexes
+
+
+class UpstreamRequest:
+    """One request to an upstream.
+
+    ``body`` is a JSON-ready map. ``remaining_ms`` is passed on as the deadline.
+    ``idempotency_key`` is set for orders only.
+    """
+
+    __slots__ = ("body", "idempotency_key", "remaining_ms", "request_id", "traceparent")
+
+    def __init__(
+        self, request_id, body, remaining_ms, traceparent=None, idempotency_key=None
+    ):
+        self.request_id = request_id
+        self.body = body
+        self.remaining_ms = remaining_ms
+        self.traceparent = traceparent
+        self.idempotency_key = idempotency_key
+
+
+class UpstreamClient(ABC):
+    """Connections of this daemon to one server, within its connection share.
+
+    Cancelling a returned deferred closes the connection of that request. Errors
+    are ``UpstreamError``.
+    """
+
+    @abstractmethod
+    def set_limit(self, connections):
+        """Set the most connections that may be open at once."""
+
+    @abstractmethod
+    def query(self, request):
+        """Return ``Result[UpstreamReply, UpstreamError]``."""
+
+    @abstractmethod
+    def order(self, request):
+        """Return ``Result[OrderReply, UpstreamError]``."""
+
+    @abstractmethod
+    def status(self):
+        """Return ``Result[UpstreamStatus, UpstreamError]``."""
+
+    @abstractmethod
+    def close(self):
+        """Close all connections."""
+
+
+class UpstreamClients(ABC):
+    """Makes an ``UpstreamClient`` for a server."""
+
+    @abstractmethod
+    def connect(self, server):
+        """Return the client for a ``document.Server``."""
+
+
+class PeerNetwork(ABC):
+    """Streams to other daemons.
+
+    Messages are delivered through the callable given to ``set_receiver`` as
+    ``receiver(vm, message)``; the loss of a stream is reported to the callable
+    given to ``set_loss_listener`` as ``listener(vm)``, after which nothing that
+    was sent on it will be answered.
+    """
+
+    @abstractmethod
+    def set_receiver(self, receiver):
+        """Set who gets the messages."""
+
+    @abstractmethod
+    def set_loss_listener(self, listener):
+        """Set who hears of lost streams."""
+
+    @abstractmethod
+    def set_addresses(self, addresses):
+        """Set the peer address of each VM; streams to others are closed."""
+
+    @abstractmethod
+    def send(self, vm, message):
+        """Send a message; False if there is no open stream to the VM."""
+
+    @abstractmethod
+    def connected(self):
+        """Return the names of the VMs with an open stream."""
+
+
+class Metrics(ABC):
+    """Counters, gauges and timings."""
+
+    @abstractmethod
+    def count(self, name, amount=1):
+        """Add to a counter."""
+
+    @abstractmethod
+    def gauge(self, name, value):
+        """Set a gauge."""
+
+    @abstractmethod
+    def timing(self, name, duration_ms):
+        """Record a duration in ms."""
+
+
+class NullMetrics(Metrics):
+    """Metrics that are dropped."""
+
+    __slots__ = ()
+
+    def count(self, name, amount=1):
+        """Drop the count."""
+
+    def gauge(self, name, value):
+        """Drop the value."""
+
+    def timing(self, name, duration_ms):
+        """Drop the duration."""
--- /dev/null
+++ b/hemlockspoke/rendezvous.py
@@ -0,0 +1,27 @@
+"""Rendezvous hashing: each key ranks the VMs in its own order."""
+
+import xxhash
+
+GROUP_BUCKETS = 256
+
+
+def rank(key, names):
+    """Return ``names`` from the highest to the lowest weight for ``key``.
+
+    A name that joins or leaves changes only the keys that it ranks first for.
+    """
+    return sorted(
+        names,
+        key=lambda name: (xxhash.xxh64_intdigest(f"{key}\x00{name}"), name),
+        reverse=True,
+    )
+
+
+def group_of(server_name, region):
+    """Return the group of a server: its region and a hash bucket.
+
+    >>> group_of("rp-00-a", "mtl").startswith("mtl-")
+    True
+    """
+    bucket = xxhash.xxh32_intdigest(server_name) % GROUP_BUCKETS
+    return f"{region}-{bucket:02x}"
--- /dev/null
+++ b/hemlockspoke/requests.py
@@ -0,0 +1,154 @@
+"""Requests of callers and what they get."""
+
+
+class QueryRequest:
+    """A query of a caller; ``deadline_ms`` is the time it may take."""
+
+    __slots__ = (
+        "deadline_ms",
+        "index",
+        "min_coverage_ratio",
+        "query",
+        "service",
+        "traceparent",
+    )
+
+    def __init__(
+        self,
+        service,
+        index,
+        query,
+        deadline_ms=None,
+        min_coverage_ratio=None,
+        traceparent=None,
+    ):
+        self.service = service
+        self.index = index
+        self.query = query
+        self.deadline_ms = deadline_ms
+        self.min_coverage_ratio = min_coverage_ratio
+        self.traceparent = traceparent
+
+
+class QueryAnswer:
+    """Rows of one snapshot and how much of it they cover."""
+
+    __slots__ = (
+        "elapsed_ms",
+        "hedged",
+        "index",
+        "missing_parts",
+        "parts_total",
+        "restarted",
+        "retried",
+        "rows",
+        "version",
+    )
+
+    def __init__(
+        self,
+        index,
+        version,
+        parts_total,
+        missing_parts,
+        rows,
+        *,
+        hedged=0,
+        retried=0,
+        restarted=False,
+        elapsed_ms=0.0,
+    ):
+        self.index = index
+        self.version = version
+        self.parts_total = parts_total
+        self.missing_parts = list(missing_parts)
+        self.rows = rows
+        self.hedged = hedged
+        self.retried = retried
+        self.restarted = restarted
+        self.elapsed_ms = elapsed_ms
+
+    def coverage(self):
+        """Return the coverage as callers see it."""
+        return {
+            "parts_answered": self.parts_total - len(self.missing_parts),
+            "parts_total": self.parts_total,
+            "missing_parts": self.missing_parts,
+        }
+
+    def to_json(self):
+        """Return the body of the answer."""
+        return {
+            "snapshot": {"index": self.index, "version": self.version},
+            "coverage": self.coverage(),
+            "complete": not self.missing_parts,
+            "rows": self.rows,
+            "obtained": {
+                "hedged": self.hedged,
+                "retried": self.retried,
+                "restarted": self.restarted,
+                "elapsed_ms": round(self.elapsed_ms, 1),
+            },
+        }
+
+
+class OrderRequest:
+    """An order of a caller, which must not run twice."""
+
+    __slots__ = (
+        "body",
+        "deadline_ms",
+        "idempotency_key",
+        "order",
+        "service",
+        "traceparent",
+    )
+
+    def __init__(
+        self, service, order, idempotency_key, body, deadline_ms=None, traceparent=None
+    ):
+        self.service = service
+        self.order = order
+        self.idempotency_key = idempotency_key
+        self.body = body
+        self.deadline_ms = deadline_ms
+        self.traceparent = traceparent
+
+
+class OrderResult:
+    """Result of an order that has run; ``replayed`` if it ran earlier."""
+
+    __slots__ = ("replayed", "result")
+
+    def __init__(self, result, replayed=False):
+        self.result = result
+        self.replayed = replayed
+
+    def to_json(self):
+        """Return the body of the answer."""
+        return {"outcome": "done", "result": self.result, "replayed": self.replayed}
+
+
+class Share:
+    """A part of what one server bears, held by one VM."""
+
+    __slots__ = ("cold_start_slots", "connections", "slots")
+
+    def __init__(self, slots=0, connections=0, cold_start_slots=0):
+        self.slots = slots
+        self.connections = connections
+        self.cold_start_slots = cold_start_slots
+
+    def __eq__(self, other):
+        if not isinstance(other, Share):
+            return NotImplemented
+        return self.amounts() == other.amounts()
+
+    __hash__ = None
+
+    def __repr__(self):
+        return f"Share{self.amounts()}"
+
+    def amounts(self):
+        """Return slots, connections and cold-start slots."""
+        return (self.slots, self.connections, self.cold_start_slots)
--- /dev/null
+++ b/hemlockspoke/ui/__init__.py
@@ -0,0 +1,5 @@
+"""The command line for operators."""
+
+
+def main():
+    """Run the command line."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, stand-ins and measurements of hemlockspoke."""
--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of the decision code."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems."""
