--- /dev/null
+++ b/hemlockspoke/adapters/operator_http.py
@@ -0,0 +1,125 @@
+"""Operators' interface: health, readiness, state, configuration in force."""
+
+import json
+
+from twisted.internet.defer import ensureDeferred
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Site
+
+from hemlockspoke.registry import Registry
+
+views = Registry("operator view")
+
+
+class JsonView(Resource):
+    """A resource that answers GET with a JSON object."""
+
+    isLeaf = True
+
+    def __init__(self, node, view):
+        super().__init__()
+        self._node = node
+        self._view = view
+
+    def render_GET(self, request):
+        """Return the view of the daemon."""
+        status, body = self._view(self._node)
+        request.setResponseCode(status)
+        request.setHeader("Content-Type", "application/json")
+        return json.dumps(body).encode()
+
+
+class AnnounceResource(Resource):
+    """Reads the store at once after an operator has changed it."""
+
+    isLeaf = True
+
+    def __init__(self, node):
+        super().__init__()
+        self._node = node
+
+    def render_POST(self, request):
+        """Answer when the store has been read."""
+        request.content.read()
+        done = ensureDeferred(self._announce(request))
+        request.notifyFinish().addErrback(lambda _: done.cancel())
+        done.addErrback(lambda _: None)
+        return NOT_DONE_YET
+
+    async def _announce(self, request):
+        await self._node.sync.announce()
+        request.setHeader("Content-Type", "application/json")
+        request.write(json.dumps(configuration_view(self._node)[1]).encode())
+        request.finish()
+
+
+@views.register("health")
+def health_view(node):
+    """Tell that the process runs."""
+    return 200, {"status": "ok", "vm": node.settings.vm}
+
+
+@views.register("ready")
+def ready_view(node):
+    """Tell whether new work is taken, with the reasons if it is not."""
+    reasons = node.unready()
+    return (503 if reasons else 200), {"ready": not reasons, "reasons": reasons}
+
+
+@views.register("configuration")
+def configuration_view(node):
+    """List what is in force at which version and how old the knowledge is."""
+    configuration = node.configuration
+    rejected = {
+        key: [finding.to_json() for finding in findings]
+        for key, findings in configuration.rejected().items()
+    }
+    fleet = configuration.fleet()
+    return 200, {
+        "vm": node.settings.vm,
+        "versions": configuration.versions(),
+        "digest": configuration.digest(),
+        "store_contact_age_ms": node.sync.store_contact_age_ms(),
+        "rejected": rejected,
+        "failure_domains_out": sorted(fleet.failure_domains_out),
+        "vms_out": sorted(fleet.vms_out),
+    }
+
+
+@views.register("state")
+def state_view(node):
+    """Dump the state that operators need to judge a daemon."""
+    shares = node.share_manager.my_shares()
+    members = [
+        {
+            "vm": member.vm,
+            "incarnation": member.incarnation,
+            "failure_domain": member.failure_domain,
+            "state": member.state,
+        }
+        for member in node.membership.members()
+    ]
+    return 200, {
+        "vm": node.settings.vm,
+        "region": node.settings.region,
+        "failure_domain": node.settings.failure_domain,
+        "incarnation": node.registration.incarnation,
+        "ready": not node.unready(),
+        "reasons": node.unready(),
+        "in_flight": node.in_flight(),
+        "peers": sorted(node.peers.connected()),
+        "members": members,
+        "shares": {name: list(share.amounts()) for name, share in shares.items()},
+        "violations": dict(node.invariants.violations),
+    }
+
+
+def operator_site(node):
+    """Return the HTTP site of the operators' interface."""
+    root = Resource()
+    version = Resource()
+    root.putChild(b"v1", version)
+    for name in views.names():
+        version.putChild(name.encode(), JsonView(node, views.get(name)))
+    version.putChild(b"announce", AnnounceResource(node))
+    return Site(root)
--- /dev/null
+++ b/hemlockspoke/adapters/peer_stream.py
@@ -0,0 +1,347 @@
+"""Streams to other daemons: TCP, length-bounded msgpack frames, heartbeats."""
+
+import logging
+
+from twisted.internet.protocol import ClientFactory, ServerFactory
+from twisted.protocols.basic import Int32StringReceiver
+
+from hemlockspoke.messages import (
+    MAX_FRAME_BYTES,
+    PROTOCOL_VERSION,
+    BadFrame,
+    Hello,
+    Ping,
+    Pong,
+    decode,
+    encode,
+)
+from hemlockspoke.ports import PeerNetwork
+
+logger = logging.getLogger(__name__)
+
+CONNECT_TIMEOUT_S = 2
+REDIAL_MIN_MS = 200
+REDIAL_MAX_MS = 2000
+
+
+class PeerProtocol(Int32StringReceiver):
+    """One stream; frames before the ``Hello`` of the other end are an error."""
+
+    MAX_LENGTH = MAX_FRAME_BYTES
+
+    def __init__(self, network, dialed):
+        self._network = network
+        self.dialed = dialed
+        self.vm = None
+        self.last_received_ms = network.clock.now_ms()
+
+    def connectionMade(self):
+        """Introduce this daemon."""
+        self.transport.setTcpNoDelay(True)
+        self._network.stream_opened(self)
+        self.send_message(self._network.hello())
+
+    def send_message(self, message):
+        """Write one frame."""
+        self.sendString(encode(message))
+
+    def dataReceived(self, data):
+        """Note that the other end is alive, then split frames."""
+        self.last_received_ms = self._network.clock.now_ms()
+        super().dataReceived(data)
+
+    def stringReceived(self, frame):
+        """Decode one frame; a malformed one closes this stream only."""
+        try:
+            message = decode(frame)
+        except BadFrame as error:
+            self._reject(str(error))
+            return
+        if self.vm is None:
+            self._accept_hello(message)
+        else:
+            self._network.message_received(self, message)
+
+    def _accept_hello(self, message):
+        if not isinstance(message, Hello) or not isinstance(message.vm, str):
+            self._reject("the first frame is not a hello")
+        elif message.protocol_version != PROTOCOL_VERSION:
+            self._reject(f"protocol version {message.protocol_version!r}")
+        else:
+            self.vm = message.vm
+            self._network.hello_received(self)
+
+    def lengthLimitExceeded(self, length):
+        """Close the stream of a frame that is too long."""
+        self._reject(f"frame of {length} bytes")
+
+    def _reject(self, reason):
+        self._network.metrics.count("peer.bad_frame")
+        logger.warning("peer stream rejected", extra={"reason": reason})
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason):
+        """Report the loss."""
+        self._network.stream_lost(self)
+
+
+class PeerServerFactory(ServerFactory):
+    """Accepts streams."""
+
+    noisy = False
+
+    def __init__(self, network):
+        self._network = network
+
+    def buildProtocol(self, address):
+        """Return the protocol of an accepted stream."""
+        return PeerProtocol(self._network, dialed=False)
+
+
+class PeerClientFactory(ClientFactory):
+    """Dials one address until it is told to stop."""
+
+    noisy = False
+
+    def __init__(self, network, address):
+        self._network = network
+        self._address = address
+        self._delay_ms = REDIAL_MIN_MS
+        self._connector = None
+        self._timer = None
+        self._stopped = False
+
+    def dial(self):
+        """Start a connection attempt."""
+        self._timer = None
+        if not self._stopped:
+            self._connector = self._network.reactor.connectTCP(
+                self._address.host,
+                self._address.port,
+                self,
+                timeout=CONNECT_TIMEOUT_S,
+            )
+
+    def buildProtocol(self, address):
+        """Return the protocol of a dialed stream."""
+        self._delay_ms = REDIAL_MIN_MS
+        return PeerProtocol(self._network, dialed=True)
+
+    def clientConnectionFailed(self, connector, reason):
+        """Dial again later."""
+        self._dial_later()
+
+    def clientConnectionLost(self, connector, reason):
+        """Dial again later."""
+        self._dial_later()
+
+    def _dial_later(self):
+        if self._stopped:
+            return
+        self._timer = self._network.clock.call_later(self._delay_ms, self.dial)
+        self._delay_ms = min(REDIAL_MAX_MS, self._delay_ms * 2)
+
+    def stop(self):
+        """Stop dialing and close the stream if there is one."""
+        self._stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._connector is not None:
+            self._connector.disconnect()
+
+
+class TcpPeerNetwork(PeerNetwork):
+    """Streams over TCP, at most one in use for each VM.
+
+    The VM with the lower name dials, so that two daemons do not dial each other
+    at the same time. Seed addresses are dialed as well, since a daemon that
+    starts while the store is down does not know any names; where that makes a
+    second stream, the one that the lower name has dialed stays.
+    """
+
+    __slots__ = (
+        "_dialers",
+        "_epoch",
+        "_loss_listener",
+        "_next_token",
+        "_receiver",
+        "_region",
+        "_seeds",
+        "_streams",
+        "_timings",
+        "_unnamed",
+        "_vm",
+        "clock",
+        "metrics",
+        "reactor",
+    )
+
+    def __init__(self, reactor, clock, vm, region, epoch, timings, metrics):
+        self.reactor = reactor
+        self.clock = clock
+        self.metrics = metrics
+        self._vm = vm
+        self._region = region
+        self._epoch = epoch
+        self._timings = timings
+        self._receiver = None
+        self._loss_listener = None
+        self._streams = {}
+        self._unnamed = set()
+        self._dialers = {}
+        self._seeds = []
+        self._next_token = 0
+
+    @classmethod
+    def from_config(cls, settings, reactor, clock, epoch, metrics):
+        """Build from the settings of the daemon."""
+        network = cls(
+            reactor,
+            clock,
+            settings.vm,
+            settings.region,
+            epoch,
+            settings.timings,
+            metrics,
+        )
+        network.dial_seeds(settings.seed_peers, own=settings.peer_address)
+        return network
+
+    def listen(self, address):
+        """Accept streams; raises when the address is in use."""
+        factory = PeerServerFactory(self)
+        port = self.reactor.listenTCP(address.port, factory, interface=address.host)
+        self._schedule_heartbeat()
+        return port
+
+    def dial_seeds(self, addresses, own):
+        """Dial the seed addresses, except this daemon's own."""
+        for address in addresses:
+            if address != own:
+                self._seeds.append(PeerClientFactory(self, address))
+        for dialer in self._seeds:
+            dialer.dial()
+
+    def hello(self):
+        """Return the first message of a stream."""
+        return Hello(
+            vm=self._vm,
+            incarnation=0,
+            epoch=self._epoch,
+            protocol_version=PROTOCOL_VERSION,
+            region=self._region,
+        )
+
+    def set_receiver(self, receiver):
+        """Set who gets the messages."""
+        self._receiver = receiver
+
+    def set_loss_listener(self, listener):
+        """Set who hears of lost streams."""
+        self._loss_listener = listener
+
+    def set_addresses(self, addresses):
+        """Dial the VMs with a higher name and close streams to unknown VMs."""
+        for vm in list(self._dialers):
+            dialed_address, dialer = self._dialers[vm]
+            if addresses.get(vm) != dialed_address:
+                del self._dialers[vm]
+                dialer.stop()
+        for vm, address in addresses.items():
+            if vm > self._vm and vm not in self._dialers:
+                dialer = PeerClientFactory(self, address)
+                self._dialers[vm] = (address, dialer)
+                dialer.dial()
+        if addresses:
+            self._stop_seeds()
+
+    def _stop_seeds(self):
+        """Stop the seeds whose VM is reached; the names are known now."""
+        seeds, self._seeds = self._seeds, []
+        for dialer in seeds:
+            dialer.stop()
+
+    def send(self, vm, message):
+        """Send a message; False if there is no open stream to the VM."""
+        stream = self._streams.get(vm)
+        if stream is None:
+            return False
+        stream.send_message(message)
+        return True
+
+    def connected(self):
+        """Return the names of the VMs with an open stream."""
+        return list(self._streams)
+
+    def stream_opened(self, stream):
+        """Watch a stream whose other end is not yet known."""
+        self._unnamed.add(stream)
+
+    def hello_received(self, stream):
+        """Use the stream for its VM unless a better one is open."""
+        self._unnamed.discard(stream)
+        if stream.vm == self._vm:
+            stream.transport.abortConnection()
+            return
+        current = self._streams.get(stream.vm)
+        if current is not None and not self._preferred(stream, current):
+            stream.transport.loseConnection()
+            return
+        if current is not None:
+            # Answers to requests on the replaced stream will not arrive.
+            self.stream_lost(current)
+            current.transport.loseConnection()
+        self._streams[stream.vm] = stream
+
+    def _preferred(self, stream, current):
+        if stream.dialed == current.dialed:
+            return True
+        return stream.dialed == (self._vm < stream.vm)
+
+    def message_received(self, stream, message):
+        """Answer heartbeats and pass on everything else."""
+        if isinstance(message, Ping):
+            stream.send_message(Pong(token=message.token))
+        elif isinstance(message, Pong | Hello):
+            return
+        elif self._streams.get(stream.vm) is not stream:
+            # A reply that arrives on a replaced stream belongs to an old epoch.
+            self.metrics.count("peer.stale_message")
+        elif self._receiver is not None:
+            self._receiver(stream.vm, message)
+
+    def stream_lost(self, stream):
+        """Forget the stream and report it if it was in use."""
+        self._unnamed.discard(stream)
+        if stream.vm is None or self._streams.get(stream.vm) is not stream:
+            return
+        del self._streams[stream.vm]
+        self.metrics.count("peer.stream_lost")
+        if self._loss_listener is not None:
+            self._loss_listener(stream.vm)
+
+    def _schedule_heartbeat(self):
+        self.clock.call_later(self._timings.heartbeat_ms, self._heartbeat)
+
+    def _heartbeat(self):
+        """Close silent streams and ping the others."""
+        self._next_token += 1
+        now_ms = self.clock.now_ms()
+        for stream in [*self._streams.values(), *self._unnamed]:
+            silence_ms = now_ms - stream.last_received_ms
+            if silence_ms > self._timings.stream_silence_ms:
+                self.metrics.count("peer.silent_stream")
+                self.stream_lost(stream)
+                stream.transport.abortConnection()
+            elif stream.vm is not None:
+                stream.send_message(Ping(token=self._next_token))
+        self._schedule_heartbeat()
+
+    def stop(self):
+        """Close everything."""
+        for _, dialer in self._dialers.values():
+            dialer.stop()
+        self._dialers.clear()
+        self._stop_seeds()
+        for stream in [*self._streams.values(), *self._unnamed]:
+            stream.transport.loseConnection()
--- a/hemlockspoke/daemon.py
+++ b/hemlockspoke/daemon.py
@@ -1,5 +1,142 @@
-"""The daemon: wiring, start and graceful stop."""
+"""The daemon: start, listening sockets and graceful stop."""
+
+import logging
+import signal
+import sys
+import uuid
+
+import typer
+from twisted.internet.defer import ensureDeferred
+
+from hemlockspoke.adapters.json_logs import configure_logs
+from hemlockspoke.clock import ReactorClock
+from hemlockspoke.errors import HumanReadableError
+from hemlockspoke.settings import Settings
+
+logger = logging.getLogger(__name__)
+
+EXIT_BAD_SETTINGS = 2
+
+
+class Daemon:
+    """One process: a node, its HTTP interfaces and its signals."""
+
+    __slots__ = ("_caller_ports", "_node", "_reactor", "_settings", "_stopping")
+
+    def __init__(self, settings, reactor, node):
+        self._settings = settings
+        self._reactor = reactor
+        self._node = node
+        self._caller_ports = []
+        self._stopping = False
+
+    @classmethod
+    def from_config(cls, settings, reactor):
+        """Build the adapters and the node from the settings."""
+        # Adapters import the reactor, which main() has installed by now.
+        from hemlockspoke.adapters.http_store import HttpStore
+        from hemlockspoke.adapters.http_upstream import HttpUpstreamClients
+        from hemlockspoke.adapters.peer_stream import TcpPeerNetwork
+        from hemlockspoke.adapters.statsd_metrics import StatsdMetrics
+        from hemlockspoke.node import Node
+
+        clock = ReactorClock(reactor)
+        metrics = StatsdMetrics.from_config(settings, clock, reactor)
+        epoch = uuid.uuid4().hex
+        peers = TcpPeerNetwork.from_config(settings, reactor, clock, epoch, metrics)
+        store = HttpStore.from_config(settings, reactor, clock, metrics)
+        clients = HttpUpstreamClients.from_config(settings, reactor, clock, metrics)
+        node = Node(settings, clock, store, peers, clients, metrics)
+        return cls(settings, reactor, node)
+
+    def start(self):
+        """Bind all addresses, then start the node.
+
+        The peer address is bound before the node registers: an earlier process
+        on this VM can then no longer serve there.
+        """
+        from hemlockspoke.adapters.caller_http import caller_site
+        from hemlockspoke.adapters.operator_http import operator_site
+
+        self._node.peers.listen(self._settings.peer_address)
+        self._listen(self._settings.operator_address, operator_site(self._node))
+        site = caller_site(
+            queries=self._node.queries,
+            orders=self._node.orders,
+            readiness=self._node.refusals,
+            timings=self._settings.timings,
+        )
+        self._caller_ports.append(self._listen(self._settings.caller_address, site))
+        self._node.start()
+        logger.info("started", extra={"failure_domain": self._settings.failure_domain})
+
+    def _listen(self, address, site):
+        return self._reactor.listenTCP(address.port, site, interface=address.host)
+
+    def terminate(self, *_):
+        """Handle SIGTERM and SIGINT: leave gracefully, at once the second time."""
+        if self._stopping:
+            self._reactor.callFromThread(self._exit, "second signal")
+            return
+        self._stopping = True
+        self._reactor.callFromThread(self._leave)
+
+    def _leave(self):
+        timings = self._settings.timings
+        logger.info("shutting down")
+        self._node.leaving = True
+        ensureDeferred(self._finish()).addErrback(self._finish_failed)
+        clock = self._node.clock
+        clock.call_later(timings.drain_lag_ms, self._close_caller_ports)
+        clock.call_later(timings.drain_limit_ms, self._exit, "drain limit")
+
+    def _close_caller_ports(self):
+        """Refuse new callers once the balancer has seen the lost readiness."""
+        self._node.draining = True
+        for port in self._caller_ports:
+            port.stopListening()
+
+    async def _finish(self):
+        await self._node.sleep(self._settings.timings.drain_lag_ms)
+        await self._node.finish_work()
+        self._exit("drained")
+
+    def _finish_failed(self, failure):
+        logger.error("shutdown failed", extra={"reason": failure.getTraceback()})
+        self._exit("shutdown failed")
+
+    def _exit(self, reason):
+        if self._reactor.running:
+            logger.info("exit", extra={"reason": reason})
+            self._node.stop()
+            # Answers that have been written still leave the send buffers.
+            self._reactor.callLater(0.1, self._reactor.stop)
+
+
+def run(settings_file: str = typer.Argument(..., help="Settings file (YAML).")):
+    """Run the hemlockspoke daemon.
+
+    Example: hemlockspoked /etc/hemlockspoke/settings.yaml
+    """
+    try:
+        result = Settings.from_file(settings_file)
+    except HumanReadableError as error:
+        print(f"hemlockspoked: {error}", file=sys.stderr)
+        raise typer.Exit(EXIT_BAD_SETTINGS) from None
+    if result.is_error():
+        print(str(result.error), file=sys.stderr)
+        raise typer.Exit(EXIT_BAD_SETTINGS)
+    settings = result.ok
+    configure_logs(settings.vm, settings.log_level)
+    from twisted.internet import reactor
+
+    daemon = Daemon.from_config(settings, reactor)
+    reactor.callWhenRunning(daemon.start)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, daemon.terminate)
+    reactor.run(installSignalHandlers=False)
 
 
 def main():
-    """Run the daemon."""
+    """Run the daemon from the command line."""
+    typer.run(run)
--- /dev/null
+++ b/hemlockspoke/dispatch.py
@@ -0,0 +1,110 @@
+"""Delivers messages between the parts of a daemon and its peers."""
+
+import logging
+
+from hemlockspoke.messages import (
+    AttemptAnswer,
+    AttemptQuery,
+    Cancel,
+    CatalogUpdate,
+    Digest,
+    ObjectPush,
+    OrderAnswer,
+    OrderSend,
+    ServerState,
+    SubAnswerBatch,
+    SubQueryBatch,
+    Versions,
+)
+
+logger = logging.getLogger(__name__)
+
+
+class Dispatcher:
+    """Routes each message type to the part that has subscribed to it.
+
+    ``send`` reaches this daemon's own parts as well: an entry talks to the local
+    holder in the same way as to a remote one. Local messages are delivered in the
+    next turn of the reactor, so that no part is called back from its own call.
+    """
+
+    __slots__ = ("_clock", "_handlers", "_loss_listeners", "_metrics", "_peers", "_vm")
+
+    def __init__(self, clock, vm, peers, metrics):
+        self._clock = clock
+        self._vm = vm
+        self._peers = peers
+        self._metrics = metrics
+        self._handlers = {}
+        self._loss_listeners = []
+        peers.set_receiver(self.receive)
+        peers.set_loss_listener(self.peer_lost)
+
+    def subscribe(self, message_type, handler):
+        """Deliver messages of a type to ``handler(vm, message)``."""
+        self._handlers[message_type] = handler
+
+    def subscribe_loss(self, listener):
+        """Report lost streams to ``listener(vm)``."""
+        self._loss_listeners.append(listener)
+
+    def send(self, vm, message):
+        """Send to a VM; False if it cannot be reached."""
+        if vm == self._vm:
+            self._clock.call_later(0, self.receive, vm, message)
+            return True
+        return self._peers.send(vm, message)
+
+    def broadcast(self, message):
+        """Send to all peers with an open stream."""
+        for vm in self._peers.connected():
+            self._peers.send(vm, message)
+
+    def receive(self, vm, message):
+        """Deliver one message; a failing handler does not stop the daemon."""
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            self._metrics.count("dispatch.unhandled")
+            return
+        try:
+            handler(vm, message)
+        except Exception:
+            self._metrics.count("dispatch.handler_failed")
+            logger.exception(
+                "message handler failed",
+                extra={"peer": vm, "message_type": message.type_name},
+            )
+
+    def peer_lost(self, vm):
+        """Report a lost stream to every listener."""
+        for listener in self._loss_listeners:
+            listener(vm)
+
+
+def connect_parts(dispatcher, sync, holder, queries, orders, catalog):
+    """Subscribe the parts of a daemon to the messages that they own."""
+
+    def execute(vm, batch):
+        holder.execute(vm, batch, lambda answer: dispatcher.send(vm, answer))
+
+    def send_order(vm, message):
+        holder.send_order(vm, message, lambda answer: dispatcher.send(vm, answer))
+
+    for message_type in (Digest, Versions, ObjectPush):
+        dispatcher.subscribe(message_type, sync.receive)
+    dispatcher.subscribe(SubQueryBatch, execute)
+    dispatcher.subscribe(Cancel, holder.cancel)
+    dispatcher.subscribe(OrderSend, send_order)
+    dispatcher.subscribe(ServerState, holder.note_server_state)
+    dispatcher.subscribe(SubAnswerBatch, queries.receive)
+    dispatcher.subscribe(OrderAnswer, orders.receive)
+    dispatcher.subscribe(AttemptAnswer, orders.receive)
+    dispatcher.subscribe(AttemptQuery, orders.answer_attempt)
+    dispatcher.subscribe(CatalogUpdate, catalog.update)
+    for listener in (
+        holder.peer_lost,
+        queries.peer_lost,
+        orders.peer_lost,
+        catalog.forget,
+    ):
+        dispatcher.subscribe_loss(listener)
--- /dev/null
+++ b/hemlockspoke/node.py
@@ -0,0 +1,262 @@
+"""The parts of one daemon and how they are connected."""
+
+import logging
+import random
+import uuid
+
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from hemlockspoke.catalog import Catalog
+from hemlockspoke.config_sync import ConfigSync
+from hemlockspoke.configuration import Configuration
+from hemlockspoke.dispatch import Dispatcher, connect_parts
+from hemlockspoke.holder import Holder
+from hemlockspoke.invariants import Invariants
+from hemlockspoke.membership import Membership
+from hemlockspoke.order_claims import OrderClaims
+from hemlockspoke.orders import OrderEngine
+from hemlockspoke.pause import Pause
+from hemlockspoke.query import QueryEngine
+from hemlockspoke.registration import Registration
+from hemlockspoke.routing import Router
+from hemlockspoke.settings import Address
+from hemlockspoke.share_manager import ShareManager
+
+logger = logging.getLogger(__name__)
+
+# Bounds the readings of the platform's list over the whole fleet.
+FLEET_LIST_READS_PER_S = 200
+DRAIN_POLL_MS = 50
+# Time for handing over shares once all work is done; with the store down the
+# shares are replaced later, when the platform's list no longer shows the VM.
+RELEASE_LIMIT_MS = 5000
+
+
+class Node:
+    """One daemon without its HTTP interfaces."""
+
+    __slots__ = (
+        "catalog",
+        "claims",
+        "clock",
+        "configuration",
+        "dispatcher",
+        "draining",
+        "holder",
+        "invariants",
+        "leaving",
+        "membership",
+        "metrics",
+        "orders",
+        "pause",
+        "peers",
+        "queries",
+        "registration",
+        "rng",
+        "router",
+        "settings",
+        "share_manager",
+        "store",
+        "sync",
+    )
+
+    def __init__(self, settings, clock, store, peers, clients, metrics, rng=None):
+        self.settings = settings
+        self.clock = clock
+        self.store = store
+        self.peers = peers
+        self.metrics = metrics
+        self.rng = rng or random.Random(uuid.uuid4().int)
+        self.invariants = Invariants(strict=False)
+        self.leaving = False
+        self.draining = False
+        timings = settings.timings
+        self.pause = Pause(clock, timings.pause_limit_ms)
+        self.configuration = Configuration(clock)
+        self.membership = Membership(clock, self.configuration, timings.gone_margin_ms)
+        self.dispatcher = Dispatcher(clock, settings.vm, peers, metrics)
+        self.sync = ConfigSync(
+            clock=clock,
+            configuration=self.configuration,
+            membership=self.membership,
+            store=store,
+            peers=peers,
+            timings=timings,
+            rng=self.rng,
+            metrics=metrics,
+            vm=settings.vm,
+            failure_domain=settings.failure_domain,
+        )
+        self.registration = Registration.from_config(
+            settings, clock, store, self._registered
+        )
+        self._build_serving_parts(clients, timings)
+
+    def _build_serving_parts(self, clients, timings):
+        """Build the holder, the shares and the two engines."""
+        settings = self.settings
+        common = {
+            "clock": self.clock,
+            "configuration": self.configuration,
+            "metrics": self.metrics,
+            "invariants": self.invariants,
+        }
+        self.holder = Holder(
+            clients=clients, pause=self.pause, timings=timings, **common
+        )
+        self.catalog = Catalog(self.clock)
+        self.share_manager = ShareManager(
+            store=self.store,
+            membership=self.membership,
+            vm=settings.vm,
+            incarnation=self._incarnation,
+            failure_domain=settings.failure_domain,
+            pause=self.pause,
+            rng=self.rng,
+            set_share=self.holder.set_share,
+            in_use=self.holder.in_use,
+            **common,
+        )
+        self.router = Router(
+            configuration=self.configuration,
+            catalog=self.catalog,
+            holders_of=self.share_manager.holders_of,
+            vm=settings.vm,
+            region=settings.region,
+        )
+        self.queries = QueryEngine(
+            catalog=self.catalog,
+            router=self.router,
+            send=self.dispatcher.send,
+            rng=self.rng,
+            timings=timings,
+            **common,
+        )
+        self.claims = OrderClaims(
+            clock=self.clock,
+            store=self.store,
+            rng=self.rng,
+            retention_ms=timings.order_retention_ms,
+            metrics=self.metrics,
+        )
+        self.orders = OrderEngine(
+            router=self.router,
+            claims=self.claims,
+            send=self.dispatcher.send,
+            vm=settings.vm,
+            incarnation=self._incarnation,
+            timings=timings,
+            **common,
+        )
+        self.holder.set_listeners(
+            catalog=self._catalog_changed, server_state=self.dispatcher.broadcast
+        )
+        connect_parts(
+            self.dispatcher,
+            self.sync,
+            self.holder,
+            self.queries,
+            self.orders,
+            self.catalog,
+        )
+
+    def _incarnation(self):
+        return self.registration.incarnation
+
+    def _catalog_changed(self, update):
+        self.catalog.update(self.settings.vm, update)
+        self.dispatcher.broadcast(update)
+
+    def _registered(self, key, version, value):
+        self.configuration.adopt(key, version, value)
+
+    def start(self):
+        """Start every part."""
+        self.configuration.subscribe(self._configuration_changed)
+        self.pause.start()
+        self.sync.start()
+        self.registration.start()
+        self.share_manager.start()
+        self._read_vm_list()
+
+    def _configuration_changed(self, key):
+        if key.startswith("vms/"):
+            self._update_peer_addresses()
+
+    def _update_peer_addresses(self):
+        addresses = {}
+        for member in self.membership.members():
+            gone = self.membership.is_gone(member.vm, member.incarnation)
+            if member.vm != self.settings.vm and not gone:
+                addresses[member.vm] = Address.parse(member.peer_address)
+        self.peers.set_addresses(addresses)
+
+    def _read_vm_list(self):
+        ensureDeferred(self._read_vm_list_once()).addErrback(self._list_failed)
+        fleet_ms = len(self.membership.members()) * 1000 / FLEET_LIST_READS_PER_S
+        interval_ms = max(self.settings.timings.vm_list_ms, fleet_ms)
+        self.clock.call_later(interval_ms, self._read_vm_list)
+
+    async def _read_vm_list_once(self):
+        result = await self.store.list_vms()
+        if result.is_ok():
+            self.membership.note_list(result.ok)
+            self._update_peer_addresses()
+
+    def _list_failed(self, failure):
+        logger.error("VM list not read", extra={"reason": failure.getTraceback()})
+
+    def unready(self):
+        """Return the reasons for not being ready; empty when ready.
+
+        A leaving daemon is not ready but still takes new work until the balancer
+        has seen it.
+        """
+        leaving = ["leaving"] if self.leaving else []
+        return leaving + self.refusals()
+
+    def refusals(self):
+        """Return the reasons for taking no new work; empty when it is taken."""
+        fleet = self.configuration.fleet()
+        reasons = {
+            "configuration not yet known": not self.sync.ready(),
+            "neither store nor peers are reached": self.sync.isolated(),
+            "shutting down": self.draining,
+            "failure domain is out": fleet.domain_out(self.settings.failure_domain),
+            "VM is out": fleet.vm_out(self.settings.vm),
+        }
+        return [reason for reason, holds in reasons.items() if holds]
+
+    def in_flight(self):
+        """Return how many requests of callers are in progress."""
+        return self.queries.in_flight() + self.orders.in_flight()
+
+    async def finish_work(self):
+        """Wait until nothing of callers or peers is in progress, then release.
+
+        Shares are handed over first, while the work in progress goes on, so that
+        peers find the new holders as early as possible.
+        """
+        release = self.share_manager.release_all()
+        while self.in_flight() or not self.holder.idle():
+            await self.sleep(DRAIN_POLL_MS)
+        deadline_ms = self.clock.now_ms() + RELEASE_LIMIT_MS
+        while not release.called and self.clock.now_ms() < deadline_ms:
+            await self.sleep(DRAIN_POLL_MS)
+        while self.in_flight() or not self.holder.idle():
+            await self.sleep(DRAIN_POLL_MS)
+        logger.info("work finished", extra={"shares_released": bool(release.called)})
+
+    def sleep(self, delay_ms):
+        """Return a deferred that fires after ``delay_ms``."""
+        waiting = Deferred()
+        self.clock.call_later(delay_ms, waiting.callback, None)
+        return waiting
+
+    def stop(self):
+        """Close everything; nothing may be in progress."""
+        self.registration.stop()
+        self.share_manager.stop()
+        self.sync.stop()
+        self.holder.stop()
+        self.peers.stop()
--- /dev/null
+++ b/hemlockspoke/orders.py
@@ -0,0 +1,377 @@
+"""Orders: each runs at most once.
+
+An order is claimed in the store before it is sent, and it is sent once. After the
+first byte may have left, it is never sent again and its outcome is unknown until
+an answer arrives. ``not_run`` is said only where nothing was sent and nothing can
+be sent later, or where the upstream has said so.
+"""
+
+import logging
+import uuid
+
+from expression import Error, Ok
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from hemlockspoke import order_claims
+from hemlockspoke.errors import StoreErrorKind
+from hemlockspoke.messages import AttemptAnswer, AttemptQuery, OrderSend
+from hemlockspoke.order_attempt import (
+    FINAL_STATES,
+    Attempt,
+    AttemptState,
+    in_progress,
+    key_reused,
+    not_run,
+    unknown_outcome,
+)
+from hemlockspoke.order_replies import PendingReplies, Reply
+from hemlockspoke.requests import OrderResult
+
+logger = logging.getLogger(__name__)
+
+ATTEMPT_QUERY_TIMEOUT_MS = 1_000
+IN_PROGRESS_POLL_MS = 200
+RECORD_WAIT_MS = 500
+# Bounds the memory for attempts whose claim or outcome is not yet settled.
+MAX_UNSETTLED_ATTEMPTS = 10_000
+
+STATUS_STATES = {
+    "done": AttemptState.DONE,
+    "not_run": AttemptState.NOT_RUN,
+    "unknown": AttemptState.UNKNOWN,
+}
+RECORD_STATES = {
+    AttemptState.DONE: order_claims.DONE,
+    AttemptState.NOT_SENT: order_claims.NOT_SENT,
+    AttemptState.NOT_RUN: order_claims.NOT_SENT,
+    AttemptState.UNKNOWN: order_claims.UNKNOWN,
+}
+
+
+class OrderEngine:
+    """Runs the orders of callers of this VM."""
+
+    __slots__ = (
+        "_attempts",
+        "_claims",
+        "_clock",
+        "_configuration",
+        "_incarnation",
+        "_invariants",
+        "_metrics",
+        "_replies",
+        "_router",
+        "_running",
+        "_send",
+        "_timings",
+        "_vm",
+    )
+
+    def __init__(
+        self,
+        clock,
+        configuration,
+        router,
+        claims,
+        send,
+        vm,
+        incarnation,
+        metrics,
+        invariants,
+        timings,
+    ):
+        self._clock = clock
+        self._configuration = configuration
+        self._router = router
+        self._claims = claims
+        self._send = send
+        self._vm = vm
+        self._incarnation = incarnation
+        self._metrics = metrics
+        self._invariants = invariants
+        self._timings = timings
+        self._attempts = {}
+        self._replies = PendingReplies(clock, metrics, self._take_late_answer)
+        self._running = 0
+
+    def in_flight(self):
+        """Return how many orders of callers are in progress."""
+        return self._running
+
+    def unsettled(self):
+        """Return how many attempts are not yet settled in the store."""
+        return len(self._attempts)
+
+    def run(self, request):
+        """Run an order; a deferred of ``Result[OrderResult, Problem]``."""
+        self._running += 1
+        done = ensureDeferred(self._run(request))
+        done.addBoth(self._finished)
+        return done
+
+    def _finished(self, result):
+        self._running -= 1
+        return result
+
+    async def _run(self, request):
+        document = self._configuration.document(request.service)
+        if document is None or request.order not in document.orders:
+            detail = f"no order {request.order!r} in service {request.service!r}"
+            return Error(not_run(detail, "order-not-found", 404, None))
+        if len(self._attempts) >= MAX_UNSETTLED_ATTEMPTS:
+            return Error(not_run("too many orders are not settled"))
+        attempt = self._new_attempt(request, document.orders[request.order])
+        return await self._claim_and_send(attempt, supersedes=None)
+
+    def _new_attempt(self, request, endpoint):
+        allowed_ms = request.deadline_ms or endpoint.deadline_ms
+        attempt = Attempt(
+            uuid.uuid4().hex,
+            request,
+            order_claims.key_hash(request.service, request.idempotency_key),
+            self._clock.now_ms() + allowed_ms - self._timings.answer_margin_ms,
+        )
+        self._attempts[attempt.attempt_id] = attempt
+        return attempt
+
+    async def _claim_and_send(self, attempt, supersedes):
+        claim = await self._claim_in_time(attempt, supersedes)
+        if claim is None or claim.is_error():
+            if supersedes is not None or self._may_have_run(attempt):
+                return self._refuse_repeated(attempt)
+            return self._refuse_unclaimed(attempt, claim)
+        if not claim.ok.granted:
+            return await self._answer_from_record(attempt, claim.ok.record)
+        if attempt.state is AttemptState.CLAIMING:
+            attempt.state = AttemptState.CLAIMED
+        await self._send_once(attempt)
+        return await self._answer(attempt)
+
+    async def _claim_in_time(self, attempt, supersedes):
+        """Return the result of the claim, or None when the deadline passes."""
+        request = attempt.request
+        record = order_claims.ClaimRecord(
+            attempt.key_hash,
+            request.service,
+            order_claims.body_hash(request.order, request.body),
+            attempt.attempt_id,
+            self._vm,
+            self._incarnation(),
+            self._clock.wall_ms(),
+        )
+        waiting = Deferred()
+        timer = self._clock.call_later(self._remaining_ms(attempt), _fire, waiting)
+        self._claims.claim(record, supersedes).addCallback(
+            lambda result: _fire(waiting, result)
+        )
+        result = await waiting
+        timer.cancel()
+        return result
+
+    def _may_have_run(self, attempt):
+        """Tell whether this VM has sent an earlier order with the same key."""
+        sent_states = (AttemptState.SENT, AttemptState.DONE, AttemptState.UNKNOWN)
+        return any(
+            other.key_hash == attempt.key_hash and other.state in sent_states
+            for other in self._attempts.values()
+        )
+
+    def _refuse_unclaimed(self, attempt, claim):
+        """Refuse an order whose claim has failed or came too late.
+
+        The claim may be in the store all the same, so it is marked as not sent as
+        soon as the store allows; until then this VM confirms it when asked.
+        """
+        attempt.settle(AttemptState.NOT_SENT)
+        if claim is not None and claim.error.kind is StoreErrorKind.UNAVAILABLE:
+            self._attempts.pop(attempt.attempt_id, None)
+        else:
+            self._record(attempt)
+        self._metrics.count("orders.not_run")
+        detail = "the order could not be claimed in the platform's store in time"
+        return Error(not_run(detail, "store-unavailable"))
+
+    async def _send_once(self, attempt):
+        """Ask holders in turn to send, until one may have sent."""
+        choices = self._router.order_servers(
+            attempt.request.service, attempt.request.order
+        )
+        for server, holder_vm in choices:
+            reply = await self._ask_holder(attempt, server, holder_vm)
+            if reply.status == "not_sent":
+                attempt.state = AttemptState.CLAIMED
+                continue
+            state = STATUS_STATES.get(reply.status, AttemptState.UNKNOWN)
+            attempt.settle(state, reply.result)
+            return
+        attempt.settle(AttemptState.NOT_SENT)
+
+    async def _ask_holder(self, attempt, server, holder_vm):
+        remaining_ms = self._remaining_ms(attempt)
+        if remaining_ms <= 0:
+            return Reply("not_sent")
+        if not self._invariants.check(
+            "order.sent_at_most_once", attempt.may_send(), attempt.attempt_id
+        ):
+            return Reply("unknown")
+        request_id = uuid.uuid4().hex
+        message = OrderSend(
+            request_id=request_id,
+            service=attempt.request.service,
+            server=server,
+            idempotency_key=attempt.request.idempotency_key,
+            remaining_ms=remaining_ms,
+            traceparent=attempt.request.traceparent,
+            body=attempt.request.body,
+        )
+        attempt.state = AttemptState.SENT
+        if not self._send(holder_vm, message):
+            return Reply("not_sent")
+        return await self._replies.wait(request_id, holder_vm, remaining_ms, attempt)
+
+    def receive(self, vm, message):
+        """Take an ``OrderAnswer`` or ``AttemptAnswer`` from another VM."""
+        self._replies.receive(vm, message)
+
+    def peer_lost(self, vm):
+        """End the requests that wait for answers from a lost stream."""
+        self._replies.peer_lost(vm)
+
+    def _take_late_answer(self, attempt, message):
+        """Record an outcome that arrived after the caller was answered."""
+        state = STATUS_STATES.get(message.status, AttemptState.UNKNOWN)
+        if message.status == "not_sent":
+            state = AttemptState.NOT_RUN
+        if attempt.settle(state, message.result):
+            self._metrics.count("orders.late_answer")
+            self._attempts[attempt.attempt_id] = attempt
+            self._record(attempt)
+
+    async def _answer(self, attempt):
+        recorded = self._record(attempt)
+        await self._settle_in_time(attempt, recorded)
+        self._metrics.count(f"orders.{attempt.state.value}")
+        if attempt.state is AttemptState.DONE:
+            return Ok(OrderResult(attempt.result))
+        if attempt.state in (AttemptState.NOT_SENT, AttemptState.NOT_RUN):
+            return Error(not_run("no upstream has run the order"))
+        return Error(unknown_outcome("no answer to the order has arrived in time"))
+
+    def _record(self, attempt):
+        """Write a final state; the attempt stays in memory until it is stored."""
+        state = RECORD_STATES[attempt.state]
+        recorded = self._claims.finish(
+            attempt.key_hash, attempt.attempt_id, state, attempt.result
+        )
+        recorded.addCallback(self._recorded, attempt, attempt.state)
+        return recorded
+
+    def _recorded(self, result, attempt, state):
+        # A late answer may have changed the state meanwhile; it is being written.
+        if attempt.state is state:
+            self._attempts.pop(attempt.attempt_id, None)
+        return result
+
+    async def _settle_in_time(self, attempt, recorded):
+        waiting = Deferred()
+        wait_ms = max(0.0, min(RECORD_WAIT_MS, self._remaining_ms(attempt)))
+        timer = self._clock.call_later(wait_ms, _fire, waiting)
+        recorded.addCallback(lambda result: _fire(waiting, result))
+        await waiting
+        timer.cancel()
+
+    async def _answer_from_record(self, attempt, record):
+        """Answer a repeated key from the record of the earlier attempt."""
+        request = attempt.request
+        if record.body_hash != order_claims.body_hash(request.order, request.body):
+            return self._drop(attempt, Error(key_reused()))
+        if record.state == order_claims.DONE:
+            return self._drop(attempt, Ok(OrderResult(record.result, replayed=True)))
+        if record.state == order_claims.UNKNOWN:
+            detail = "the outcome of an earlier request with this key is unknown"
+            return self._drop(attempt, Error(unknown_outcome(detail)))
+        return await self._ask_claimant(attempt, record)
+
+    def _drop(self, attempt, answer):
+        """Forget an attempt that has made no claim."""
+        self._attempts.pop(attempt.attempt_id, None)
+        return answer
+
+    async def _ask_claimant(self, attempt, record):
+        """Ask the VM of the earlier attempt what became of it."""
+        while True:
+            reply = await self._query_attempt(attempt, record)
+            if reply.status == "done":
+                result = OrderResult(reply.result, replayed=True)
+                return self._drop(attempt, Ok(result))
+            if reply.status in ("not_sent", "not_run"):
+                return await self._claim_and_send(attempt, record.attempt)
+            if reply.status != "in_progress":
+                return await self._read_again(attempt, record)
+            if self._remaining_ms(attempt) <= IN_PROGRESS_POLL_MS:
+                return self._drop(attempt, Error(in_progress()))
+            await self._sleep(IN_PROGRESS_POLL_MS)
+
+    async def _query_attempt(self, attempt, record):
+        if record.vm == self._vm:
+            return self._own_attempt(record.attempt)
+        request_id = uuid.uuid4().hex
+        query = AttemptQuery(request_id=request_id, attempt=record.attempt)
+        if not self._send(record.vm, query):
+            return Reply("lost")
+        timeout_ms = min(ATTEMPT_QUERY_TIMEOUT_MS, self._remaining_ms(attempt))
+        return await self._replies.wait(request_id, record.vm, timeout_ms)
+
+    async def _read_again(self, attempt, record):
+        """Look once more: the outcome may have been stored meanwhile."""
+        claim = await self._claim_in_time(attempt, supersedes=None)
+        if claim is None or claim.is_error():
+            return self._refuse_repeated(attempt)
+        if claim.ok.granted:
+            attempt.state = AttemptState.CLAIMED
+            await self._send_once(attempt)
+            return await self._answer(attempt)
+        if claim.ok.record.state == order_claims.DONE:
+            result = OrderResult(claim.ok.record.result, replayed=True)
+            return self._drop(attempt, Ok(result))
+        detail = f"the attempt of VM {record.vm} has not reported its outcome"
+        return self._drop(attempt, Error(unknown_outcome(detail)))
+
+    def _refuse_repeated(self, attempt):
+        """The earlier attempt may have run, so this is no ``not_run``."""
+        attempt.settle(AttemptState.NOT_SENT)
+        self._record(attempt)
+        return Error(unknown_outcome("the platform's store cannot be read"))
+
+    def _own_attempt(self, attempt_id):
+        attempt = self._attempts.get(attempt_id)
+        if attempt is None:
+            return Reply("unknown")
+        if attempt.state in FINAL_STATES:
+            return Reply(attempt.state.value, attempt.result)
+        return Reply("in_progress")
+
+    def answer_attempt(self, vm, message):
+        """Answer another VM that asks about an attempt of this one."""
+        reply = self._own_attempt(message.attempt)
+        answer = AttemptAnswer(
+            request_id=message.request_id,
+            attempt=message.attempt,
+            status=reply.status,
+            result=reply.result,
+        )
+        self._send(vm, answer)
+
+    def _remaining_ms(self, attempt):
+        return attempt.deadline_ms - self._clock.now_ms()
+
+    def _sleep(self, delay_ms):
+        waiting = Deferred()
+        self._clock.call_later(delay_ms, waiting.callback, None)
+        return waiting
+
+
+def _fire(waiting, result=None):
+    """Fire a deferred unless it has fired."""
+    if not waiting.called:
+        waiting.callback(result)
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,307 @@
+"""Stand-ins and daemons as processes on loopback, for the demo, soak and bench."""
+
+import http.client
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+PLATFORM_PORT = 6060
+UPSTREAM_ADMIN_PORT = 6061
+CALLER_PORT = 8080
+PEER_PORT = 7070
+OPERATOR_PORT = 9090
+READY_LIMIT_S = 30
+
+
+class HttpReply:
+    """Status, headers and JSON body of a reply."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+def call(method, host, port, path, body=None, headers=None, timeout_s=10):
+    """Make one HTTP call; raises ``OSError`` if there is no reply."""
+    connection = http.client.HTTPConnection(host, port, timeout=timeout_s)
+    try:
+        content = None if body is None else json.dumps(body)
+        all_headers = {"Content-Type": "application/json", **(headers or {})}
+        connection.request(method, path, content, all_headers)
+        reply = connection.getresponse()
+        text = reply.read()
+        parsed = json.loads(text) if text else None
+        return HttpReply(reply.status, dict(reply.getheaders()), parsed)
+    except http.client.HTTPException as error:
+        raise ConnectionError(f"no valid reply: {error!r}") from error
+    finally:
+        connection.close()
+
+
+class DaemonProcess:
+    """One daemon on a loopback address of its own."""
+
+    def __init__(self, cluster, number, failure_domain, region):
+        self.cluster = cluster
+        self.vm = f"vm-{number}"
+        self.host = f"{cluster.network}.{10 + number}"
+        self.failure_domain = failure_domain
+        self.region = region
+        self.process = None
+
+    def settings_text(self):
+        """Return the settings file of this daemon."""
+        seeds = [f"{d.host}:{PEER_PORT}" for d in self.cluster.daemons]
+        lines = [
+            f"vm: {self.vm}",
+            f"region: {self.region}",
+            f"failure_domain: {self.failure_domain}",
+            f"caller_address: {self.host}:{CALLER_PORT}",
+            f"peer_address: {self.host}:{PEER_PORT}",
+            f"operator_address: {self.host}:{OPERATOR_PORT}",
+            f"platform_address: {self.cluster.platform_host}:{PLATFORM_PORT}",
+            f"seed_peers: [{', '.join(seeds)}]",
+            "timings:",
+        ]
+        timings = self.cluster.timings
+        lines += [f"  {name}: {value}" for name, value in timings.items()]
+        return "\n".join(lines if timings else lines[:-1]) + "\n"
+
+    def start(self):
+        """Start the process."""
+        path = self.cluster.directory / f"{self.vm}.yaml"
+        path.write_text(self.settings_text(), encoding="utf-8")
+        command = "from hemlockspoke.daemon import main; main()"
+        self.process = self.cluster.start_process(self.vm, ["-c", command, str(path)])
+
+    def call(self, method, path, body=None, headers=None, timeout_s=10):
+        """Call the callers' interface."""
+        return call(method, self.host, CALLER_PORT, path, body, headers, timeout_s)
+
+    def operator(self, path):
+        """Read the operators' interface."""
+        return call("GET", self.host, OPERATOR_PORT, path, timeout_s=5)
+
+    def query(self, service, index, deadline_ms=2000, query=None):
+        """Send a query and return the reply."""
+        path = f"/v1/services/{service}/indexes/{index}/query"
+        body = {"query": query or {}, "deadline_ms": deadline_ms}
+        return self.call("POST", path, body, timeout_s=deadline_ms / 1000 + 5)
+
+    def order(self, service, order, key, body, deadline_ms=3000):
+        """Send an order and return the reply."""
+        path = f"/v1/services/{service}/orders/{order}"
+        headers = {"Idempotency-Key": key, "Deadline-Ms": str(deadline_ms)}
+        return self.call("POST", path, body, headers, timeout_s=deadline_ms / 1000 + 5)
+
+    def is_ready(self):
+        """Tell whether the daemon reports that it is ready."""
+        try:
+            return self.operator("/v1/ready").status == 200
+        except OSError:
+            return False
+
+    def signal(self, number):
+        """Send a signal to this daemon's process."""
+        self.process.send_signal(number)
+
+    def terminate(self, limit_s=40):
+        """Stop gracefully; return the exit status."""
+        self.signal(signal.SIGTERM)
+        return self.process.wait(limit_s)
+
+    def kill(self):
+        """Kill the process at once."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+
+class Cluster:
+    """A platform, an upstream process and daemons over failure domains."""
+
+    def __init__(self, layout_factory, daemons=3, timings=None, stand_in=None):
+        self.network = f"127.{random.randint(1, 250)}.{random.randint(0, 250)}"
+        self.platform_host = f"{self.network}.1"
+        self.upstream_host = f"{self.network}.2"
+        self.layout = layout_factory(self.upstream_host)
+        self.timings = dict(timings or {})
+        self.stand_in = dict(stand_in or {})
+        self._temporary = tempfile.TemporaryDirectory(prefix="hemlockspoke-")
+        self.directory = Path(self._temporary.name)
+        self._processes = []
+        domains = sorted(self.layout.domains)
+        self.daemons = []
+        for number in range(daemons):
+            domain = domains[number % len(domains)]
+            region = self.layout.domains[domain]
+            self.daemons.append(DaemonProcess(self, number, domain, region))
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def start_process(self, name, arguments):
+        """Start a Python process whose output goes to a file."""
+        output = open(self.directory / f"{name}.log", "ab")  # noqa: SIM115
+        environment = {**os.environ, "PYTHONPATH": str(ROOT)}
+        process = subprocess.Popen(
+            [sys.executable, *arguments],
+            stdout=output,
+            stderr=subprocess.STDOUT,
+            stdin=subprocess.DEVNULL,
+            cwd=ROOT,
+            env=environment,
+        )
+        output.close()
+        self._processes.append(process)
+        return process
+
+    def start_stand_ins(self, **upstream_settings):
+        """Start the platform and the upstream servers."""
+        self.start_process(
+            "platform",
+            ["-m", "tests.standins.platform"]
+            + ["--host", self.platform_host, "--port", str(PLATFORM_PORT)],
+        )
+        config = self.layout.stand_in_config(**self.stand_in, **upstream_settings)
+        self.start_process(
+            "upstream",
+            ["-m", "tests.standins.upstream", "--host", self.upstream_host]
+            + ["--port", str(UPSTREAM_ADMIN_PORT)]
+            + ["--config-json", json.dumps(config)],
+        )
+        wait_until(lambda: self._answers(self.platform, "GET", "counters"))
+        wait_until(lambda: self._answers(self.upstream_counters))
+        self.list_vms()
+
+    def _answers(self, function, *arguments):
+        try:
+            function(*arguments)
+        except OSError:
+            return False
+        return True
+
+    def list_vms(self, lag_ms=1000, missing=(), leaving=()):
+        """Set the platform's list of VMs."""
+        vms = [
+            {
+                "vm": daemon.vm,
+                "address": daemon.host,
+                "region": daemon.region,
+                "failure_domain": daemon.failure_domain,
+                "state": "leaving" if daemon.vm in leaving else "live",
+            }
+            for daemon in self.daemons
+            if daemon.vm not in missing
+        ]
+        self.platform("PUT", "vms", {"vms": vms, "lag_ms": lag_ms})
+
+    def platform(self, method, path, body=None):
+        """Call the platform's admin interface."""
+        path = f"/admin/{path}"
+        return call(method, self.platform_host, PLATFORM_PORT, path, body).body
+
+    def set_faults(self, *faults):
+        """Replace the faults of the platform."""
+        self.platform("PUT", "faults", {"faults": list(faults)})
+
+    def upstream(self, server, action, body=None):
+        """Run an admin action of one upstream server."""
+        path = f"/admin/{server}/{action}"
+        port = UPSTREAM_ADMIN_PORT
+        return call("POST", self.upstream_host, port, path, body or {}).body
+
+    def upstream_counters(self):
+        """Return the counters of all upstream servers."""
+        port = UPSTREAM_ADMIN_PORT
+        return call("GET", self.upstream_host, port, "/admin/counters").body
+
+    def total(self, counter):
+        """Return a counter summed over all upstream servers."""
+        counters = self.upstream_counters().values()
+        return sum(server[counter] for server in counters)
+
+    def put_object(self, key, value):
+        """Write an object as an operator would, over any version."""
+        host, port = self.platform_host, PLATFORM_PORT
+        path = f"/v1/objects/{key}"
+        current = call("GET", host, port, path)
+        version = current.body["version"] if current.status == 200 else 0
+        headers = {"If-Match": str(version)}
+        reply = call("PUT", host, port, path, {"value": value}, headers)
+        return reply.body["version"]
+
+    def put_document(self, **query_policy):
+        """Write the service document."""
+        text = self.layout.document(**query_policy)
+        value = {"text": text, "audit": [], "writer": "tests"}
+        return self.put_object(f"services/{self.layout.service}", value)
+
+    def command(self, *arguments, check=True):
+        """Run the command line and return the completed process."""
+        platform = f"{self.platform_host}:{PLATFORM_PORT}"
+        environment = {
+            **os.environ,
+            "PYTHONPATH": str(ROOT),
+            "HEMLOCKSPOKE_PLATFORM": platform,
+        }
+        program = "from hemlockspoke.ui import main; main()"
+        return subprocess.run(
+            [sys.executable, "-c", program, *arguments],
+            capture_output=True,
+            text=True,
+            check=check,
+            env=environment,
+            timeout=60,
+        )
+
+    def start_daemons(self):
+        """Start all daemons and wait until they serve complete answers."""
+        for daemon in self.daemons:
+            daemon.start()
+        self.wait_ready(self.daemons)
+
+    def wait_ready(self, daemons, limit_s=READY_LIMIT_S):
+        """Wait until the daemons are ready and see every part of every index."""
+        for daemon in daemons:
+            wait_until(daemon.is_ready, limit_s)
+            for index in self.layout.indexes:
+                wait_until(lambda d=daemon, i=index: self._complete(d, i), limit_s)
+
+    def _complete(self, daemon, index):
+        try:
+            reply = daemon.query(self.layout.service, index.name)
+        except OSError:
+            return False
+        return reply.status == 200 and reply.body["complete"]
+
+    def stop(self):
+        """End all processes that this cluster has started."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.kill()
+        for process in self._processes:
+            process.wait()
+        self._temporary.cleanup()
+
+
+def wait_until(condition, limit_s=READY_LIMIT_S, poll_s=0.05):
+    """Wait until a condition holds; raises ``TimeoutError``."""
+    deadline_s = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > deadline_s:
+            raise TimeoutError(f"condition not met within {limit_s} s")
+        time.sleep(poll_s)
