Check service documents and settings as a whole

Daemons and operators need one check that reports every mistake of a text with its place. The text is read into nodes with line and column; fields are declared with their range, and checks across fields are a registry. Orders may not take longer than max_deadline_ms, because the new holder of a replaced share waits that long. Syntax errors, duplicate keys and aliases are findings, and no text makes a checker raise: hypothesis tries arbitrary text, YAML-like values and damaged examples.

--- /dev/null
+++ b/hemlockspoke/document_check.py
@@ -0,0 +1,280 @@
+"""Text of a service document to a ``ServiceDocument`` or to all its findings."""
+
+from expression import Error, Ok
+
+from hemlockspoke.document import (
+    Index,
+    OrderEndpoint,
+    QueryPolicy,
+    Server,
+    ServiceDocument,
+    Shard,
+    UpstreamClass,
+)
+from hemlockspoke.fields import (
+    INVALID,
+    AddressCheck,
+    Choice,
+    ListOf,
+    MapOf,
+    Name,
+    Ratio,
+    Record,
+    Text,
+    Whole,
+)
+from hemlockspoke.registry import Registry
+from hemlockspoke.yaml_reader import read_yaml
+
+HEDGE_POLICIES = ("none", "quantile")
+# Ten minutes: a caller that waits longer has lost its connection.
+MAX_DEADLINE_MS = 600_000
+MAX_SLOTS = 10_000
+MAX_CONNECTIONS = 100_000
+MAX_QUERIES = 1_000_000
+MAX_RAMP_SUCCESSES = 10_000
+MAX_CONNECT_COST_MS = 60_000
+
+QUERY_POLICY = Record(
+    {},
+    {
+        "default_deadline_ms": Whole(1, MAX_DEADLINE_MS, "ms"),
+        "max_deadline_ms": Whole(1, MAX_DEADLINE_MS, "ms"),
+        "min_coverage_ratio": Ratio(),
+        "extra_load_ratio": Ratio(),
+        "hedge_policy": Choice(HEDGE_POLICIES),
+        "max_concurrent_queries": Whole(1, MAX_QUERIES, "queries"),
+        "max_queued_queries": Whole(0, MAX_QUERIES, "queries"),
+    },
+)
+UPSTREAM_CLASS = Record(
+    {
+        "slots": Whole(1, MAX_SLOTS, "slots"),
+        "connections": Whole(1, MAX_CONNECTIONS, "connections"),
+    },
+    {
+        # A server without a cold-start slot would never warm up.
+        "cold_start_slots": Whole(1, MAX_SLOTS, "slots"),
+        "ramp_successes": Whole(1, MAX_RAMP_SUCCESSES, "replies"),
+        "connect_cost_ms": Whole(0, MAX_CONNECT_COST_MS, "ms"),
+    },
+)
+SERVER = Record(
+    {
+        "class": Name(),
+        "address": AddressCheck(),
+        "failure_domain": Name(),
+        "region": Name(),
+    }
+)
+INDEX = Record({"shards": ListOf(Record({"replicas": ListOf(Name(), 1)}), 1)})
+ORDER = Record(
+    {"servers": ListOf(Name(), 1)},
+    {"deadline_ms": Whole(1, MAX_DEADLINE_MS, "ms")},
+)
+DOCUMENT = Record(
+    {
+        "service": Name(),
+        "owner": Text(),
+        "failure_domains": ListOf(Name(), 1),
+        "upstream_classes": MapOf(UPSTREAM_CLASS, 1),
+        "servers": MapOf(SERVER, 1),
+    },
+    {
+        "queries": QUERY_POLICY,
+        "indexes": MapOf(INDEX),
+        "orders": MapOf(ORDER),
+    },
+)
+
+document_checks = Registry("document check")
+
+
+def check_document(text, file=""):
+    """Return ``Result[ServiceDocument, Findings]``; never raises for any text."""
+    reading = read_yaml(text, file)
+    if reading.root is None:
+        return Error(reading.findings)
+    values = DOCUMENT.check(reading.root, reading)
+    if values is not INVALID:
+        draft = Draft(reading, values)
+        for name in document_checks.names():
+            document_checks.get(name)(draft)
+    if reading.findings:
+        return Error(reading.findings)
+    return Ok(_build(values))
+
+
+class Draft:
+    """The valid values of a document and where they stand."""
+
+    __slots__ = ("reading", "values")
+
+    def __init__(self, reading, values):
+        self.reading = reading
+        self.values = values
+
+    def records(self, section):
+        """Return the names and records of a section that are maps."""
+        entries = self.values.get(section, {})
+        return [item for item in entries.items() if item[1] is not INVALID]
+
+    def names(self, section):
+        """Return all names of a section, also of refused records, or None."""
+        return self.values.get(section)
+
+    def server_lists(self):
+        """Return the path of each list of servers, with its items."""
+        for name, index in self.records("indexes"):
+            for position, shard in enumerate(index.get("shards", [])):
+                if shard is not INVALID and "replicas" in shard:
+                    path = ("indexes", name, "shards", position, "replicas")
+                    yield path, shard["replicas"]
+        for name, order in self.records("orders"):
+            if "servers" in order:
+                yield ("orders", name, "servers"), order["servers"]
+
+    def add(self, path, allowed, found=None):
+        """Add a finding at a path of keys and positions."""
+        node = self.reading.at(*path)
+        self.reading.add(node, found or node.describe(), allowed)
+
+
+@document_checks.register("servers are of a known class")
+def check_classes(draft):
+    """Find servers whose class the document does not describe."""
+    known = draft.names("upstream_classes")
+    for name, server in draft.records("servers"):
+        upstream_class = server.get("class")
+        if known is not None and upstream_class and upstream_class not in known:
+            allowed = "a name under upstream_classes"
+            draft.add(("servers", name, "class"), allowed)
+
+
+@document_checks.register("servers are in the failure domains of the service")
+def check_failure_domains(draft):
+    """Find servers in a failure domain that the service may not use."""
+    permitted = draft.values.get("failure_domains")
+    for name, server in draft.records("servers"):
+        domain = server.get("failure_domain")
+        if permitted is not None and domain and domain not in permitted:
+            allowed = "a name under failure_domains"
+            draft.add(("servers", name, "failure_domain"), allowed)
+
+
+@document_checks.register("server addresses differ")
+def check_addresses(draft):
+    """Find servers that share an address, whose limits could not be kept."""
+    owners = {}
+    for name, server in draft.records("servers"):
+        address = server.get("address")
+        if address in owners:
+            allowed = f"an address of its own; server {owners[address]} has this one"
+            draft.add(("servers", name, "address"), allowed)
+        elif address is not None:
+            owners[address] = name
+
+
+@document_checks.register("replicas and order servers are servers")
+def check_server_names(draft):
+    """Find replicas and order servers that name no server."""
+    known = draft.names("servers")
+    for path, names in draft.server_lists():
+        for position, name in enumerate(names):
+            if known is not None and name is not INVALID and name not in known:
+                draft.add((*path, position), "a name under servers")
+
+
+@document_checks.register("names in a list differ")
+def check_repeated_names(draft):
+    """Find a server twice in a shard or order, or a failure domain twice."""
+    lists = [(("failure_domains",), draft.values.get("failure_domains", []))]
+    for path, names in [*lists, *draft.server_lists()]:
+        for position, name in enumerate(names):
+            if name is not INVALID and name in names[:position]:
+                found = f'"{name}" again'
+                draft.add((*path, position), "each name once in the list", found)
+
+
+@document_checks.register("slots and connections fit together")
+def check_class_limits(draft):
+    """Find classes with more cold-start slots than slots, or too few connections."""
+    for name, values in draft.records("upstream_classes"):
+        slots = values.get("slots")
+        if slots is None:
+            continue
+        if values.get("cold_start_slots", 1) > slots:
+            path = ("upstream_classes", name, "cold_start_slots")
+            draft.add(path, f"at most the {slots} slots of the class")
+        if slots > values.get("connections", slots):
+            path = ("upstream_classes", name, "slots")
+            limit = values["connections"]
+            draft.add(path, f"at most the {limit} connections of the class")
+
+
+@document_checks.register("deadlines fit together")
+def check_deadlines(draft):
+    """Find deadlines above ``max_deadline_ms``.
+
+    The new holder of a replaced share waits ``max_deadline_ms`` for the work of the
+    old one to end, so an order may not take longer than that either.
+    """
+    policy = draft.values.get("queries", {})
+    limit_ms = policy.get("max_deadline_ms", QueryPolicy().max_deadline_ms)
+    allowed = f"at most max_deadline_ms, {limit_ms} ms"
+    default_ms = policy.get("default_deadline_ms", QueryPolicy().default_deadline_ms)
+    if default_ms > limit_ms:
+        key = "default_deadline_ms"
+        path = ("queries", key if key in policy else "max_deadline_ms")
+        draft.add(path, allowed, f"default_deadline_ms {default_ms}")
+    for name, order in draft.records("orders"):
+        default_ms = OrderEndpoint(name, []).deadline_ms
+        if order.get("deadline_ms", default_ms) > limit_ms:
+            key = ("deadline_ms",) if "deadline_ms" in order else ()
+            found = f"deadline_ms {order.get('deadline_ms', default_ms)}"
+            draft.add(("orders", name, *key), allowed, found)
+
+
+@document_checks.register("the service serves something")
+def check_serves(draft):
+    """Find a document without any index or order."""
+    if not draft.reading.root.entries.keys() & {"indexes", "orders"}:
+        draft.add((), "at least one of indexes and orders", "neither")
+
+
+def _build(values):
+    classes = {
+        name: UpstreamClass(name, **fields)
+        for name, fields in values["upstream_classes"].items()
+    }
+    servers = {
+        name: _server(name, fields, classes)
+        for name, fields in values["servers"].items()
+    }
+    indexes = {
+        name: Index(name, [Shard(shard["replicas"]) for shard in fields["shards"]])
+        for name, fields in values.get("indexes", {}).items()
+    }
+    orders = {
+        name: OrderEndpoint(name, **fields)
+        for name, fields in values.get("orders", {}).items()
+    }
+    return ServiceDocument(
+        service=values["service"],
+        owner=values["owner"],
+        failure_domains=values["failure_domains"],
+        queries=QueryPolicy(**values.get("queries", {})),
+        indexes=indexes,
+        orders=orders,
+        servers=servers,
+    )
+
+
+def _server(name, fields, classes):
+    return Server(
+        name,
+        classes[fields["class"]],
+        str(fields["address"]),
+        fields["failure_domain"],
+        fields["region"],
+    )
--- /dev/null
+++ b/hemlockspoke/settings.py
@@ -0,0 +1,181 @@
+"""Settings of one daemon: a file over the defaults, checked as a whole."""
+
+import os
+from functools import cache
+from pathlib import Path
+
+from expression import Error, Ok
+
+from hemlockspoke.address import Address
+from hemlockspoke.fields import (
+    INVALID,
+    AddressCheck,
+    Choice,
+    ListOf,
+    Name,
+    Record,
+    Whole,
+)
+from hemlockspoke.findings import Finding, Findings
+from hemlockspoke.yaml_reader import read_yaml
+
+__all__ = ["Address", "Settings", "Timings"]
+
+DEFAULT_FILE = Path(__file__).with_name("settings_default.yaml")
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+HOUR_MS = 3_600_000
+MONTH_MS = 31 * 24 * HOUR_MS
+# A daemon that reaches neither store nor peers takes no new work after 3 s.
+MAX_ISOLATION_MS = 3000
+
+INTERVAL = Whole(1, HOUR_MS, "ms")
+MARGIN = Whole(0, HOUR_MS, "ms")
+TIMING_CHECKS = {
+    "watcher_check_ms": INTERVAL,
+    "version_check_ms": INTERVAL,
+    "watch_wait_ms": INTERVAL,
+    "digest_exchange_ms": INTERVAL,
+    "isolation_limit_ms": Whole(1, MAX_ISOLATION_MS, "ms"),
+    "vm_list_ms": INTERVAL,
+    "gone_margin_ms": MARGIN,
+    "heartbeat_ms": INTERVAL,
+    "stream_silence_ms": INTERVAL,
+    "status_poll_ms": INTERVAL,
+    "proof_ttl_ms": INTERVAL,
+    "stall_ms": INTERVAL,
+    "pause_limit_ms": INTERVAL,
+    "answer_margin_ms": MARGIN,
+    "store_timeout_ms": INTERVAL,
+    "drain_lag_ms": MARGIN,
+    "drain_limit_ms": MARGIN,
+    "order_retention_ms": Whole(1, MONTH_MS, "ms"),
+    "caller_idle_timeout_ms": INTERVAL,
+}
+SETTINGS = Record(
+    {
+        "vm": Name(),
+        "region": Name(),
+        "failure_domain": Name(),
+        "caller_address": AddressCheck(any_host=True),
+        # Other VMs connect to these two, so they must be a real address.
+        "peer_address": AddressCheck(),
+        "operator_address": AddressCheck(),
+        "platform_address": AddressCheck(),
+    },
+    {
+        "statsd_address": AddressCheck(),
+        "statsd_prefix": Name(),
+        "log_level": Choice(LOG_LEVELS),
+        "seed_peers": ListOf(AddressCheck()),
+        "timings": Record({}, TIMING_CHECKS),
+    },
+)
+DEFAULTS = Record({}, SETTINGS.fields)
+
+
+class Timings:
+    """Intervals and limits in ms, by the names of ``settings_default.yaml``."""
+
+    __slots__ = tuple(TIMING_CHECKS)
+
+    def __init__(self, **values_ms):
+        for name in self.__slots__:
+            setattr(self, name, values_ms.pop(name))
+        if values_ms:
+            raise TypeError(f"unknown timings {sorted(values_ms)}")
+
+    @classmethod
+    def defaults(cls, **overrides):
+        """Return the default timings with some of them replaced."""
+        return cls(**{**_defaults()["timings"], **overrides})
+
+
+class Settings:
+    """Settings of one daemon; each address is an ``Address``.
+
+    >>> Settings.from_text("vm: e-1").is_error()
+    True
+    """
+
+    __slots__ = tuple(SETTINGS.fields)
+
+    def __init__(self, **values):
+        for name in self.__slots__:
+            setattr(self, name, values.pop(name))
+        if values:
+            raise TypeError(f"unknown settings {sorted(values)}")
+
+    @classmethod
+    def from_file(cls, path):
+        """Return ``Result[Settings, Findings]`` of a file."""
+        try:
+            text = Path(path).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            return Error(unreadable(path, error))
+        return cls.from_text(text, str(path))
+
+    @classmethod
+    def from_text(cls, text, file=""):
+        """Return ``Result[Settings, Findings]``; never raises for any text."""
+        reading = read_yaml(text, file)
+        if reading.root is None:
+            return Error(reading.findings)
+        values = SETTINGS.check(reading.root, reading)
+        if values is not INVALID:
+            _check_timings(reading, values)
+            _check_own_addresses(reading, values)
+        if reading.findings:
+            return Error(reading.findings)
+        defaults = _defaults()
+        timings = {**defaults["timings"], **values.get("timings", {})}
+        return Ok(cls(**{**defaults, **values, "timings": Timings(**timings)}))
+
+
+def unreadable(path, error):
+    """Return the findings of a file that cannot be read."""
+    reason = getattr(error, "strerror", None) or str(error)
+    finding = Finding("", reason, "a readable file in UTF-8", file=os.fspath(path))
+    return Findings([finding])
+
+
+@cache
+def _defaults():
+    reading = read_yaml(DEFAULT_FILE.read_text(encoding="utf-8"), str(DEFAULT_FILE))
+    values = DEFAULTS.check(reading.root, reading)
+    if reading.findings:
+        raise ValueError(str(reading.findings))
+    return values
+
+
+# Each pair: the first must be less than the second.
+ORDERED_TIMINGS = (
+    # A stream that is closed before its next heartbeat would never stay open.
+    ("heartbeat_ms", "stream_silence_ms"),
+    # A daemon that stops at its limit while it still serves through the
+    # balancer's lag would interrupt requests.
+    ("drain_lag_ms", "drain_limit_ms"),
+)
+
+
+def _check_timings(reading, values):
+    given = values.get("timings", {})
+    timings = {**_defaults()["timings"], **given}
+    for less, more in ORDERED_TIMINGS:
+        if timings[less] < timings[more] or not {less, more} & given.keys():
+            continue
+        name = less if less in given else more
+        found = f"{less} {timings[less]} and {more} {timings[more]}"
+        node = reading.at("timings", name)
+        reading.add(node, found, f"{less} less than {more}")
+
+
+def _check_own_addresses(reading, values):
+    owners = {}
+    for name in ("caller_address", "peer_address", "operator_address"):
+        address = values.get(name)
+        if address is None:
+            continue
+        if address in owners:
+            allowed = f"an address of its own; {owners[address]} has this one"
+            reading.add(reading.at(name), f'"{address}"', allowed)
+        owners[address] = name
--- /dev/null
+++ b/tests/features/steps/documents_steps.py
@@ -0,0 +1,262 @@
+"""Steps on the checks of service documents and settings."""
+
+from pathlib import Path
+
+from behave import given, then, when  # noqa: F401
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+from ruamel.yaml import YAML
+from ruamel.yaml.compat import StringIO
+
+from hemlockspoke.document_check import check_document
+from hemlockspoke.settings import Settings
+
+EXAMPLES = Path("examples")
+GOOD_DOCUMENT = """\
+service: depot
+owner: Depot
+failure_domains: [mtl-a]
+queries:
+  hedge_policy: quantile
+indexes:
+  stock:
+    shards:
+      - replicas: [ds-0, ds-1]
+orders:
+  refill: {servers: [ds-0], deadline_ms: 3000}
+upstream_classes:
+  small: {slots: 2, connections: 10}
+servers:
+  ds-0: {class: small, address: "10.0.0.0:80", failure_domain: mtl-a, region: mtl}
+  ds-1: {class: small, address: "10.0.0.1:80", failure_domain: mtl-a, region: mtl}
+"""
+VOCABULARY = (
+    "service owner queries indexes orders servers upstream_classes shards replicas "
+    "class address slots connections timings vm seed_peers deadline_ms 10.0.0.1:80 "
+    "failure_domains stock << ~ * & !!int 2020-01-01 0x1F [ ] { } - :"
+)
+WORDS = st.sampled_from(VOCABULARY.split())
+SCALARS = st.one_of(
+    st.none(), st.booleans(), st.integers(), st.floats(), st.text(max_size=8), WORDS
+)
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=4), st.dictionaries(SCALARS, inner, max_size=5)
+    ),
+    max_leaves=25,
+)
+
+
+def as_yaml(value):
+    """Return a value as YAML text, or its repr if the writer cannot write it."""
+    stream = StringIO()
+    try:
+        YAML(typ="safe", pure=True).dump(value, stream)
+    except Exception:  # The writer is not what is tested.
+        return repr(value)
+    return stream.getvalue()
+
+
+def check_all(text):
+    """Check a text both ways; each result must be a value or findings."""
+    for result in (check_document(text, "any"), Settings.from_text(text, "any")):
+        if result.is_error():
+            assert len(result.error) > 0
+            str(result.error).encode("utf-8")
+
+
+@when("the example document {file} is checked")
+def step_check_example(context, file):
+    text = (EXAMPLES / file).read_text(encoding="utf-8")
+    context.result = check_document(text, file)
+
+
+@when('this document is checked as "{file}"')
+@when('this document is checked as "{file}":')
+def step_check_text(context, file):
+    context.result = check_document(context.text, file)
+
+
+@when('"{old}" in the good document is replaced by "{new}"')
+def step_replace(context, old, new):
+    assert check_document(GOOD_DOCUMENT).is_ok()
+    assert old in GOOD_DOCUMENT
+    text = GOOD_DOCUMENT.replace(old, new.replace("\\n", "\n"), 1)
+    context.result = check_document(text)
+
+
+@when("these settings are checked")
+@when("these settings are checked:")
+def step_check_settings(context):
+    context.result = Settings.from_text(context.text, "settings.yaml")
+
+
+@then("the document is accepted with {servers:d} servers")
+def step_accepted(context, servers):
+    assert context.result.is_ok(), context.result.error
+    assert len(context.result.ok.servers) == servers
+
+
+@then('its index layout is "{indexes}" and its order layout is "{orders}"')
+def step_layout(context, indexes, orders):
+    document = context.result.ok
+    seen = [f"{i.name} {layout(i)}" for i in document.indexes.values()]
+    assert ", ".join(seen) == indexes, seen
+    seen = [f"{o.name} {len(o.servers)}" for o in document.orders.values()]
+    assert ", ".join(seen) == orders, seen
+
+
+def layout(index):
+    """Return shards and replicas of an index whose shards are alike."""
+    (replicas,) = {len(shard.replicas) for shard in index.shards}
+    return f"{len(index.shards)}x{replicas}"
+
+
+@then("the replicas of each of its shards are in different failure domains")
+def step_domains(context):
+    document = context.result.ok
+    for index in document.indexes.values():
+        for shard in index.shards:
+            domains = {document.servers[n].failure_domain for n in shard.replicas}
+            assert len(domains) == len(shard.replicas), shard.replicas
+
+
+@then("the document is refused with exactly these findings")
+@then("the document is refused with exactly these findings:")
+def step_findings(context):
+    seen = [
+        (f"{f.file}:{f.line}:{f.column}", f.path, f.found) for f in context.result.error
+    ]
+    assert seen == [tuple(row.cells) for row in context.table], seen
+
+
+@then('the document is refused at "{path}" with "{found}"')
+def step_one_finding(context, path, found):
+    seen = [(f.path, f.found) for f in context.result.error]
+    assert seen == [(path, found)], seen
+
+
+@then('the document is refused at "" with "{found}"')
+def step_syntax_finding(context, found):
+    step_one_finding(context, "", found)
+
+
+@then("checking any text or any YAML-like value gives a document or findings")
+def step_any_text(context):
+    for_all(st.text())(check_all)()
+    for_all(st.lists(WORDS, max_size=12).map(" ".join))(check_all)()
+    for_all(VALUES.map(as_yaml))(check_all)()
+    for text in ("[" * 5000, "&a [*a]", "9" * 5000, "a: !!int x", "\ud800", "\x00"):
+        check_all(text)
+
+
+@then("checking any damaged example gives a document or findings")
+def step_damaged(context):
+    settings = (EXAMPLES / "settings.yaml").read_text(encoding="utf-8")
+    sources = st.sampled_from([GOOD_DOCUMENT, settings])
+    cut = st.integers(0, len(GOOD_DOCUMENT))
+
+    @for_all(sources, cut, st.integers(0, 9), st.text(max_size=4) | WORDS)
+    def damage(source, start, length, text):
+        check_all(source[:start] + text + source[start + length :])
+
+    damage()
+
+
+@then("an accepted document survives a second check")
+def step_second_check(context):
+    small = st.integers(1, 8)
+
+    @for_all(small, small, st.lists(small, min_size=1, max_size=4))
+    def check_twice(slots, more, replicas):
+        text = as_yaml(generated_document(slots, more, replicas))
+        first = check_document(text)
+        assert first.is_ok(), first.error
+        again = check_document(as_yaml(as_value(first.ok)))
+        assert again.is_ok(), again.error
+        assert as_value(again.ok) == as_value(first.ok)
+
+    check_twice()
+
+
+def generated_document(slots, more, replicas):
+    """Return the value of a document with a shard for each count of replicas."""
+    names = [f"s-{i}" for i in range(max(replicas))]
+    return {
+        "service": "s",
+        "owner": "o",
+        "failure_domains": ["d"],
+        "indexes": {"i": {"shards": [{"replicas": names[:n]} for n in replicas]}},
+        "upstream_classes": {"c": {"slots": slots, "connections": slots + more}},
+        "servers": {
+            name: {
+                "class": "c",
+                "address": f"10.0.0.{i}:80",
+                "failure_domain": "d",
+                "region": "r",
+            }
+            for i, name in enumerate(names)
+        },
+    }
+
+
+def as_value(item):
+    """Return a checked document as the value that its text had."""
+    if isinstance(item, dict):
+        return {key: as_value(value) for key, value in item.items()}
+    if isinstance(item, list):
+        return [as_value(value) for value in item]
+    return item if not hasattr(item, "__slots__") else document_value(item)
+
+
+def document_value(document):
+    """Return the value of a document; names inside of objects are their keys."""
+    servers = document.servers.values()
+    classes = {s.upstream_class.name: s.upstream_class for s in servers}
+    value = {name: getattr(document, name) for name in document.__slots__}
+    value["queries"] = plain(document.queries)
+    value["upstream_classes"] = {n: plain(c) for n, c in classes.items()}
+    value["servers"] = {
+        s.name: {**plain(s, "upstream_class"), "class": s.upstream_class.name}
+        for s in servers
+    }
+    value["indexes"] = {
+        i.name: {"shards": [plain(shard) for shard in i.shards]}
+        for i in document.indexes.values()
+    }
+    value["orders"] = {o.name: plain(o) for o in document.orders.values()}
+    return value
+
+
+def plain(item, *left_out):
+    """Return the fields of an object without its name."""
+    skipped = {"name", *left_out}
+    return {n: getattr(item, n) for n in item.__slots__ if n not in skipped}
+
+
+@then(
+    "the settings are accepted with heartbeat_ms {heartbeat:d} and stall_ms {stall:d}"
+)
+def step_settings(context, heartbeat, stall):
+    assert context.result.is_ok(), context.result.error
+    timings = context.result.ok.timings
+    assert (timings.heartbeat_ms, timings.stall_ms) == (heartbeat, stall)
+
+
+@then('the operator address of the settings is host "{host}" and port {port:d}')
+def step_operator_address(context, host, port):
+    address = context.result.ok.operator_address
+    assert (address.host, address.port) == (host, port)
+
+
+@then("the example settings are accepted")
+def step_example_settings(context):
+    result = Settings.from_file(EXAMPLES / "settings.yaml")
+    assert result.is_ok(), result.error
+
+
+@then("the settings are refused at lines {lines}")
+def step_settings_refused(context, lines):
+    seen = ", ".join(str(finding.line) for finding in context.result.error)
+    assert seen == lines, context.result.error
