--- a/hemlockspoke/document_check.py
+++ b/hemlockspoke/document_check.py
@@ -90,14 +90,17 @@
 document_checks = Registry("document check")
 
 
-def check_document(text, file=""):
-    """Return ``Result[ServiceDocument, Findings]``; never raises for any text."""
+def check_document(text, file="", others=()):
+    """Return ``Result[ServiceDocument, Findings]``; never raises for any text.
+
+    ``others`` are documents of other services; a server belongs to one document.
+    """
     reading = read_yaml(text, file)
     if reading.root is None:
         return Error(reading.findings)
     values = DOCUMENT.check(reading.root, reading)
     if values is not INVALID:
-        draft = Draft(reading, values)
+        draft = Draft(reading, values, others)
         for name in document_checks.names():
             document_checks.get(name)(draft)
     if reading.findings:
@@ -108,11 +111,12 @@
 class Draft:
     """The valid values of a document and where they stand."""
 
-    __slots__ = ("reading", "values")
+    __slots__ = ("others", "reading", "values")
 
-    def __init__(self, reading, values):
+    def __init__(self, reading, values, others=()):
         self.reading = reading
         self.values = values
+        self.others = others
 
     def records(self, section):
         """Return the names and records of a section that are maps."""
@@ -175,6 +179,22 @@
             owners[address] = name
 
 
+@document_checks.register("servers belong to no other document")
+def check_other_documents(draft):
+    """Find servers whose name or address another document has."""
+    service = draft.values.get("service")
+    for other in draft.others:
+        if other.service == service:
+            continue
+        allowed = f"a server of this document only; {other.service} has it"
+        addresses = {server.address for server in other.servers.values()}
+        for name, server in draft.records("servers"):
+            if name in other.servers:
+                draft.add(("servers", name), allowed, f'"{name}"')
+            elif str(server.get("address")) in addresses:
+                draft.add(("servers", name, "address"), allowed)
+
+
 @document_checks.register("replicas and order servers are servers")
 def check_server_names(draft):
     """Find replicas and order servers that name no server."""
