Add the operators' command line

Operators had no way to change or read what daemons have in force. The command line checks files, applies documents, takes failure domains and VMs out and in, lists audit entries, shows what each daemon has in force, and sends queries and orders as a caller does. A change that is interrupted ends with 4, result unknown.

--- /dev/null
+++ b/hemlockspoke/ui/exits.py
@@ -0,0 +1,40 @@
+"""Exit codes of the command line and the error that carries them."""
+
+from enum import IntEnum
+
+from hemlockspoke.errors import HumanReadableError
+
+
+class ExitCode(IntEnum):
+    """What the exit status of a command says."""
+
+    DONE = 0
+    REFUSED = 1
+    BAD_INPUT = 2
+    RACE_LOST = 3
+    UNKNOWN = 4
+
+
+EXIT_CODE_HELP = (
+    "Exit codes: 0 done; 1 refused or failed, nothing was changed; 2 bad usage or "
+    "bad input; 3 lost a race, nothing was changed; 4 the result is not known."
+)
+
+
+class CommandFailed(HumanReadableError):
+    """A command ends with ``code``; ``extra`` holds members for JSON output."""
+
+    def __init__(self, code, text, extra=None):
+        super().__init__(text)
+        self.code = code
+        self.extra = dict(extra or {})
+
+    @classmethod
+    def from_findings(cls, findings):
+        """Build from the findings of a check."""
+        listed = [finding.to_json() for finding in findings]
+        return cls(ExitCode.BAD_INPUT, str(findings), {"findings": listed})
+
+    def to_json(self):
+        """Return the error as a JSON object."""
+        return {"error": str(self), "exit_code": int(self.code), **self.extra}
--- /dev/null
+++ b/hemlockspoke/ui/store_access.py
@@ -0,0 +1,103 @@
+"""Reads of the store that commands share."""
+
+from hemlockspoke.adapters.blocking_store import BlockingStore
+from hemlockspoke.audit import archive_prefix, entries_of, stored_text
+from hemlockspoke.document_check import check_document
+from hemlockspoke.errors import StoreErrorKind
+from hemlockspoke.fleet import FLEET_KEY, SERVICE_PREFIX, Fleet
+from hemlockspoke.ui.exits import CommandFailed, ExitCode
+
+STORE_TIMEOUT_MS = 2000
+VM_PREFIX = "vms/"
+
+
+class Registration:
+    """A registered daemon, as its ``vms/`` object describes it."""
+
+    __slots__ = ("failure_domain", "incarnation", "operator_address", "region", "vm")
+
+    def __init__(self, vm, incarnation, region, failure_domain, operator_address):
+        self.vm = vm
+        self.incarnation = incarnation
+        self.region = region
+        self.failure_domain = failure_domain
+        self.operator_address = operator_address
+
+    @classmethod
+    def from_object(cls, stored):
+        """Build from a stored object; a field that is missing is empty."""
+        value = stored.value if isinstance(stored.value, dict) else {}
+        vm = stored.key.removeprefix(VM_PREFIX)
+        names = ("region", "failure_domain", "operator_address")
+        return cls(vm, stored.version, *(str(value.get(name, "")) for name in names))
+
+
+class StoreReader:
+    """Reads that end the command when the store gives no answer."""
+
+    __slots__ = ("store",)
+
+    def __init__(self, store):
+        self.store = store
+
+    @classmethod
+    def from_address(cls, address):
+        """Build on the platform at an ``Address``."""
+        return cls(BlockingStore(address, STORE_TIMEOUT_MS))
+
+    def find(self, key):
+        """Return the ``StoredObject``, or None if it is absent."""
+        result = self.store.get(key)
+        if result.is_error() and result.error.kind is StoreErrorKind.NOT_FOUND:
+            return None
+        return _value(result, key)
+
+    def objects(self, prefix):
+        """Return the objects under a prefix in the order of their keys."""
+        listed = _value(self.store.list(prefix), prefix)
+        return sorted(listed.objects, key=lambda item: item.key)
+
+    def vms(self):
+        """Return the VMs of the platform's list by name."""
+        listed = _value(self.store.list_vms(), "the list of VMs")
+        return {item.vm: item for item in listed.vms}
+
+    def registrations(self):
+        """Return the registered daemons."""
+        return [Registration.from_object(item) for item in self.objects(VM_PREFIX)]
+
+    def services(self):
+        """Return the objects of all service documents."""
+        return self.objects(SERVICE_PREFIX)
+
+    def documents(self):
+        """Return the documents that pass the check."""
+        texts = [stored_text(item.value) for item in self.services()]
+        return [found.ok for found in map(check_document, texts) if found.is_ok()]
+
+    def fleet(self):
+        """Return what has been taken out."""
+        stored = self.find(FLEET_KEY)
+        try:
+            return Fleet() if stored is None else Fleet.from_value(stored.value)
+        except ValueError as error:
+            raise CommandFailed(ExitCode.REFUSED, str(error)) from error
+
+    def history(self, stored):
+        """Return the audit entries of an object, with archived ones, oldest first.
+
+        An entry may be archived and still in the object, if a writer stopped
+        between both writes. Each base version has one change, so it is shown once.
+        """
+        archives = self.objects(archive_prefix(stored.key))
+        found = [entry for item in archives for entry in entries_of(item.value)]
+        found += entries_of(stored.value)
+        once = {entry.base_version: entry for entry in found}
+        return [once[base_version] for base_version in sorted(once)]
+
+
+def _value(result, what):
+    if result.is_error():
+        text = f"cannot read {what} from the platform: {result.error.detail}"
+        raise CommandFailed(ExitCode.REFUSED, text)
+    return result.ok
