--- /dev/null
+++ b/hemlockspoke/hedging.py
@@ -0,0 +1,78 @@
+"""Hedge policies: when a sub-query is sent to a second replica.
+
+A policy sees the latencies of one index and gives the delay after which an
+unanswered sub-query is hedged, or None to never hedge.
+"""
+
+from hemlockspoke.registry import Registry
+
+hedge_policies = Registry("hedge policy")
+
+# Shorter delays would hedge on scheduling noise of the daemon itself.
+MIN_DELAY_MS = 5.0
+# Used until enough latencies have been seen to estimate a quantile.
+INITIAL_DELAY_MS = 50.0
+HEDGE_QUANTILE = 0.95
+# Relative size of one correction. Smaller steps follow a latency change too
+# slowly, larger ones make the estimate itself noisy.
+STEP_RATIO = 0.02
+
+
+class SlidingQuantile:
+    """Estimate of a quantile that moves a small step with each value.
+
+    Each value above the estimate raises it by ``quantile`` steps, each other one
+    lowers it by the rest, so it settles where the stated fraction lies below. It
+    needs no window and takes a value that is known only to exceed the estimate,
+    such as the latency of a cancelled sub-query.
+
+    >>> estimate = SlidingQuantile(0.5, 10.0)
+    >>> estimate.observe(20.0)
+    >>> estimate.value > 10.0
+    True
+    """
+
+    __slots__ = ("_down", "_up", "value")
+
+    def __init__(self, quantile, initial):
+        self._up = 1.0 + STEP_RATIO * quantile
+        self._down = 1.0 - STEP_RATIO * (1.0 - quantile)
+        self.value = initial
+
+    def observe(self, value):
+        """Move the estimate towards one observed value."""
+        if value > self.value:
+            self.value *= self._up
+        else:
+            self.value *= self._down
+
+
+@hedge_policies.register("none")
+class NoHedging:
+    """Baseline that never hedges."""
+
+    __slots__ = ()
+
+    def observe(self, latency_ms):
+        """Ignore a latency."""
+
+    def delay_ms(self):
+        """Return None: no sub-query is hedged."""
+
+
+@hedge_policies.register("quantile")
+class QuantileHedging:
+    """Hedges what is slower than most sub-queries of the index."""
+
+    __slots__ = ("_estimate",)
+
+    def __init__(self):
+        self._estimate = SlidingQuantile(HEDGE_QUANTILE, INITIAL_DELAY_MS)
+
+    def observe(self, latency_ms):
+        """Take the latency of a sub-query, or a lower bound of it."""
+        self._estimate.observe(latency_ms)
+
+    def delay_ms(self):
+        """Return the delay after which a sub-query is hedged."""
+        return max(MIN_DELAY_MS, self._estimate.value)
--- /dev/null
+++ b/tests/features/query.feature
@@ -0,0 +1,73 @@
+Feature: queries of one snapshot
+
+  Scenario: a query groups its parts by server and its servers by holder
+    Given a query tier of 4 shards with 8 parts of version 7
+    When a fan-out query is started
+    Then at most 2 query batches carry 4 items with 2 parts each
+    When all sub-queries are answered
+    Then the fan-out result is complete with version 7
+
+  Scenario: a refusal leads to the other holder first, then to another replica
+    Given a query tier of 1 shards with 1 parts of version 7
+    When a fan-out query is started
+    And the newest sub-query is answered "refused"
+    Then the next sub-query goes to the same server through its other holder
+    When the newest sub-query is answered "refused"
+    Then the next sub-query goes to another server
+    And no token of extra load is spent
+
+  Scenario: an answer of another version is retried and never merged
+    Given a query tier of 1 shards with 1 parts of version 7
+    When a fan-out query is started
+    And the newest sub-query is answered with version 6
+    Then the next sub-query goes to another server
+    When all sub-queries are answered
+    Then the fan-out result is complete with version 7
+
+  Scenario: a slow sub-query is hedged and its loser cancelled
+    Given a query tier of 2 shards with 2 parts of version 7
+    When a fan-out query is started
+    And one sub-query is answered and 60 ms pass
+    Then one sub-query is hedged to another server
+    When the hedge is answered
+    Then the fan-out result is complete with version 7
+    And the loser of the hedge is cancelled
+
+  Scenario: the answer is partial and truthful at the deadline
+    Given a query tier of 2 shards with 4 parts of version 7
+    When a fan-out query is started
+    And one sub-query is answered and 795 ms pass
+    Then the fan-out result misses 2 of 4 parts
+
+  Scenario: a query restarts once when its version vanishes
+    Given a query tier of 1 shards with 1 parts of version 7
+    When a fan-out query is started
+    And version 8 replaces version 7 on all servers
+    And every sub-query is answered "version_gone" until the query restarts
+    And all sub-queries are answered
+    Then the fan-out result is complete with version 8
+
+  Scenario: a query without any known version is refused at once
+    Given a query tier of 1 shards with 0 parts of version 7
+    When a fan-out query is started
+    Then the fan-out result is the problem "no-snapshot" with outcome "not_run"
+
+  Scenario: queries beyond concurrency and queue are refused as not run
+    Given a query tier that admits 1 query and queues 1
+    When 3 fan-out queries are started
+    Then the third is refused as "overloaded" and the second waits
+    When the first query is answered
+    Then the second query runs
+
+  Scenario: a failure domain that is out gets no new sub-query
+    Given a query tier of 1 shards with 1 parts of version 7
+    When the failure domain of all its servers is taken out
+    And a fan-out query is started
+    Then the fan-out result is the problem "no-snapshot" with outcome "not_run"
+
+  Scenario: a draining server and a lost holder report change the routes
+    Given a query tier of 1 shards with 1 parts of version 7
+    When server "s00-a" is reported as draining by its only reporter
+    Then the replicas of part 0 name only server "s00-b"
+    When the reports of holder "vm-1" are forgotten
+    Then part 0 has no replica
--- /dev/null
+++ b/tests/features/steps/query_steps.py
@@ -0,0 +1,194 @@
+"""Steps on queries of one snapshot."""
+
+from behave import given, then, when
+
+from hemlockspoke.fleet import Fleet
+from hemlockspoke.messages import Cancel
+from tests.fuzz.query_fakes import INDEX, SERVICE, Tier, make_document
+
+
+def report_all(tier, shards, parts, version):
+    for server in tier.configuration.document(SERVICE).servers:
+        shard = int(server[1:3])
+        own = [part for part in range(parts) if part % shards == shard]
+        tier.report(server, {version: (parts, own)} if own else {})
+
+
+@given("a query tier of {shards:d} shards with {parts:d} parts of version {version:d}")
+def step_tier(context, shards, parts, version):
+    context.tier = Tier(make_document(shards))
+    report_all(context.tier, shards, parts, version)
+
+
+@given("a query tier that admits 1 query and queues 1")
+def step_small_tier(context):
+    document = make_document(1, max_concurrent_queries=1, max_queued_queries=1)
+    context.tier = Tier(document)
+    report_all(context.tier, 1, 1, 7)
+
+
+@when("a fan-out query is started")
+def step_start(context):
+    context.results = context.tier.run()
+    context.batches = len(context.tier.sent)
+    context.items = context.tier.items()
+    context.last = context.items[-1] if context.items else None
+
+
+@when("{count:d} fan-out queries are started")
+def step_start_many(context, count):
+    context.many = [context.tier.run() for _ in range(count)]
+
+
+@then(
+    "at most {holders:d} query batches carry {count:d} items with {parts:d} parts each"
+)
+def step_batches(context, holders, count, parts):
+    assert context.batches <= holders, context.batches
+    assert len(context.items) == count, context.items
+    assert all(len(item[2]) == parts for _, _, item in context.items)
+
+
+@when("all sub-queries are answered")
+def step_answer_all(context):
+    for sent in context.items:
+        context.tier.answer(sent)
+
+
+@when('the newest sub-query is answered "{status}"')
+def step_answer_status(context, status):
+    context.tier.answer(context.last, status)
+    context.before, context.items = context.last, context.tier.items()
+    context.last = context.items[-1]
+
+
+@when("the newest sub-query is answered with version {version:d}")
+def step_answer_version(context, version):
+    context.tier.answer(context.last, version=version)
+    context.before, context.items = context.last, context.tier.items()
+    context.last = context.items[-1]
+
+
+@then("the next sub-query goes to the same server through its other holder")
+def step_other_holder(context):
+    assert context.last[2][1] == context.before[2][1]
+    assert context.last[0] != context.before[0]
+
+
+@then("the next sub-query goes to another server")
+def step_other_server(context):
+    assert context.last[2][1] != context.before[2][1]
+
+
+@then("no token of extra load is spent")
+def step_no_token(context):
+    assert context.tier.engine.budget(SERVICE).tokens == 20
+
+
+@then("the fan-out result is complete with version {version:d}")
+def step_complete(context, version):
+    (result,) = context.results
+    answer = result.ok
+    assert (answer.version, answer.missing_parts) == (version, [])
+    assert answer.rows == [[version, part] for part in range(answer.parts_total)]
+    assert context.tier.engine.in_flight() == 0
+
+
+@when("one sub-query is answered and {time_ms:d} ms pass")
+def step_answer_one(context, time_ms):
+    context.tier.answer(context.items[0])
+    context.tier.clock.advance(time_ms)
+
+
+@then("one sub-query is hedged to another server")
+def step_hedged(context):
+    (context.hedge,) = context.tier.items()
+    slow = context.items[1]
+    assert context.hedge[2][2] == slow[2][2]
+    assert context.hedge[2][1] != slow[2][1]
+
+
+@when("the hedge is answered")
+def step_answer_hedge(context):
+    context.tier.answer(context.hedge)
+
+
+@then("the loser of the hedge is cancelled")
+def step_cancelled(context):
+    vm, _, item = context.items[1]
+    ((to, cancel),) = context.tier.sent
+    assert isinstance(cancel, Cancel)
+    assert (to, cancel.sub_ids) == (vm, [item[0]])
+
+
+@then("the fan-out result misses {missing:d} of {total:d} parts")
+def step_partial(context, missing, total):
+    (result,) = context.results
+    answer = result.ok
+    assert len(answer.missing_parts) == missing
+    assert answer.parts_total == total
+    assert len(answer.rows) == total - missing
+
+
+@when("version {new:d} replaces version {old:d} on all servers")
+def step_replace(context, new, old):
+    report_all(context.tier, 1, 1, new)
+
+
+@when('every sub-query is answered "{status}" until the query restarts')
+def step_answer_until_restart(context, status):
+    while context.items[0][1].version == 7:
+        context.tier.answer(context.items[0], status)
+        context.items = context.tier.items()
+
+
+@then('the fan-out result is the problem "{name}" with outcome "{outcome}"')
+def step_problem(context, name, outcome):
+    (result,) = context.results
+    assert result.error.name == name
+    assert result.error.outcome.value == outcome
+
+
+@then('the third is refused as "{name}" and the second waits')
+def step_refused(context, name):
+    assert context.many[2][0].error.name == name
+    assert context.many[:2] == [[], []]
+    assert len(context.tier.sent) == 1
+    assert context.tier.engine.in_flight() == 2
+
+
+@when("the first query is answered")
+def step_answer_first(context):
+    context.tier.answer(context.tier.items()[0])
+
+
+@then("the second query runs")
+def step_second_runs(context):
+    assert len(context.many[0]) == 1
+    assert len(context.tier.items()) == 1
+
+
+@when("the failure domain of all its servers is taken out")
+def step_domain_out(context):
+    context.tier.configuration.set_fleet(Fleet(["mtl-a"], []))
+
+
+@when('server "{server}" is reported as draining by its only reporter')
+def step_draining(context, server):
+    context.tier.report(server, {7: (1, [0])}, available=False)
+
+
+@then('the replicas of part 0 name only server "{server}"')
+def step_replicas(context, server):
+    choices = context.tier.router.replicas(SERVICE, INDEX, 7, 0)
+    assert choices == [(server, "vm-1"), (server, "vm-2")], choices
+
+
+@when('the reports of holder "{holder}" are forgotten')
+def step_forget(context, holder):
+    context.tier.catalog.forget(holder)
+
+
+@then("part 0 has no replica")
+def step_no_replica(context):
+    assert context.tier.router.replicas(SERVICE, INDEX, 7, 0) == []
