Add the callers' interface over HTTP

Callers need queries and orders over HTTP with problem documents that say truthfully whether anything ran. Requests are parsed by pure functions that report all findings together and refuse what frames between daemons cannot carry (integers beyond 64 bits, lone surrogates, deep nesting). Bodies stay in memory since a daemon has no disk; the time limit of a request runs from its first byte, so single bytes cannot prolong it. After a refusal in the middle of a body the rest is dropped for 1 s, because closing at once would reset the connection and lose the answer.

--- /dev/null
+++ b/hemlockspoke/adapters/caller_http.py
@@ -0,0 +1,292 @@
+"""The callers' interface: queries and orders over HTTP."""
+
+import io
+import json
+import logging
+import math
+from urllib.parse import unquote_to_bytes
+
+from expression import Error
+from twisted.internet.defer import CancelledError, maybeDeferred
+from twisted.protocols import basic
+from twisted.web import http
+
+from hemlockspoke.adapters.caller_requests import parse_order, parse_query
+from hemlockspoke.errors import Outcome, Problem
+
+logger = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 1024 * 1024
+RETRY_AFTER_MS = 1000
+# After a refusal in the middle of a body the rest is read and dropped this long;
+# closing at once would reset the connection and lose the answer.
+LINGER_S = 1.0
+ABORT_S = 2
+
+
+class CallerRequest(http.Request):
+    """One request of a caller."""
+
+    def __init__(self, channel, queued=False):
+        super().__init__(channel, queued, parsePOSTFormSubmission=False)
+        self.body_bytes = 0
+
+    def gotLength(self, length):
+        """Keep the body in memory, since a daemon has no disk."""
+        self.content = io.BytesIO()
+
+    def handleContentChunk(self, data):
+        """Take a piece of the body unless it grows too large."""
+        self.body_bytes += len(data)
+        if self.body_bytes > MAX_BODY_BYTES:
+            self.channel.refuse(self, body_too_large())
+        else:
+            self.content.write(data)
+
+    def process(self):
+        """Start the query or the order of this request."""
+        site = self.channel.factory
+        reason = site.readiness()
+        if reason is not None:
+            # The balancer learns sooner that this daemon takes no new work.
+            self.setHeader(b"Connection", b"close")
+            self.channel.persistent = False
+        result = self._parse(reason)
+        if result.is_error():
+            self.answer_problem(result.error)
+            return
+        engine, cancellable, request = result.ok
+        self._run(engine, cancellable, request)
+
+    def _parse(self, reason):
+        site = self.channel.factory
+        route = parse_path(self.path)
+        if route is None:
+            return Error(unknown_path())
+        if self.method != b"POST":
+            self.setHeader(b"Allow", b"POST")
+            return Error(wrong_method(self.method))
+        if reason is not None:
+            return Error(not_ready(reason))
+        service, kind, name = route
+        body = self.content.getvalue()
+        if kind == "query":
+            parsed = parse_query(service, name, self._header_values, body)
+            return parsed.map(lambda request: (site.queries, True, request))
+        parsed = parse_order(service, name, self._header_values, body)
+        return parsed.map(lambda request: (site.orders, False, request))
+
+    def _header_values(self, name):
+        return self.requestHeaders.getRawHeaders(name, [])
+
+    def _run(self, engine, cancellable, request):
+        outcome = Outcome.FAILED if cancellable else Outcome.UNKNOWN
+        running = maybeDeferred(engine.run, request)
+        gone = self.notifyFinish()
+        if cancellable:
+            # An order goes on: its outcome must be recorded for a retry.
+            gone.addErrback(lambda _: running.cancel())
+        else:
+            gone.addErrback(lambda _: None)
+        running.addCallback(self._on_result)
+        running.addErrback(self._on_defect, outcome)
+
+    def _on_result(self, result):
+        if self._disconnected:
+            return
+        if result.is_ok():
+            self._answer(200, b"application/json", result.ok.to_json())
+        else:
+            self.answer_problem(result.error)
+
+    def _on_defect(self, failure, outcome):
+        if failure.check(CancelledError) and self._disconnected:
+            return
+        logger.error(
+            "request failed",
+            exc_info=(failure.type, failure.value, failure.getTracebackObject()),
+        )
+        if not self._disconnected and not self.startedWriting:
+            self.answer_problem(internal_error(outcome))
+
+    def answer_problem(self, problem):
+        """Answer with a problem document."""
+        if problem.retry_after_ms is not None:
+            seconds = math.ceil(problem.retry_after_ms / 1000)
+            self.setHeader(b"Retry-After", b"%d" % seconds)
+        self._answer(problem.status, b"application/problem+json", problem.to_json())
+
+    def _answer(self, status, content_type, value):
+        body = json.dumps(value, separators=(",", ":")).encode("utf-8")
+        self.setResponseCode(status)
+        self.setHeader(b"Content-Type", content_type)
+        self.setHeader(b"Content-Length", b"%d" % len(body))
+        self.write(b"" if self.method == b"HEAD" else body)
+        self.finish()
+
+
+class CallerChannel(http.HTTPChannel):
+    """Connection of a caller, with limits on the size and time of a request.
+
+    The time limit runs from the first byte of a request to its last, so that a
+    sender cannot prolong it with single bytes.
+    """
+
+    requestFactory = CallerRequest
+    abortTimeout = ABORT_S
+
+    def __init__(self):
+        super().__init__()
+        self._receiving = False
+        self._refused = False
+        self._linger = None
+
+    def dataReceived(self, data):
+        """Take bytes; the time limit restarts only with a new request."""
+        if self._refused:
+            return
+        if not self._receiving:
+            self._receiving = True
+            self.resetTimeout()
+        basic.LineReceiver.dataReceived(self, data)
+
+    def lineReceived(self, line):
+        """Take a line of the head unless the request has been refused."""
+        if not self._refused:
+            super().lineReceived(line)
+
+    def rawDataReceived(self, data):
+        """Take a piece of the body unless the request has been refused."""
+        if not self._refused:
+            super().rawDataReceived(data)
+
+    def allHeadersReceived(self):
+        """Refuse a body whose stated length is too large before it arrives."""
+        if self.length is not None and self.length > MAX_BODY_BYTES:
+            self.refuse(self.requests[-1], body_too_large())
+            return
+        super().allHeadersReceived()
+
+    def allContentReceived(self):
+        """Hand over a whole request."""
+        if not self._refused:
+            self._receiving = False
+            super().allContentReceived()
+
+    def refuse(self, request, problem):
+        """Answer a request before its end and close the connection."""
+        if self._refused:
+            return
+        self._refused = True
+        self.persistent = False
+        self.setTimeout(None)
+        request.method, request.clientproto = b"POST", b"HTTP/1.1"
+        request.setHeader(b"Connection", b"close")
+        request.answer_problem(problem)
+
+    def loseConnection(self):
+        """Close the connection, after a while if the caller still sends."""
+        if not self._refused:
+            super().loseConnection()
+        elif self._linger is None:
+            self._linger = self.callLater(LINGER_S, super().loseConnection)
+
+    def connectionLost(self, reason):
+        """Forget the connection and tell its requests."""
+        if self._linger is not None and self._linger.active():
+            self._linger.cancel()
+        super().connectionLost(reason)
+
+    def _respondToBadRequestAndDisconnect(self):
+        # Replaces the empty answer of the base class to malformed HTTP.
+        if self._refused:
+            return
+        request = self.requests[-1] if self.requests else CallerRequest(self)
+        if not self.requests:
+            self.requests.append(request)
+        self.refuse(request, malformed_http())
+
+
+class CallerSite(http.HTTPFactory):
+    """Factory of callers' connections.
+
+    ``queries`` and ``orders`` have ``run(request)``. ``readiness()`` returns None,
+    or the reason why this daemon takes no new work.
+    """
+
+    protocol = CallerChannel
+
+    def __init__(self, queries, orders, readiness, caller_idle_timeout_ms, reactor):
+        super().__init__(timeout=caller_idle_timeout_ms / 1000, reactor=reactor)
+        self.queries = queries
+        self.orders = orders
+        self.readiness = readiness
+
+    def startFactory(self):
+        """Start without the access log of the base class, and without its timer."""
+
+    def stopFactory(self):
+        """Stop; there is nothing to release."""
+
+    def log(self, request):
+        """Write no access log."""
+
+
+def parse_path(path):
+    """Return service, kind and name of a path, or None.
+
+    >>> parse_path(b"/v1/services/laurentide/indexes/bins/query")
+    ('laurentide', 'query', 'bins')
+    """
+    try:
+        parts = [unquote_to_bytes(part).decode("utf-8") for part in path.split(b"/")]
+    except UnicodeDecodeError:
+        return None
+    match parts:
+        case ["", "v1", "services", service, "indexes", index, "query"]:
+            return service, "query", index
+        case ["", "v1", "services", service, "orders", order]:
+            return service, "order", order
+    return None
+
+
+def _not_run(name, status, title, detail, retry_after_ms=None):
+    return Problem(
+        name, status, title, Outcome.NOT_RUN, detail, retry_after_ms=retry_after_ms
+    )
+
+
+def body_too_large():
+    """Return the problem of a body over the limit."""
+    detail = f"a body has at most {MAX_BODY_BYTES} bytes"
+    return _not_run("body-too-large", 413, "Body too large", detail)
+
+
+def malformed_http():
+    """Return the problem of bytes that are no HTTP request."""
+    return _not_run("malformed-http", 400, "Malformed HTTP", "not an HTTP/1.1 request")
+
+
+def unknown_path():
+    """Return the problem of a path that leads nowhere."""
+    detail = (
+        "paths are /v1/services/<service>/indexes/<index>/query and …/orders/<name>"
+    )
+    return _not_run("unknown-path", 404, "No such path", detail)
+
+
+def wrong_method(method):
+    """Return the problem of another method than POST."""
+    detail = f"{method.decode('ascii', 'replace')} is not allowed; use POST"
+    return _not_run("method-not-allowed", 405, "Method not allowed", detail)
+
+
+def not_ready(reason):
+    """Return the problem of a daemon that takes no new work."""
+    title = "This daemon takes no new work"
+    return _not_run("not-ready", 503, title, reason, RETRY_AFTER_MS)
+
+
+def internal_error(outcome):
+    """Return the problem of a defect in this program."""
+    return Problem("internal-error", 500, "Internal error", outcome)
--- /dev/null
+++ b/hemlockspoke/adapters/caller_requests.py
@@ -0,0 +1,199 @@
+"""Callers' requests from their bytes: pure functions that collect findings."""
+
+import json
+import math
+import re
+import secrets
+
+from expression import Error, Ok
+
+from hemlockspoke.errors import Outcome, Problem
+from hemlockspoke.findings import Finding, Findings
+from hemlockspoke.requests import OrderRequest, QueryRequest
+
+QUERY_FIELDS = ("query", "deadline_ms", "min_coverage_ratio")
+MAX_KEY_CHARACTERS = 255
+# Frames between daemons cannot carry values nested more than 512 deep.
+MAX_NESTING = 100
+# The widest integers that frames between daemons can carry.
+MIN_INTEGER, MAX_INTEGER = -(2**63), 2**64 - 1
+# Longer than any queue or retry is worth; the service's own maximum applies too.
+MAX_DEADLINE_MS = 3_600_000
+KEY_PATTERN = re.compile(rb"[\x21-\x7e]{1,255}")
+TRACEPARENT_PATTERN = re.compile(
+    r"(?!ff)[0-9a-f]{2}-(?!0{32})[0-9a-f]{32}-(?!0{16})[0-9a-f]{16}-[0-9a-f]{2}"
+)
+SURROGATE_ESCAPE = re.compile(rb"\\u[dD][89a-fA-F]")
+
+
+def parse_query(service, index, headers, body):
+    """Return ``Result[QueryRequest, Problem]`` of a query's headers and body.
+
+    ``headers`` is a function from a lower-case name to its list of raw values.
+    """
+    findings = Findings()
+    members = parse_object(body, findings)
+    if findings:
+        return Error(bad_request(findings))
+    for name in sorted(members.keys() - set(QUERY_FIELDS)):
+        allowed = ", ".join(QUERY_FIELDS)
+        findings.add(Finding(shorten(name), "unknown field", allowed))
+    if not isinstance(members.get("query"), dict):
+        findings.add(Finding("query", describe(members.get("query")), "a JSON object"))
+    deadline_ms = _number(members, "deadline_ms", 1, MAX_DEADLINE_MS, findings)
+    ratio = _number(members, "min_coverage_ratio", 0, 1, findings)
+    if findings:
+        return Error(bad_request(findings))
+    traceparent = parse_traceparent(headers(b"traceparent"))
+    request = QueryRequest(
+        service, index, members["query"], deadline_ms, ratio, traceparent
+    )
+    return Ok(request)
+
+
+def parse_order(service, order, headers, body):
+    """Return ``Result[OrderRequest, Problem]`` of an order's headers and body."""
+    findings = Findings()
+    key = _idempotency_key(headers(b"idempotency-key"), findings)
+    deadline_ms = _deadline_header(headers(b"deadline-ms"), findings)
+    members = parse_object(body, findings)
+    if findings:
+        return Error(bad_request(findings))
+    traceparent = parse_traceparent(headers(b"traceparent"))
+    return Ok(OrderRequest(service, order, key, members, deadline_ms, traceparent))
+
+
+def parse_traceparent(values):
+    """Return the valid ``traceparent`` of a request, or a new one.
+
+    The trace context standard asks to ignore an invalid header.
+    """
+    if len(values) == 1:
+        text = values[0].decode("ascii", "replace")
+        if TRACEPARENT_PATTERN.fullmatch(text):
+            return text
+    return f"00-{secrets.token_hex(16)}-{secrets.token_hex(8)}-00"
+
+
+def parse_object(body, findings):
+    """Return the JSON object in a body; add a finding if there is none."""
+    try:
+        value = json.loads(
+            body.decode("utf-8"),
+            parse_int=_integer,
+            parse_float=_finite,
+            parse_constant=_finite,
+        )
+        _check_text(value, body)
+    except json.JSONDecodeError as error:
+        place = {"line": error.lineno, "column": error.colno}
+        findings.add(Finding("body", error.msg, "JSON", **place))
+        return {}
+    except UnicodeDecodeError as error:
+        found = f"byte {error.start} is not UTF-8"
+        findings.add(Finding("body", found, "JSON in UTF-8"))
+        return {}
+    except (ValueError, RecursionError) as error:
+        findings.add(Finding("body", str(error), "values that JSON peers can carry"))
+        return {}
+    if not isinstance(value, dict):
+        findings.add(Finding("body", describe(value), "a JSON object"))
+        return {}
+    return value
+
+
+def bad_request(findings):
+    """Return the problem that lists all findings of a request."""
+    return Problem(
+        "bad-request",
+        400,
+        "Malformed request",
+        Outcome.NOT_RUN,
+        f"{len(findings)} findings",
+        findings=findings,
+    )
+
+
+def describe(value):
+    """Return what a value is, short enough for a finding."""
+    return "nothing" if value is None else shorten(json.dumps(value))
+
+
+def shorten(text, limit=60):
+    """Return a text cut to a length that fits a finding.
+
+    >>> shorten("abcdef", 4)
+    'abc…'
+    """
+    return text if len(text) <= limit else text[: limit - 1] + "…"
+
+
+def _integer(text):
+    # int() itself refuses texts of more than 4,300 digits with a ValueError.
+    value = int(text)
+    if not MIN_INTEGER <= value <= MAX_INTEGER:
+        raise ValueError(f"{shorten(text)} does not fit 64 bits")
+    return value
+
+
+def _finite(text):
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"{shorten(text)} is not a finite number")
+    return value
+
+
+def _check_text(value, body):
+    if SURROGATE_ESCAPE.search(body):
+        json.dumps(value, ensure_ascii=False).encode("utf-8")
+    if body.count(b"[") + body.count(b"{") > MAX_NESTING:
+        _check_nesting(value)
+
+
+def _check_nesting(value):
+    level = [value]
+    for _ in range(MAX_NESTING):
+        level = [child for item in level for child in _children(item)]
+        if not level:
+            return
+    raise ValueError(f"nested more than {MAX_NESTING} deep")
+
+
+def _children(value):
+    if isinstance(value, dict):
+        value = value.values()
+    elif not isinstance(value, list):
+        return ()
+    return [child for child in value if isinstance(child, dict | list)]
+
+
+def _number(members, name, low, high, findings):
+    value = members.get(name)
+    if value is None:
+        return None
+    if type(value) in (int, float) and low <= value <= high:
+        return value
+    allowed = f"a number from {low} to {high}"
+    findings.add(Finding(name, describe(value), allowed))
+    return None
+
+
+def _idempotency_key(values, findings):
+    if len(values) == 1 and KEY_PATTERN.fullmatch(values[0]):
+        return values[0].decode("ascii")
+    found = f"{len(values)} headers" if len(values) != 1 else shorten(repr(values[0]))
+    allowed = f"one header of 1 to {MAX_KEY_CHARACTERS} visible ASCII characters"
+    findings.add(Finding("Idempotency-Key", found, allowed))
+    return None
+
+
+def _deadline_header(values, findings):
+    if not values:
+        return None
+    text = values[0].decode("ascii", "replace")
+    short = len(values) == 1 and len(text) <= len(str(MAX_DEADLINE_MS))
+    if short and text.isascii() and text.isdigit() and int(text) >= 1:
+        return min(int(text), MAX_DEADLINE_MS)
+    allowed = f"one header with an integer from 1 to {MAX_DEADLINE_MS}"
+    findings.add(Finding("Deadline-Ms", shorten(text), allowed))
+    return None
--- a/hemlockspoke/query_problems.py
+++ b/hemlockspoke/query_problems.py
@@ -39,6 +39,7 @@
 
 
 def no_snapshot(request):
+    """Return the problem of a query on an index without known versions."""
     return Problem(
         "no-snapshot",
         503,
@@ -50,6 +51,7 @@
 
 
 def coverage_too_low(answer, wanted):
+    """Return the problem of an answer that covers less than was asked for."""
     return Problem(
         "coverage-too-low",
         503,
@@ -64,6 +66,7 @@
 
 
 def deadline_too_short(deadline_ms):
+    """Return the problem of a deadline within the answer margin."""
     return Problem(
         "deadline-too-short",
         400,
--- /dev/null
+++ b/tests/features/caller_http.feature
@@ -0,0 +1,81 @@
+Feature: callers' interface over HTTP
+
+  Scenario: a query is parsed, run and answered over HTTP
+    Given a callers' site
+    When a caller posts to "/v1/services/laurentide/indexes/bins/query" the body {"query": {"a": 1}, "deadline_ms": 50}
+    Then the query engine has been asked for "laurentide" "bins" with a generated traceparent
+    When the query engine answers 2 rows of version 7
+    Then the caller gets status 200 and the body has "complete" true
+
+  Scenario Outline: a refused HTTP request names its problem
+    Given a callers' site
+    When a caller posts to "<path>" the body <body>
+    Then the caller gets status <status> with problem "<problem>" and outcome "not_run"
+
+    Examples:
+      | path                                   | body            | status | problem     |
+      | /v1/services/laurentide                | {}              | 404    | unknown-path |
+      | /v1/services/l/indexes/%ff/query       | {}              | 404    | unknown-path |
+      | /v1/services/l/indexes/bins/query      | {"query": [}    | 400    | bad-request |
+      | /v1/services/l/orders/refill           | {}              | 400    | bad-request |
+
+  Scenario: all findings of a bad query are reported together
+    Given a callers' site
+    When a caller posts to "/v1/services/l/indexes/i/query" the body {"query": 3, "deadline_ms": 0, "min_coverage_ratio": 2, "limit": 1}
+    Then the caller's findings name "limit query deadline_ms min_coverage_ratio"
+
+  Scenario Outline: traceparent headers are passed on only when valid
+    When the traceparent header "<header>" is parsed
+    Then the traceparent is <fate>
+
+    Examples:
+      | header                                                  | fate     |
+      | 00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01 | kept     |
+      | 00-00000000000000000000000000000000-b7ad6b7169203331-01 | replaced |
+      | ff-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01 | replaced |
+      | 00-0AF7651916CD43DD8448EB211C80319C-b7ad6b7169203331-01 | replaced |
+
+  Scenario Outline: a caller that goes away cancels its query but not its order
+    Given a callers' site
+    When a caller posts a valid <kind> and disconnects
+    Then the running <kind> is <fate>
+
+    Examples:
+      | kind  | fate      |
+      | query | cancelled |
+      | order | going on  |
+
+  Scenario: a body over the size limit is refused before it has arrived
+    Given a callers' site
+    When a caller announces a body of 1048577 bytes
+    Then the caller gets status 413 with problem "body-too-large" and outcome "not_run"
+    And the caller's connection is closed after a while
+
+  Scenario: a chunked body over the size limit is refused
+    Given a callers' site
+    When a caller sends 17 chunks of 65536 bytes
+    Then the caller gets status 413 with problem "body-too-large" and outcome "not_run"
+
+  Scenario: a sender of single bytes is cut at the time limit
+    Given a callers' site
+    When a caller sends one byte of a request per second for 11 seconds
+    Then the caller's connection is closed
+
+  Scenario: while draining new work is refused and running work is answered
+    Given a callers' site
+    When a caller posts a valid order
+    And the daemon stops taking new work
+    And another caller posts a valid order
+    Then that caller gets 503 "not-ready" with Retry-After and a closed connection
+    When the order engine answers
+    Then the first caller is answered with status 200
+
+  Scenario: malformed HTTP gets a problem document
+    Given a callers' site
+    When a caller sends the bytes "GARBAGE"
+    Then the caller gets status 400 with problem "malformed-http" and outcome "not_run"
+
+  Scenario: a defect in an engine is answered with an unknown order outcome
+    Given a callers' site
+    When a caller posts a valid order and its engine fails
+    Then the caller gets status 500 with problem "internal-error" and outcome "unknown"
