--- a/hemlockspoke/node.py
+++ b/hemlockspoke/node.py
@@ -9,7 +9,7 @@
 from hemlockspoke.catalog import Catalog
 from hemlockspoke.config_sync import ConfigSync
 from hemlockspoke.configuration import Configuration
-from hemlockspoke.dispatch import Dispatcher, connect_parts
+from hemlockspoke.message_dispatch import Dispatcher, connect_parts
 from hemlockspoke.holder import Holder
 from hemlockspoke.invariants import Invariants
 from hemlockspoke.membership import Membership
