--- /dev/null
+++ b/hemlockspoke/adapters/http_upstream.py
@@ -0,0 +1,359 @@
+"""``UpstreamClient`` over HTTP, the protocol of section 4.2 of the design page."""
+
+import json
+from collections import deque
+
+from expression import Error
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint, TCP6ClientEndpoint
+from twisted.internet.protocol import Factory
+
+from hemlockspoke.adapters.http_connection import (
+    Connection,
+    RawRequest,
+    header_line,
+)
+from hemlockspoke.adapters.http_upstream_replies import (
+    parse_order,
+    parse_query,
+    parse_status,
+)
+from hemlockspoke.errors import UpstreamError, UpstreamErrorKind
+from hemlockspoke.ports import UpstreamClient, UpstreamClients
+
+CONNECT_TIMEOUT_S = 1.0
+STATUS_TIMEOUT_MS = 1000.0
+
+# An order goes only over a connection that has carried a byte this recently, else
+# over a fresh one, since a lost order cannot be tried again.
+ORDER_CONNECTION_AGE_MS = 1500
+
+
+class CallDeferred(Deferred):
+    """Result of a call; it fires only once the server holds nothing for it.
+
+    A plain ``Deferred`` fires as soon as it is cancelled, before the server has
+    seen the close, and the slot would be given out twice for that time.
+    """
+
+    def __init__(self, call):
+        super().__init__()
+        self._call = call
+
+    def cancel(self):
+        """Close the connection of the call."""
+        if not self.called:
+            self._call.end(UpstreamErrorKind.CANCELLED, "cancelled")
+
+
+class Call:
+    """One request and where it has got to."""
+
+    __slots__ = (
+        "_client",
+        "_deadline_timer",
+        "_ending",
+        "_parse",
+        "_stall_timer",
+        "connection",
+        "deadline_ms",
+        "head",
+        "is_order",
+        "may_send",
+        "payload",
+        "result",
+        "sent_ms",
+    )
+
+    def __init__(self, client, head, payload, remaining_ms, parse):
+        self._client = client
+        self._parse = parse
+        self._ending = None
+        self._stall_timer = None
+        self.head = head
+        self.payload = payload
+        self.is_order = False
+        self.may_send = None
+        self.connection = None
+        self.sent_ms = None
+        self.deadline_ms = client.clock.now_ms() + remaining_ms
+        self.result = CallDeferred(self)
+        self._deadline_timer = client.clock.call_later(
+            remaining_ms, self.end, UpstreamErrorKind.TIMEOUT, "no reply in time"
+        )
+
+    def send(self, connection):
+        """Send over ``connection``; the caller has checked the deadline."""
+        now_ms = self._client.clock.now_ms()
+        remaining_ms = max(1, int(self.deadline_ms - now_ms))
+        content = b"%bDeadline-Ms: %d\r\n\r\n%b" % (
+            self.head,
+            remaining_ms,
+            self.payload,
+        )
+        self.connection = connection
+        self.sent_ms = now_ms
+        # On a connection that has not served yet, silence does not tell a lost
+        # connection from a slow server.
+        if not self.is_order and connection.requests_sent:
+            self._stall_timer = self._client.clock.call_later(
+                self._client.stall_ms, self._check_stall
+            )
+        method = b"POST" if self.payload else b"GET"
+        connection.send(self, RawRequest(method, content))
+
+    def end(self, kind, detail):
+        """End the call early: at once when unsent, else after the close."""
+        if self._ending is not None or self.result.called:
+            return
+        sent = self.sent_ms is not None
+        self._ending = UpstreamError(kind, sent, detail)
+        if sent:
+            self.connection.close()
+        else:
+            self._client.forget(self)
+            self.finish(Error(self._ending))
+
+    def replied(self, code, content):
+        """Take a complete reply."""
+        self.finish(self._parse(code, content))
+
+    def broken(self, detail):
+        """Take the loss of the connection."""
+        error = self._ending
+        if error is None:
+            error = UpstreamError(UpstreamErrorKind.BROKEN, True, detail)
+        self.finish(Error(error))
+
+    def refuse(self, kind, detail):
+        """End an unsent call."""
+        self.finish(Error(UpstreamError(kind, False, detail)))
+
+    def finish(self, result):
+        """Fire the result, once."""
+        if self.result.called:
+            return
+        self._deadline_timer.cancel()
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+        self.result.callback(result)
+
+    def _check_stall(self):
+        if self.connection.last_byte_ms <= self.sent_ms:
+            self._client.close_idle_since(self.sent_ms)
+            self.end(UpstreamErrorKind.STALLED, "the connection is silent")
+
+
+class HttpUpstreamClient(UpstreamClient):
+    """Persistent connections to one server.
+
+    Requests wait in order for a connection; status polls wait behind work. A
+    connection counts against the limit from the start of its opening until both
+    ends have closed it.
+    """
+
+    def __init__(self, reactor, clock, server, stall_ms):
+        self.clock = clock
+        self.stall_ms = stall_ms
+        self._endpoint = make_endpoint(reactor, server.address)
+        self._host_line = header_line("Host", server.address)
+        self._limit = 0
+        self._opening = 0
+        self._open = set()
+        self._idle = []
+        self._work = deque()
+        self._polls = deque()
+        self._closed = False
+        self._loss_listener = None
+
+    def set_limit(self, connections):
+        """Set the most connections that may be open at once."""
+        self._limit = connections
+        self._close_excess()
+        self._dispatch()
+
+    def open_connections(self):
+        """Return how many are open, being opened or being closed."""
+        return self._opening + len(self._open)
+
+    def set_loss_listener(self, listener):
+        """Set who hears that the server has closed an idle connection."""
+        self._loss_listener = listener
+
+    def query(self, request):
+        """Send a query; see ``UpstreamClient``."""
+        return self._submit(request, b"POST /v1/query HTTP/1.1\r\n", parse_query)
+
+    def order(self, request):
+        """Send an order; see ``UpstreamClient``."""
+        return self._submit(request, b"POST /v1/orders HTTP/1.1\r\n", parse_order)
+
+    def status(self):
+        """Read the status."""
+        head = b"GET /v1/status HTTP/1.1\r\n" + self._host_line
+        call = Call(self, head, b"", STATUS_TIMEOUT_MS, parse_status)
+        self._polls.append(call)
+        self._dispatch()
+        return call.result
+
+    def close(self):
+        """Close all connections and refuse what waits."""
+        self._closed = True
+        for call in [*self._work, *self._polls]:
+            call.end(UpstreamErrorKind.CANCELLED, "closed")
+        for connection in list(self._open):
+            connection.close()
+        self._idle.clear()
+
+    def forget(self, call):
+        """Drop a call that still waits for a connection."""
+        queue = self._work if call in self._work else self._polls
+        if call in queue:
+            queue.remove(call)
+
+    def close_idle_since(self, limit_ms):
+        """Close idle connections that have carried nothing since ``limit_ms``."""
+        for connection in [c for c in self._idle if c.last_byte_ms < limit_ms]:
+            self._idle.remove(connection)
+            connection.close()
+
+    def connection_ready(self, connection):
+        """Reuse a connection that has delivered its reply."""
+        self._idle.append(connection)
+        self._close_excess()
+        self._dispatch()
+
+    def connection_closed(self, connection):
+        """Forget a connection and use the room it leaves."""
+        self._open.discard(connection)
+        was_idle = connection in self._idle
+        if was_idle:
+            self._idle.remove(connection)
+        if was_idle and self._loss_listener is not None:
+            # Before anything else is sent, as the server may have restarted.
+            self._loss_listener()
+        self._dispatch()
+
+    def _submit(self, request, start, parse):
+        payload = json.dumps(request.body, separators=(",", ":")).encode()
+        try:
+            headers = request_headers(request, len(payload))
+        except ValueError as error:
+            return succeed(
+                Error(UpstreamError(UpstreamErrorKind.BROKEN, False, str(error)))
+            )
+        head = start + self._host_line + headers
+        call = Call(self, head, payload, request.remaining_ms, parse)
+        call.is_order = request.idempotency_key is not None
+        call.may_send = request.may_send
+        self._work.append(call)
+        self._dispatch()
+        return call.result
+
+    def _dispatch(self):
+        while self._work or self._polls:
+            queue = self._work or self._polls
+            connection = self._take_idle(queue[0])
+            if connection is None:
+                break
+            self._send(queue.popleft(), connection)
+        self._open_more()
+
+    def _take_idle(self, call):
+        if not self._idle:
+            return None
+        if not call.is_order:
+            return self._idle.pop()
+        connection = max(self._idle, key=lambda c: c.last_byte_ms)
+        age_ms = self.clock.now_ms() - connection.last_byte_ms
+        if age_ms > ORDER_CONNECTION_AGE_MS:
+            self._make_room()
+            return None
+        self._idle.remove(connection)
+        return connection
+
+    def _make_room(self):
+        if self.open_connections() >= self._limit and not self._closing():
+            self._idle.pop(0).close()
+
+    def _send(self, call, connection):
+        if self.clock.now_ms() >= call.deadline_ms:
+            kind, detail = UpstreamErrorKind.TIMEOUT, "no connection in time"
+        elif call.may_send is not None and not call.may_send():
+            kind, detail = UpstreamErrorKind.CANCELLED, "may no longer be sent"
+        else:
+            call.send(connection)
+            return
+        self._idle.append(connection)
+        call.refuse(kind, detail)
+
+    def _open_more(self):
+        waiting = len(self._work) + len(self._polls)
+        while self._opening < waiting and self.open_connections() < self._limit:
+            if self._closed:
+                return
+            self._opening += 1
+            factory = Factory.forProtocol(lambda: Connection(self, self.clock))
+            opened = self._endpoint.connect(factory)
+            opened.addCallbacks(self._opened, self._open_failed)
+
+    def _opened(self, connection):
+        self._opening -= 1
+        self._open.add(connection)
+        if self._closed:
+            connection.close()
+            return
+        self.connection_ready(connection)
+
+    def _open_failed(self, failure):
+        self._opening -= 1
+        queue = self._work or self._polls
+        if queue:
+            detail = failure.getErrorMessage()
+            queue.popleft().refuse(UpstreamErrorKind.REFUSED, detail)
+        self._dispatch()
+
+    def _close_excess(self):
+        excess = self.open_connections() - self._closing() - self._limit
+        for _ in range(min(excess, len(self._idle))):
+            self._idle.pop(0).close()
+
+    def _closing(self):
+        return sum(connection.closing for connection in self._open)
+
+
+class HttpUpstreamClients(UpstreamClients):
+    """Makes HTTP clients; ``stall_ms`` is the silence that fails a connection."""
+
+    __slots__ = ("_clock", "_reactor", "_stall_ms")
+
+    def __init__(self, reactor, clock, stall_ms):
+        self._reactor = reactor
+        self._clock = clock
+        self._stall_ms = stall_ms
+
+    def connect(self, server):
+        """Return the client for a ``document.Server``; it opens nothing yet."""
+        return HttpUpstreamClient(self._reactor, self._clock, server, self._stall_ms)
+
+
+def make_endpoint(reactor, address):
+    """Return the endpoint of a ``host:port`` address with a numeric host."""
+    host, _, port = address.rpartition(":")
+    if host.startswith("["):
+        return TCP6ClientEndpoint(reactor, host[1:-1], int(port), CONNECT_TIMEOUT_S)
+    return TCP4ClientEndpoint(reactor, host, int(port), CONNECT_TIMEOUT_S)
+
+
+def request_headers(request, length):
+    """Return the header lines of a request, without the deadline."""
+    lines = [
+        header_line("Content-Type", "application/json"),
+        header_line("Content-Length", length),
+        header_line("Request-Id", request.request_id),
+    ]
+    if request.traceparent:
+        lines.append(header_line("traceparent", request.traceparent))
+    if request.idempotency_key is not None:
+        lines.append(header_line("Idempotency-Key", request.idempotency_key))
+    return b"".join(lines)
--- /dev/null
+++ b/hemlockspoke/adapters/http_upstream_replies.py
@@ -0,0 +1,84 @@
+"""Replies of upstreams, checked and turned into the types of the port."""
+
+import json
+
+from expression import Error, Ok
+
+from hemlockspoke.errors import UpstreamError, UpstreamErrorKind
+from hemlockspoke.ports import OrderReply, UpstreamReply, UpstreamStatus
+
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+HTTP_UNAVAILABLE = 503
+
+NOT_RUN_KINDS = {
+    "shed": UpstreamErrorKind.SHED,
+    "draining": UpstreamErrorKind.DRAINING,
+}
+
+
+def parse_query(code, content):
+    """Return the result of a query."""
+
+    def build(body):
+        parts = {part: list(rows) for part, rows in body["parts"].items()}
+        return UpstreamReply(body["incarnation"], body["version"], parts)
+
+    return parse(code, content, build)
+
+
+def parse_order(code, content):
+    """Return the result of an order."""
+    return parse(
+        code, content, lambda body: OrderReply(body["incarnation"], body["result"])
+    )
+
+
+def parse_status(code, content):
+    """Return the result of a status poll."""
+
+    def build(body):
+        check_indexes(body["indexes"])
+        return UpstreamStatus(
+            body["incarnation"], body["state"], body.get("load"), body["indexes"]
+        )
+
+    return parse(code, content, build)
+
+
+def parse(code, content, build):
+    """Return ``Ok`` of ``build(body)`` for a 200, else the error it stands for."""
+    try:
+        body = json.loads(content)
+        if code == HTTP_OK:
+            return Ok(build(body))
+        return Error(refusal(code, body))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        detail = f"malformed reply with status {code}: {error!r}"
+        return Error(UpstreamError(UpstreamErrorKind.BROKEN, True, detail))
+
+
+def refusal(code, body):
+    """Return the error of a reply other than 200."""
+    kind = UpstreamErrorKind.BROKEN
+    indexes = None
+    if code == HTTP_CONFLICT and body.get("error") == "version_gone":
+        kind = UpstreamErrorKind.VERSION_GONE
+        indexes = body.get("indexes")
+        check_indexes(indexes)
+    elif code == HTTP_UNAVAILABLE and body.get("ran") is False:
+        # Any text other than the known ones still says that nothing has run.
+        kind = NOT_RUN_KINDS.get(body.get("error"), UpstreamErrorKind.SHED)
+    detail = f"status {code}: {body.get('error')}"
+    return UpstreamError(kind, True, detail, body.get("incarnation"), indexes)
+
+
+def check_indexes(indexes):
+    """Raise ``ValueError`` unless ``indexes`` has the form of ``CatalogUpdate``."""
+    for versions in indexes.values():
+        for version, entry in versions.items():
+            int(version)
+            if not all(isinstance(part, int) for part in entry["parts"]):
+                raise ValueError("a part is not a number")
+            if not isinstance(entry["parts_total"], int):
+                raise ValueError("parts_total is not a number")
--- a/hemlockspoke/ports.py
+++ b/hemlockspoke/ports.py
@@ -125,32 +125,60 @@
     """One request to an upstream.
 
     ``body`` is a JSON-ready map. ``remaining_ms`` is passed on as the deadline.
-    ``idempotency_key`` is set for orders only.
+    ``idempotency_key`` is set for orders only. ``may_send`` is called right before
+    the first byte leaves, which may be later than the call when a connection has to
+    be opened; if it returns false, nothing is sent and the error is ``CANCELLED``.
     """
 
-    __slots__ = ("body", "idempotency_key", "remaining_ms", "request_id", "traceparent")
+    __slots__ = (
+        "body",
+        "idempotency_key",
+        "may_send",
+        "remaining_ms",
+        "request_id",
+        "traceparent",
+    )
 
     def __init__(
-        self, request_id, body, remaining_ms, traceparent=None, idempotency_key=None
+        self,
+        request_id,
+        body,
+        remaining_ms,
+        traceparent=None,
+        idempotency_key=None,
+        may_send=None,
     ):
         self.request_id = request_id
         self.body = body
         self.remaining_ms = remaining_ms
         self.traceparent = traceparent
         self.idempotency_key = idempotency_key
+        self.may_send = may_send
 
 
 class UpstreamClient(ABC):
     """Connections of this daemon to one server, within its connection share.
 
-    Cancelling a returned deferred closes the connection of that request. Errors
-    are ``UpstreamError``.
+    Cancelling a returned deferred closes the connection of that request; the
+    deferred fires once the server holds nothing for the request any more. A request
+    ends as ``TIMEOUT`` after its ``remaining_ms``. Errors are ``UpstreamError``.
     """
 
     @abstractmethod
     def set_limit(self, connections):
         """Set the most connections that may be open at once."""
 
+    @abstractmethod
+    def open_connections(self):
+        """Return how many are open, being opened or being closed."""
+
+    @abstractmethod
+    def set_loss_listener(self, listener):
+        """Set a callable that is told when the server closes an idle connection.
+
+        This is often the first sign of a restart.
+        """
+
     @abstractmethod
     def query(self, request):
         """Return ``Result[UpstreamReply, UpstreamError]``."""
