--- a/hemlockspoke/adapters/http_upstream_replies.py
+++ b/hemlockspoke/adapters/http_upstream_replies.py
@@ -22,7 +22,8 @@
 
     def build(body):
         parts = {part: list(rows) for part, rows in body["parts"].items()}
-        return UpstreamReply(body["incarnation"], body["version"], parts)
+        size_bytes = len(content)
+        return UpstreamReply(body["incarnation"], body["version"], parts, size_bytes)
 
     return parse(code, content, build)
 
@@ -55,12 +56,12 @@
         return Error(refusal(code, body))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         detail = f"malformed reply with status {code}: {error!r}"
-        return Error(UpstreamError(UpstreamErrorKind.BROKEN, True, detail))
+        return Error(UpstreamError(UpstreamErrorKind.FAILED, True, detail))
 
 
 def refusal(code, body):
     """Return the error of a reply other than 200."""
-    kind = UpstreamErrorKind.BROKEN
+    kind = UpstreamErrorKind.FAILED
     indexes = None
     if code == HTTP_CONFLICT and body.get("error") == "version_gone":
         kind = UpstreamErrorKind.VERSION_GONE
--- a/hemlockspoke/errors.py
+++ b/hemlockspoke/errors.py
@@ -49,6 +49,8 @@
     TIMEOUT = "timeout"
     STALLED = "stalled"
     BROKEN = "broken"
+    # The upstream replied, but with an error or with something malformed.
+    FAILED = "failed"
     CANCELLED = "cancelled"
 
 
--- a/hemlockspoke/ports.py
+++ b/hemlockspoke/ports.py
@@ -86,14 +86,18 @@
 
 
 class UpstreamReply:
-    """Answer of an upstream to a query: rows for each part of one version."""
+    """Answer of an upstream to a query: rows for each part of one version.
 
-    __slots__ = ("incarnation", "parts", "version")
+    ``size_bytes`` is the length of the reply as received.
+    """
+
+    __slots__ = ("incarnation", "parts", "size_bytes", "version")
 
-    def __init__(self, incarnation, version, parts):
+    def __init__(self, incarnation, version, parts, size_bytes=0):
         self.incarnation = incarnation
         self.version = version
         self.parts = parts
+        self.size_bytes = size_bytes
 
 
 class OrderReply:
--- /dev/null
+++ b/tests/features/holder.feature
@@ -0,0 +1,193 @@
+Feature: a holder sends work within its shares
+
+  Scenario: one call per server carries all parts and answers travel together
+    Given a holder of servers s and t, each warm with 4 slots
+    When the holder gets a batch with parts 0 and 1 of s and part 2 of t
+    Then held server s is asked once for parts 0 and 1
+    And held server t is asked once for part 2
+    When all held servers answer in the same turn
+    Then the holder replies with 1 message of 2 answers
+
+  Scenario: a cold server gets its cold-start slots until successes in a row
+    Given a holder of cold server s with 4 slots and 1 for cold starts
+    When 6 sub-queries for s reach the holder
+    Then the holder has 1 request at s
+    When s answers 2 times
+    Then the holder has 1 request at s
+    When s answers 1 time
+    Then the holder has 2 requests at s
+    When 6 sub-queries for s reach the holder
+    And s answers 3 times
+    Then the holder has 4 requests at s
+
+  Scenario Outline: a sign of trouble closes the gate at once
+    Given a holder of servers s and t, each warm with 4 slots
+    When 8 sub-queries for s reach the holder
+    And <sign>
+    And s answers 3 times
+    Then the holder has <left> request at s
+    And the holder has announced s as cold
+
+    Examples:
+      | sign                             | left |
+      | s answers as a new incarnation   | 1    |
+      | s sheds a request                | 1    |
+      | s breaks a connection            | 1    |
+      | the status of s has a new incarnation | 1 |
+
+  Scenario: a single straggler leaves the gate open, a step closes it
+    Given a holder of servers s and t, each warm with 4 slots
+    When s answers 10 sub-queries after 10 ms
+    And s answers 1 sub-query after 200 ms
+    And s answers 1 sub-query after 10 ms
+    Then the gate of s is warm
+    When s answers 2 sub-queries after 200 ms
+    Then the gate of s is cold
+
+  Scenario: an idle server must prove itself before it gets a full share
+    Given a holder of servers s and t, each warm with 4 slots
+    When 6000 ms pass for the holder
+    And 3 sub-queries for s reach the holder
+    Then the holder has 1 request at s
+    When s answers 1 time
+    Then the holder has 2 requests at s
+    And the gate of s is warm
+
+  Scenario: a lost idle connection demands a proof as well
+    Given a holder of servers s and t, each warm with 4 slots
+    When s closes an idle connection
+    And 3 sub-queries for s reach the holder
+    Then the holder has 1 request at s
+
+  Scenario: a holder without a cold-start slot follows the one that has it
+    Given a holder of cold server s with 2 slots and 0 for cold starts
+    When 1 sub-query for s reaches the holder
+    Then the holder answers refused 1 time
+    When the other holder of s reports warm as news 1
+    And 2 sub-queries for s reach the holder
+    Then the holder has 1 request at s
+    When the other holder of s reports cold as news 2
+    And s answers 1 time
+    Then the holder has 0 requests at s
+    When the other holder of s reports warm as news 1
+    And 1 sub-query for s reaches the holder
+    Then the holder has 0 requests at s
+
+  Scenario: a domain that is out gets nothing, and comes back cold
+    Given a holder of servers s and t, each warm with 4 slots
+    When 6 sub-queries for s reach the holder
+    And the failure domain of s goes out
+    Then the holder answers refused 2 times
+    When s answers 4 times
+    And 3 sub-queries for s reach the holder
+    Then the holder has 0 requests at s
+    And the holder answers refused 5 times
+    When the failure domain of s comes back
+    And 3 sub-queries for s reach the holder
+    Then the holder has 1 request at s
+
+  Scenario: requests that still wait for a connection are not sent to a domain out
+    Given a holder of servers s and t, each warm with 4 slots
+    And connections to s take time
+    When 2 sub-queries for s reach the holder
+    And the failure domain of s goes out
+    And the connections to s are made
+    Then the holder has 0 requests at s
+    And the holder answers refused 2 times
+
+  Scenario: a status that lags does not end a drain that a refusal has shown
+    Given a holder of servers s and t, each warm with 4 slots
+    When 1 sub-query for s reaches the holder
+    And s refuses it as draining
+    And the status of s says live for 5000 ms
+    And 1 sub-query for s reaches the holder
+    Then the holder has 0 requests at s
+    When the status of s says draining for 2000 ms
+    And the status of s says live for 2000 ms
+    And 1 sub-query for s reaches the holder
+    Then the holder has 1 request at s
+    And the gate of s is cold
+
+  Scenario: work that cannot start before its deadline is refused early
+    Given a holder of servers s and t, each warm with 4 slots
+    When s answers 40 sub-queries after 100 ms
+    And 20 sub-queries for s with 150 ms left reach the holder
+    Then the holder has 4 requests at s
+    And the holder answers refused 9 times
+
+  Scenario: waiting services take turns
+    Given a holder of cold server s with 1 slots and 1 for cold starts
+    When 4 sub-queries of shop for s reach the holder
+    And 2 sub-queries of depot for s reach the holder
+    And s answers 5 times
+    Then the requests at s came from shop, shop, depot, shop, depot, shop
+
+  Scenario: a query on a silent connection is tried once more
+    Given a holder of servers s and t, each warm with 4 slots
+    When 1 sub-query for s reaches the holder
+    And the connection to s is found silent
+    Then the holder has 1 request at s
+    When the connection to s is found silent
+    Then the holder answers failed 1 time
+
+  Scenario: parts that are gone stay out of a lagging status
+    Given a holder of servers s and t, each warm with 4 slots
+    When the status of s lists parts 0 and 1
+    And s refuses part 0 as gone
+    And the status of s lists parts 0 and 1
+    Then the last catalog update of s lists part 1
+
+  Scenario: a server at a new address is held anew and cold
+    Given a holder of servers s and t, each warm with 4 slots
+    When s moves to another address
+    And 3 sub-queries for s reach the holder
+    Then the holder has 1 request at s
+
+  Scenario: a lost peer gives its slots back
+    Given a holder of servers s and t, each warm with 4 slots
+    When 6 sub-queries for s reach the holder
+    And the peer that asked the holder is lost
+    Then the holder has 0 requests at s
+    And the holder is idle
+
+  Scenario Outline: an order has a truthful outcome
+    Given a holder of servers s and t, each warm with 4 slots
+    When order o1 for s reaches the holder
+    And the upstream ends it with <end>
+    Then the holder answers the order <status>
+
+    Examples:
+      | end          | status  |
+      | success      | done    |
+      | shed         | not_run |
+      | draining     | not_run |
+      | version_gone | unknown |
+      | timeout      | unknown |
+      | stalled      | unknown |
+      | broken       | unknown |
+      | failed       | unknown |
+
+  Scenario Outline: an order that was not sent never will be
+    Given a holder of servers s and t, each warm with 4 slots
+    And <obstacle>
+    When order o1 for s reaches the holder
+    Then the holder answers the order not_sent
+    When the obstacle is gone and order o1 for s reaches the holder again
+    Then the holder answers the order not_sent
+    And the holder has 0 requests at s
+
+    Examples:
+      | obstacle                                |
+      | the failure domain of s goes out        |
+      | the process of the holder was paused    |
+      | connections to s are refused            |
+
+  Scenario: a repeated order message does not send twice
+    Given a holder of servers s and t, each warm with 4 slots
+    When order o1 for s reaches the holder
+    And order o1 for s reaches the holder
+    Then the holder has 1 request at s
+    When the upstream ends it with success
+    And order o1 for s reaches the holder
+    Then s has seen 1 order
+    And the holder answers the order done
--- /dev/null
+++ b/tests/features/steps/holder_steps.py
@@ -0,0 +1,349 @@
+"""Steps on the holder, with fakes at its ports."""
+
+from behave import given, step, then, when
+
+from hemlockspoke.document import Server
+from hemlockspoke.errors import UpstreamErrorKind
+from hemlockspoke.messages import OrderSend, ServerState, SubQueryBatch
+from hemlockspoke.requests import Share
+from tests.fakes.holder_side import HolderBench
+
+PARTS_0_1 = {"bins": {"1": {"parts_total": 2, "parts": [0, 1]}}}
+
+
+def start(context, names, share, ramp_successes=3):
+    context.bench = HolderBench(names, ramp_successes)
+    context.holder = context.bench.holder
+    context.incarnation = "first"
+    context.answers, context.messages, context.orders = [], [], []
+    context.next_id = 0
+    for name in names:
+        context.holder.set_share(name, share)
+
+
+def receive(context, message):
+    context.messages.append(message)
+    context.answers.extend(message.items)
+
+
+def send_batch(context, items, service="shop", remaining_ms=10_000):
+    context.next_id += 1
+    batch = SubQueryBatch(
+        request_id=f"q{context.next_id}",
+        service=service,
+        index="bins",
+        version=1,
+        remaining_ms=remaining_ms,
+        traceparent=None,
+        query={},
+        items=items,
+    )
+    context.holder.execute("entry", batch, lambda message: receive(context, message))
+    context.bench.clock.advance(0)
+
+
+def open_calls(context, name):
+    return context.bench.clients[name].open_calls()
+
+
+def answer(context, name, count):
+    for _ in range(count):
+        open_calls(context, name)[0].succeed(context.incarnation)
+
+
+def poll(context, name, state="live", duration_ms=1000):
+    indexes = getattr(context, "indexes", {})
+    status = (context.incarnation, state, 0, indexes)
+    context.bench.clients[name].status_now = status
+    context.bench.clock.advance(duration_ms)
+
+
+@given("a holder of servers s and t, each warm with 4 slots")
+def step_warm(context):
+    start(context, ["s", "t"], Share(4, 8, 1), ramp_successes=1)
+    for name in ("s", "t"):
+        for _ in range(3):
+            send_batch(context, [[0, name, [0]]])
+            answer(context, name, 1)
+    context.bench.clock.advance(0)
+    context.answers.clear()
+    context.messages.clear()
+
+
+@given("a holder of cold server s with {slots:d} slots and {cold:d} for cold starts")
+def step_cold(context, slots, cold):
+    start(context, ["s"], Share(slots, 8, cold))
+
+
+@when("the holder gets a batch with parts 0 and 1 of s and part 2 of t")
+def step_batch(context):
+    send_batch(context, [[0, "s", [0, 1]], [1, "t", [2]]])
+
+
+@when("{count:d} sub-queries for s reach the holder")
+@when("{count:d} sub-query for s reaches the holder")
+def step_sub_queries(context, count):
+    for _ in range(count):
+        send_batch(context, [[0, "s", [0]]])
+
+
+@when("{count:d} sub-queries of {service} for s reach the holder")
+def step_of_service(context, count, service):
+    for _ in range(count):
+        send_batch(context, [[0, "s", [0]]], service)
+
+
+@when("{count:d} sub-queries for s with {remaining:d} ms left reach the holder")
+def step_short(context, count, remaining):
+    for _ in range(count):
+        send_batch(context, [[0, "s", [0]]], remaining_ms=remaining)
+
+
+@when("all held servers answer in the same turn")
+def step_all_answer(context):
+    for name in ("s", "t"):
+        answer(context, name, 1)
+    context.bench.clock.advance(0)
+
+
+@when("s answers {count:d} times")
+@when("s answers {count:d} time")
+def step_answers(context, count):
+    answer(context, "s", count)
+    context.bench.clock.advance(0)
+
+
+@when("s answers {count:d} sub-queries after {latency:d} ms")
+@when("s answers {count:d} sub-query after {latency:d} ms")
+def step_answers_after(context, count, latency):
+    for _ in range(count):
+        send_batch(context, [[0, "s", [0]]])
+        context.bench.clock.advance(latency)
+        answer(context, "s", 1)
+
+
+@when("s answers as a new incarnation")
+def step_new_incarnation(context):
+    context.incarnation = "second"
+    answer(context, "s", 1)
+
+
+@when("the status of s has a new incarnation")
+def step_status_incarnation(context):
+    answer(context, "s", 1)
+    context.incarnation = "second"
+    poll(context, "s")
+
+
+def fail_first(context, kind):
+    open_calls(context, "s")[0].fail(UpstreamErrorKind(kind), context.incarnation)
+    context.bench.clock.advance(0)
+
+
+@when("s sheds a request")
+def step_shed(context):
+    fail_first(context, "shed")
+
+
+@when("s breaks a connection")
+def step_break(context):
+    fail_first(context, "broken")
+
+
+@when("s refuses it as draining")
+def step_refuse_draining(context):
+    fail_first(context, "draining")
+
+
+@when("the connection to s is found silent")
+def step_silent(context):
+    fail_first(context, "stalled")
+
+
+@when("the status of s says {state} for {duration:d} ms")
+def step_status(context, state, duration):
+    poll(context, "s", state, duration)
+
+
+@when("the status of s lists parts 0 and 1")
+def step_lists(context):
+    context.indexes = PARTS_0_1
+    poll(context, "s")
+
+
+@when("s refuses part 0 as gone")
+def step_gone(context):
+    send_batch(context, [[0, "s", [0]]])
+    left = {"bins": {"1": {"parts_total": 2, "parts": [1]}}}
+    open_calls(context, "s")[0].fail(
+        UpstreamErrorKind.VERSION_GONE, context.incarnation, left
+    )
+
+
+@when("{duration:d} ms pass for the holder")
+def step_pass(context, duration):
+    context.bench.clock.advance(duration)
+
+
+@when("s closes an idle connection")
+def step_lost(context):
+    context.bench.clients["s"].lost()
+
+
+@when("the other holder of s reports {state} as news {sequence:d}")
+def step_peer_state(context, state, sequence):
+    message = ServerState(
+        server="s", incarnation="first", state=state, sequence=sequence
+    )
+    context.holder.note_server_state("other", message)
+
+
+@step("the failure domain of s goes out")
+def step_out(context):
+    context.bench.configuration.set_fleet(domains=["fd"])
+    context.bench.clock.advance(0)
+
+
+@when("the failure domain of s comes back")
+def step_back(context):
+    context.bench.configuration.set_fleet()
+
+
+@given("connections to s take time")
+def step_slow_connections(context):
+    context.bench.clients["s"].delay_sends = True
+
+
+@when("the connections to s are made")
+def step_flush(context):
+    context.bench.clients["s"].flush()
+    context.bench.clock.advance(0)
+
+
+@given("the process of the holder was paused")
+def step_paused(context):
+    context.bench.pause.pause_ms = 2000
+
+
+@given("connections to s are refused")
+def step_unreachable(context):
+    context.bench.clients["s"].unreachable = True
+
+
+@when("s moves to another address")
+def step_moves(context):
+    servers = context.bench.configuration.shop.servers
+    old = servers["s"]
+    servers["s"] = Server("s", old.upstream_class, "new:1", "fd", "region")
+    context.bench.configuration.set_fleet()
+
+
+@when("the peer that asked the holder is lost")
+def step_peer_lost(context):
+    context.holder.peer_lost("entry")
+
+
+@when("order o1 for s reaches the holder")
+def step_order(context):
+    message = OrderSend(
+        request_id="o1",
+        service="shop",
+        server="s",
+        idempotency_key="key",
+        remaining_ms=1000,
+        traceparent=None,
+        body={},
+    )
+    context.holder.send_order("entry", message, context.orders.append)
+
+
+@when("the obstacle is gone and order o1 for s reaches the holder again")
+def step_order_again(context):
+    context.bench.configuration.set_fleet()
+    context.bench.clients["s"].unreachable = False
+    context.orders.clear()
+    step_order(context)
+
+
+@when("the upstream ends it with {end}")
+def step_end(context, end):
+    if end == "success":
+        answer(context, "s", 1)
+    else:
+        fail_first(context, end)
+
+
+@then("the holder has {count:d} requests at {name}")
+@then("the holder has {count:d} request at {name}")
+def step_has(context, count, name):
+    assert len(open_calls(context, name)) == count, len(open_calls(context, name))
+    assert not context.bench.invariants.violations
+
+
+@then("held server {name} is asked once for parts 0 and 1")
+def step_has_parts(context, name):
+    (call,) = open_calls(context, name)
+    assert call.request.body["parts"] == [0, 1]
+
+
+@then("held server {name} is asked once for part 2")
+def step_has_part(context, name):
+    (call,) = open_calls(context, name)
+    assert call.request.body["parts"] == [2]
+
+
+@then("the holder replies with 1 message of 2 answers")
+def step_one_message(context):
+    (message,) = context.messages
+    assert len(message.items) == 2
+
+
+@then("the holder answers {status} {count:d} times")
+@then("the holder answers {status} {count:d} time")
+def step_answered(context, status, count):
+    found = [item for item in context.answers if item[1] == status]
+    assert len(found) == count, context.answers
+
+
+@then("the holder has announced s as cold")
+def step_announced(context):
+    assert [s.state for s in context.bench.states if s.server == "s"][-1] == "cold"
+
+
+@then("the gate of s is {state}")
+def step_gate(context, state):
+    step_sub_queries(context, 4)
+    expected = {"cold": 1, "warm": 4}[state]
+    assert len(open_calls(context, "s")) == expected, len(open_calls(context, "s"))
+    answer(context, "s", expected)
+
+
+@then("the requests at s came from {services}")
+def step_order_of_services(context, services):
+    seen = context.bench.clients["s"].seen
+    ids = [int(call.request.request_id[1:].split("/")[0]) for call in seen]
+    names = ["shop" if number <= 4 else "depot" for number in ids]
+    assert names == services.split(", "), names
+
+
+@then("the last catalog update of s lists part 1")
+def step_catalog(context):
+    update = [u for u in context.bench.updates if u.server == "s"][-1]
+    assert update.indexes["bins"]["1"]["parts"] == [1], update
+
+
+@then("the holder is idle")
+def step_idle(context):
+    assert context.holder.idle()
+
+
+@then("the holder answers the order {status}")
+def step_order_answer(context, status):
+    assert [answer.status for answer in context.orders][-1] == status
+    assert len({answer.status for answer in context.orders}) == 1
+
+
+@then("s has seen {count:d} order")
+def step_seen_orders(context, count):
+    seen = [call for call in context.bench.clients["s"].seen if call.kind == "order"]
+    assert len(seen) == count
