--- a/hemlockspoke/rendezvous.py
+++ b/hemlockspoke/rendezvous.py
@@ -12,7 +12,7 @@
     """
     return sorted(
         names,
-        key=lambda name: (xxhash.xxh64_intdigest(f"{key}\x00{name}"), name),
+        key=lambda name: (xxhash.xxh64_intdigest(f"{key}\x00{name}".encode()), name),
         reverse=True,
     )
 
@@ -23,5 +23,5 @@
     >>> group_of("rp-00-a", "mtl").startswith("mtl-")
     True
     """
-    bucket = xxhash.xxh32_intdigest(server_name) % GROUP_BUCKETS
+    bucket = xxhash.xxh32_intdigest(server_name.encode()) % GROUP_BUCKETS
     return f"{region}-{bucket:02x}"
--- /dev/null
+++ b/hemlockspoke/share_confirmation.py
@@ -0,0 +1,150 @@
+"""Suspends all shares until the store confirms that they are still held."""
+
+import logging
+
+from twisted.internet.defer import inlineCallbacks
+
+from hemlockspoke.errors import StoreErrorKind
+from hemlockspoke.membership import REGISTRATION_PREFIX, registration_incarnation
+
+logger = logging.getLogger(__name__)
+
+RETRY_MS = 250
+RETRY_LIMIT_MS = 2000
+MARK_ATTEMPTS = 3
+
+
+class ShareConfirmation:
+    """Whether this process may use the shares that it believes it has.
+
+    After a pause its VM may have been replaced and its shares taken by others.
+    They count again once the store has shown, after the pause, that the
+    registration still names this incarnation, that the VM is still listed, and
+    what the share objects are now.
+    """
+
+    __slots__ = (
+        "_attempt",
+        "_delay_ms",
+        "_manager",
+        "_membership",
+        "_timer",
+        "confirmed",
+        "superseded",
+    )
+
+    def __init__(self, manager, membership):
+        self._manager = manager
+        self._membership = membership
+        self._attempt = 0
+        self._delay_ms = RETRY_MS
+        self.superseded = False
+        self._timer = None
+        self.confirmed = True
+
+    def stop(self):
+        """Stop trying to confirm."""
+        self._attempt += 1
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def suspend(self):
+        """Suspend all shares and begin to confirm them."""
+        self.confirmed = False
+        self._manager.reapply()
+        if not self.superseded:
+            self._delay_ms = RETRY_MS
+            self._begin()
+
+    def supersede(self):
+        """Suspend all shares for good: a later process has this VM."""
+        if self.superseded:
+            return
+        logger.error("another incarnation has registered for this VM")
+        self.stop()
+        self.superseded = True
+        self.confirmed = False
+        self._manager.reapply()
+
+    def _begin(self):
+        self.stop()
+        self._timer = None
+        running = self._confirm(self._attempt)
+        running.addErrback(self._defect)
+
+    @inlineCallbacks
+    def _confirm(self, attempt):
+        """Read everything anew; a later pause makes this attempt void."""
+        if not (yield self._is_registered(attempt)):
+            return self._retry(attempt)
+        if not (yield self._is_listed()):
+            return self._retry(attempt)
+        for keeper in self._manager.keepers_with_shares():
+            if not (yield keeper.read()):
+                return self._retry(attempt)
+        self._manager.check_pause()
+        if attempt == self._attempt and not self.superseded:
+            self.confirmed = True
+            self._manager.reapply()
+        return None
+
+    @inlineCallbacks
+    def _is_registered(self, attempt):
+        vm, incarnation = self._manager.me
+        result = yield self._manager.store.get(REGISTRATION_PREFIX + vm)
+        if result.is_error() or attempt != self._attempt:
+            return False
+        registered = registration_incarnation(result.ok)
+        if registered != incarnation:
+            self.supersede()
+            return False
+        return True
+
+    @inlineCallbacks
+    def _is_listed(self):
+        """Ask the platform's list whether it still has this VM.
+
+        A VM that was replaced while it was paused keeps its registration until
+        another process registers under its name, which may be never.
+        """
+        result = yield self._manager.store.list_vms()
+        if result.is_error():
+            return False
+        vm, incarnation = self._manager.me
+        listed = any(item.vm == vm for item in result.ok.vms)
+        return listed and not self._membership.is_gone(vm, incarnation)
+
+    def _retry(self, attempt):
+        if attempt != self._attempt or self.superseded:
+            return
+        delay_ms = self._delay_ms * self._manager.rng.uniform(0.5, 1.5)
+        self._delay_ms = min(RETRY_LIMIT_MS, self._delay_ms * 2)
+        self._timer = self._manager.clock.call_later(delay_ms, self._begin)
+
+    def _defect(self, failure):
+        logger.error("confirmation failed", extra={"failure": str(failure)})
+        return failure
+
+    @inlineCallbacks
+    def mark_leaving(self):
+        """Write into the registration that this process is about to exit."""
+        vm, incarnation = self._manager.me
+        key = REGISTRATION_PREFIX + vm
+        for _ in range(MARK_ATTEMPTS):
+            read = yield self._manager.store.get(key)
+            if read.is_error():
+                continue
+            stored = read.ok
+            if registration_incarnation(stored) != incarnation:
+                return False
+            value = {**stored.value, "incarnation": incarnation, "leaving": True}
+            value["writer"] = self._manager.next_writer()
+            result = yield self._manager.store.put(
+                key, value, if_version=stored.version
+            )
+            if result.is_ok():
+                self._manager.configuration.adopt(key, result.ok, value)
+                return True
+            if result.error.kind == StoreErrorKind.UNAVAILABLE:
+                return False
+        return False
--- /dev/null
+++ b/hemlockspoke/share_rules.py
@@ -0,0 +1,142 @@
+"""Checks a proposed share object against the old one by the rules R1 to R5."""
+
+from hemlockspoke.findings import Finding, Findings
+from hemlockspoke.shares import MAX_HOLDERS, fits, is_empty, subtract, total
+
+
+def check_proposal(old, new, view):
+    """Return the ``Findings`` on what ``view.me`` proposes to write.
+
+    ``old`` and ``new`` are ``GroupShares``. An empty result permits the write.
+    """
+    findings = Findings()
+    for name in sorted({*old.servers, *new.servers}):
+        ServerCheck(name, old, new, view, findings).run()
+    return findings
+
+
+class ServerCheck:
+    """The check of one server of a proposal."""
+
+    __slots__ = ("_findings", "_limit", "_name", "_new", "_old", "_view")
+
+    def __init__(self, name, old, new, view, findings):
+        self._name = name
+        self._old = old.server(name)
+        self._new = new.server(name)
+        self._view = view
+        self._findings = findings
+        self._limit = view.limits(name)
+
+    def run(self):
+        """Check every rule."""
+        if not self._well_formed():
+            return
+        if self._new.holders or self._limit is not None:
+            self._check_version()
+        self._check_sum()
+        self._check_lowered()
+        self._check_raised()
+        self._check_order()
+
+    def _report(self, rule, found, allowed):
+        path = f"servers.{self._name}"
+        self._findings.add(Finding(path, f"{rule}: {found}", allowed))
+
+    def _well_formed(self):
+        holders = [item.holder for item in self._new.holders]
+        before = len(self._findings)
+        if len(set(holders)) != len(holders):
+            self._report("R1", f"holders {holders}", "each holder once")
+        if len(holders) > MAX_HOLDERS:
+            self._report("R1", f"{len(holders)} holders", f"at most {MAX_HOLDERS}")
+        if any(min(item.share.amounts()) < 0 for item in self._new.holders):
+            self._report("R1", "a negative amount", "amounts of 0 or more")
+        known = {item.holder for item in self._old.holders}
+        for item in self._new.holders:
+            if item.holder not in known and item.share.slots < 1:
+                self._report("R1", f"{item.vm} without a slot", "1 slot or more")
+        return len(self._findings) == before
+
+    def _check_version(self):
+        if self._new.document_version < self._old.document_version:
+            found = f"document version {self._new.document_version}"
+            self._report("R1", found, f"{self._old.document_version} or later")
+
+    def _check_sum(self):
+        """Check the sum against the limits of the named document version.
+
+        Limits are known for the version in force only. Under any other version
+        the sum may stay or go down, since it has fitted already.
+        """
+        held, allowed = self._new.sum(), self._old.sum()
+        limit = self._limit
+        version = self._new.document_version
+        if limit is not None and limit.document_version == version:
+            allowed = limit.share
+            if version == self._old.document_version and fits(held, self._old.sum()):
+                return
+        elif version != self._old.document_version and self._new.holders:
+            self._report("R1", f"unknown document version {version}", "the one known")
+            return
+        if not fits(held, allowed):
+            self._report("R1", f"a sum of {held}", f"at most {allowed}")
+
+    def _check_lowered(self):
+        for item in self._old.holders:
+            lowered = subtract(item.share, self._new.share_of(item.holder))
+            if item.holder == self._view.me or is_empty(lowered):
+                continue
+            if not self._view.is_gone(*item.holder):
+                found = f"{item.vm} lowered by {lowered}"
+                self._report("R2", found, "no change of a holder that is not gone")
+
+    def _check_raised(self):
+        """Check where each raised amount comes from."""
+        freed = self._lowered_by(lambda holder: holder == self._view.me)
+        gone = self._lowered_by(
+            lambda holder: holder != self._view.me and self._view.is_gone(*holder)
+        )
+        others = total(
+            self._raise_of(item.holder)
+            for item in self._new.holders
+            if item.holder != self._view.me
+        )
+        if not fits(others, freed):
+            found = f"other holders raised by {others}"
+            self._report("R4", found, f"at most the freed {freed}")
+        me = self._raise_of(self._view.me)
+        if not fits(gone, me):
+            # The wait before a replaced amount is used binds the VM that took it;
+            # left unheld, the amount could be claimed and used at once.
+            found = f"{gone} of gone holders removed, {me} taken"
+            self._report("R3", found, "all of it taken by the writer")
+        if not fits(me, gone) and self._view.me not in self._view.desired(self._name):
+            self._report("R4", f"a claim of {me}", "claims of desired holders")
+
+    def _check_order(self):
+        """Check that no other holder's clip goes down by this write.
+
+        A holder that has not read this write clips by the old order; with a
+        larger sum before it in the new one, both clips together could exceed a
+        lowered limit.
+        """
+        kept = {item.holder for item in self._old.holders}
+        for item in self._new.holders:
+            if item.holder == self._view.me or item.holder not in kept:
+                continue
+            old_sum = self._old.before(item.holder)
+            new_sum = self._new.before(item.holder)
+            if not fits(new_sum, old_sum):
+                found = f"{new_sum} before {item.vm}"
+                self._report("R5", found, f"at most {old_sum}")
+
+    def _lowered_by(self, chosen):
+        return total(
+            subtract(item.share, self._new.share_of(item.holder))
+            for item in self._old.holders
+            if chosen(item.holder)
+        )
+
+    def _raise_of(self, holder):
+        return subtract(self._new.share_of(holder), self._old.share_of(holder))
--- /dev/null
+++ b/hemlockspoke/shares.py
@@ -0,0 +1,216 @@
+"""Share objects: who may use how much of each server of a group."""
+
+from hemlockspoke.requests import Share
+
+SHARE_PREFIX = "shares/"
+MAX_HOLDERS = 2
+
+
+def add(left, right):
+    """Return the sum of two shares.
+
+    >>> add(Share(1, 2, 0), Share(1, 1, 1))
+    Share(2, 3, 1)
+    """
+    return _combine(left, right, lambda a, b: a + b)
+
+
+def subtract(left, right):
+    """Return ``left`` less ``right``, at least 0 in each amount."""
+    return _combine(left, right, lambda a, b: max(0, a - b))
+
+
+def lower_of(left, right):
+    """Return the lower of each amount."""
+    return _combine(left, right, min)
+
+
+def fits(share, limit):
+    """Tell whether no amount of ``share`` is over that of ``limit``."""
+    pairs = zip(share.amounts(), limit.amounts(), strict=True)
+    return all(amount <= allowed for amount, allowed in pairs)
+
+
+def is_empty(share):
+    """Tell whether all amounts are 0."""
+    return not any(share.amounts())
+
+
+def total(shares):
+    """Return the sum of all ``shares``."""
+    result = Share()
+    for share in shares:
+        result = add(result, share)
+    return result
+
+
+def _combine(left, right, function):
+    pairs = zip(left.amounts(), right.amounts(), strict=True)
+    return Share(*(function(a, b) for a, b in pairs))
+
+
+class HolderShare:
+    """The share of one incarnation of a VM in one server."""
+
+    __slots__ = ("incarnation", "share", "vm")
+
+    def __init__(self, vm, incarnation, share):
+        self.vm = vm
+        self.incarnation = incarnation
+        self.share = share
+
+    def __repr__(self):
+        return f"HolderShare({self.vm!r}, {self.incarnation}, {self.share})"
+
+    @property
+    def holder(self):
+        """Return what identifies the holder: VM and incarnation."""
+        return (self.vm, self.incarnation)
+
+    @classmethod
+    def from_value(cls, value):
+        """Build from the value in a share object."""
+        amounts = (value["slots"], value["connections"], value["cold_start_slots"])
+        return cls(value["vm"], value["incarnation"], Share(*amounts))
+
+    def to_value(self):
+        """Return the value for a share object."""
+        return {
+            "vm": self.vm,
+            "incarnation": self.incarnation,
+            "slots": self.share.slots,
+            "connections": self.share.connections,
+            "cold_start_slots": self.share.cold_start_slots,
+        }
+
+    def with_share(self, share):
+        """Return the same holder with another share."""
+        return HolderShare(self.vm, self.incarnation, share)
+
+
+class ServerShares:
+    """The holders of one server, in the order in which they are clipped.
+
+    ``document_version`` names the document version whose limits the sum fits.
+    """
+
+    __slots__ = ("document_version", "holders")
+
+    def __init__(self, document_version=0, holders=()):
+        self.document_version = document_version
+        self.holders = list(holders)
+
+    @classmethod
+    def from_value(cls, value):
+        """Build from the value in a share object."""
+        holders = [HolderShare.from_value(holder) for holder in value["holders"]]
+        return cls(value["document_version"], holders)
+
+    def to_value(self):
+        """Return the value for a share object."""
+        return {
+            "document_version": self.document_version,
+            "holders": [holder.to_value() for holder in self.holders],
+        }
+
+    def share_of(self, holder):
+        """Return the share of a (VM, incarnation)."""
+        return total(item.share for item in self.holders if item.holder == holder)
+
+    def sum(self):
+        """Return the sum over all holders."""
+        return total(item.share for item in self.holders)
+
+    def before(self, holder):
+        """Return the sum over the holders that come before ``holder``."""
+        result = Share()
+        for item in self.holders:
+            if item.holder == holder:
+                break
+            result = add(result, item.share)
+        return result
+
+    def clipped(self, holder, limit):
+        """Return what ``holder`` may use when the server bears only ``limit``.
+
+        In the order of the list each holder takes at most what remains, so
+        holders need not talk to each other to clip to a lowered limit.
+        """
+        remaining = subtract(limit, self.before(holder))
+        return usable(lower_of(self.share_of(holder), remaining))
+
+
+def usable(share):
+    """Return ``share`` with no more cold-start slots than slots."""
+    cold_start_slots = min(share.cold_start_slots, share.slots)
+    return Share(share.slots, share.connections, cold_start_slots)
+
+
+class GroupShares:
+    """The share object of one group of servers."""
+
+    __slots__ = ("servers", "writer")
+
+    def __init__(self, writer="", servers=None):
+        self.writer = writer
+        self.servers = dict(servers or {})
+
+    @classmethod
+    def from_value(cls, value):
+        """Build from the value of the stored object."""
+        servers = {
+            name: ServerShares.from_value(server)
+            for name, server in value["servers"].items()
+        }
+        return cls(value["writer"], servers)
+
+    def to_value(self):
+        """Return the value of the stored object."""
+        servers = {name: server.to_value() for name, server in self.servers.items()}
+        return {"writer": self.writer, "servers": servers}
+
+    def server(self, name):
+        """Return the shares in one server, empty if nobody holds any."""
+        return self.servers.get(name) or ServerShares()
+
+    def held_by(self, holder):
+        """Return the names of the servers in which ``holder`` has a share."""
+        return [
+            name
+            for name, server in self.servers.items()
+            if any(item.holder == holder for item in server.holders)
+        ]
+
+
+class ServerLimit:
+    """What a server bears by the document in force.
+
+    ``max_deadline_ms`` is the longest that work sent to it may run.
+    """
+
+    __slots__ = ("document_version", "max_deadline_ms", "share")
+
+    def __init__(self, document_version, share, max_deadline_ms):
+        self.document_version = document_version
+        self.share = share
+        self.max_deadline_ms = max_deadline_ms
+
+
+class ShareView:
+    """What one daemon knows when it judges or plans shares.
+
+    ``limits`` maps a server name to a ``ServerLimit`` or None. ``desired`` maps
+    it to the (VM, incarnation) pairs of the desired holders, best first.
+    ``is_gone`` takes a VM and an incarnation. ``blocked`` names the servers in
+    which this daemon must not lower its share yet.
+    """
+
+    __slots__ = ("blocked", "desired", "is_gone", "limits", "me", "releasing")
+
+    def __init__(self, me, limits, desired, is_gone, blocked=(), releasing=False):
+        self.me = me
+        self.limits = limits
+        self.desired = desired
+        self.is_gone = is_gone
+        self.blocked = frozenset(blocked)
+        self.releasing = releasing
--- /dev/null
+++ b/tests/features/shares.feature
@@ -0,0 +1,108 @@
+Feature: shares of servers always sum to what a server can handle
+
+  Scenario: the slots of a server are split over two holders
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    Then each share server has 2 slots at 2 live holders
+    And each share server has 1 cold-start slot at one holder
+    And the share fleet has written at most 2 times per group
+
+  Scenario: a server with one slot has one holder
+    Given a share fleet of 3 daemons and 4 servers with 1 slots
+    When 3000 ms of share time pass
+    Then each share server has 1 slots at 1 live holders
+
+  # Guards against a share that is handed back and forth for ever.
+  Scenario: shares come to rest
+    Given a share fleet of 4 daemons and 6 servers with 3 slots
+    When 5000 ms of share time pass
+    And the share writes are counted
+    And 120000 ms of share time pass
+    Then no further share write was made
+
+  Scenario: a vanished VM is replaced, and its share is used only after the wait
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And the VM of share daemon 1 vanishes
+    And 4500 ms of share time pass
+    Then a replaced share is written but not yet in use
+    When 6000 ms of share time pass
+    Then each share server has 2 slots at 2 live holders
+
+  # Guards against a share that stays with a VM that no running daemon has seen.
+  Scenario: a VM that vanished before any daemon started is replaced
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And the VM of share daemon 1 vanishes and all other daemons restart
+    And 20000 ms of share time pass
+    Then each share server has 2 slots at 2 live holders
+
+  Scenario: a daemon that leaves hands its shares over before it exits
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And share daemon 0 releases all shares
+    And 3000 ms of share time pass
+    Then the share release has completed
+    And each share server has 2 slots at 2 live holders
+
+  # Guards against a write that comes before the work in use has ended.
+  Scenario: work in use delays the handover of a share
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And share daemon 0 is busy with all that it holds
+    And the VM of share daemon 0 is taken out by operators
+    And 3000 ms of share time pass
+    Then share daemon 0 may use nothing but still stands in the store
+    When share daemon 0 has finished its work
+    And 3000 ms of share time pass
+    Then each share server has 2 slots at 2 live holders
+    And share daemon 0 holds nothing in the store
+
+  Scenario: with the store down the holders keep their shares
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And all share daemons are cut from the store
+    And the VM of share daemon 0 is taken out by operators
+    And 60000 ms of share time pass
+    Then each share server has 2 slots at 2 live holders
+
+  Scenario: a paused daemon uses nothing until the store has confirmed its shares
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And all share daemons are cut from the store
+    And share daemon 0 finds that it was paused for 1500 ms
+    Then share daemon 0 may use nothing but still stands in the store
+    When the share daemons reach the store again
+    And 3000 ms of share time pass
+    Then each share server has 2 slots at 2 live holders
+
+  Scenario: a lowered limit is clipped at once and a raised one is claimed
+    Given a share fleet of 3 daemons and 4 servers with 4 slots
+    When 3000 ms of share time pass
+    And the share limit changes to 1 slots
+    Then each share server has at most 1 slots in use
+    When 3000 ms of share time pass
+    Then each share server has 1 slots at 1 live holders
+    When the share limit changes to 3 slots
+    And 3000 ms of share time pass
+    Then each share server has 3 slots at 2 live holders
+
+  Scenario Outline: a proposal that breaks a rule is refused
+    Given the share object <old> of a server with 4 slots
+    When daemon "A" proposes the share object <new>
+    Then the share proposal is refused by <rule>
+
+    Examples:
+      | old     | new     | rule    |
+      | A2 B2   | B2 A3   | R1      |
+      | A2 B1   | A2 B1 C1 | R1     |
+      | A2 B2   | A2 B1   | R2      |
+      | A2 G2   | A3      | R3      |
+      | A2 G2   | A2      | R3      |
+      | A2 B1   | A2 B2   | R4      |
+      | C2      | C2 A2   | nothing |
+      | A1 B2   | A2 B2   | R5      |
+      | A1 B2   | B2 A2   | nothing |
+      | A2 B2   | B2 C2   | nothing |
+      | A2 G2   | A4      | nothing |
+      | A2 B2   | A2 B2   | nothing |
--- /dev/null
+++ b/tests/features/steps/shares_steps.py
@@ -0,0 +1,210 @@
+"""Steps on the shares of servers."""
+
+from behave import given, then, when
+
+from hemlockspoke.requests import Share
+from hemlockspoke.share_rules import check_proposal
+from hemlockspoke.shares import (
+    GroupShares,
+    HolderShare,
+    ServerLimit,
+    ServerShares,
+    ShareView,
+)
+from tests.fuzz.share_fakes import service_value
+from tests.fuzz.share_world import ShareWorld
+
+
+def servers_value(count, slots):
+    """Return a document of ``count`` servers."""
+    limits = ("mtl", "mtl-a", slots, 25, 1)
+    return service_value({f"rp-{number}": limits for number in range(count)})
+
+
+def server_names(context):
+    return list(context.world.platform.objects["services/lau"].value["servers"])
+
+
+def group_values(context):
+    objects = context.world.platform.objects
+    return [item.value for key, item in objects.items() if key.startswith("shares/")]
+
+
+@given(
+    "a share fleet of {daemons:d} daemons and {servers:d} servers with {slots:d} slots"
+)
+def step_fleet(context, daemons, servers, slots):
+    context.world = world = ShareWorld()
+    context.server_count = servers
+    world.set_document("lau", servers_value(servers, slots))
+    world.set_fleet()
+    for number in range(daemons):
+        world.platform.list_vm(f"vm-{number}", "mtl", "mtl-a")
+        world.start(f"vm-{number}")
+
+
+@when("{duration_ms:d} ms of share time pass")
+def step_time(context, duration_ms):
+    context.world.run(duration_ms)
+
+
+@when("the share writes are counted")
+def step_count(context):
+    context.revision = context.world.platform.revision
+
+
+@then("no further share write was made")
+def step_no_write(context):
+    assert context.world.platform.revision == context.revision
+
+
+@then("the share fleet has written at most {count:d} times per group")
+def step_written(context, count):
+    world = context.world
+    writes = sum(len(daemon.store.writes) for daemon in world.daemons.values())
+    assert writes <= count * len(group_values(context)), writes
+
+
+@when("the VM of share daemon {number:d} vanishes")
+def step_vanish(context, number):
+    context.world.crash(f"vm-{number}")
+    del context.world.platform.vms[f"vm-{number}"]
+
+
+@when("the VM of share daemon {number:d} vanishes and all other daemons restart")
+def step_vanish_and_restart(context, number):
+    step_vanish(context, number)
+    for vm in list(context.world.daemons):
+        context.world.crash(vm)
+        context.world.start(vm)
+
+
+@when("share daemon {number:d} releases all shares")
+def step_release(context, number):
+    context.released = []
+    daemon = context.world.daemons[f"vm-{number}"]
+    daemon.shares.release_all().addCallback(context.released.append)
+
+
+@then("the share release has completed")
+def step_released(context):
+    assert context.released == [True]
+
+
+@when("share daemon {number:d} is busy with all that it holds")
+def step_busy(context, number):
+    use = context.world.daemons[f"vm-{number}"].use
+    use.used = dict(use.shares)
+    assert use.used
+
+
+@when("share daemon {number:d} has finished its work")
+def step_finished(context, number):
+    context.world.daemons[f"vm-{number}"].use.used = {}
+
+
+@when("the VM of share daemon {number:d} is taken out by operators")
+def step_out(context, number):
+    context.world.set_fleet(vms=[f"vm-{number}"])
+
+
+@when("all share daemons are cut from the store")
+def step_cut(context):
+    # What the store holds by now still reaches the daemons through their peers.
+    for daemon in context.world.daemons.values():
+        daemon.store.cut = True
+
+
+@when("the share daemons reach the store again")
+def step_uncut(context):
+    for daemon in context.world.daemons.values():
+        daemon.store.cut = False
+
+
+@when("share daemon {number:d} finds that it was paused for {length_ms:d} ms")
+def step_paused(context, number, length_ms):
+    daemon = context.world.daemons[f"vm-{number}"]
+    daemon.clock.jump(length_ms)
+    assert daemon.pause.check() == length_ms
+
+
+@when("the share limit changes to {slots:d} slots")
+def step_limit(context, slots):
+    context.world.set_document("lau", servers_value(context.server_count, slots))
+    for daemon in context.world.daemons.values():
+        daemon.read_objects()
+
+
+@then("share daemon {number:d} may use nothing but still stands in the store")
+def step_lowered(context, number):
+    vm = f"vm-{number}"
+    assert not context.world.daemons[vm].use.shares
+    assert vm in str(group_values(context))
+
+
+@then("share daemon {number:d} holds nothing in the store")
+def step_holds_nothing(context, number):
+    assert f"vm-{number}" not in str(
+        [value["servers"] for value in group_values(context)]
+    )
+
+
+@then("each share server has {slots:d} slots at {holders:d} live holders")
+def step_full(context, slots, holders):
+    for name in server_names(context):
+        beliefs = context.world.holders(name)
+        assert len(beliefs) == holders, (name, beliefs)
+        assert sum(share.slots for share in beliefs.values()) == slots, beliefs
+
+
+@then("each share server has at most {slots:d} slots in use")
+def step_at_most(context, slots):
+    for name in server_names(context):
+        beliefs = context.world.holders(name)
+        assert sum(share.slots for share in beliefs.values()) <= slots, beliefs
+
+
+@then("each share server has 1 cold-start slot at one holder")
+def step_cold(context):
+    for name in server_names(context):
+        beliefs = context.world.holders(name).values()
+        assert sorted(share.cold_start_slots for share in beliefs) == [0, 1]
+
+
+@then("a replaced share is written but not yet in use")
+def step_waiting(context):
+    assert "vm-1" not in str([value["servers"] for value in group_values(context)])
+    names = server_names(context)
+    slots = [sum(s.slots for s in context.world.holders(n).values()) for n in names]
+    assert min(slots) == 1, slots
+
+
+@given("the share object {text} of a server with 4 slots")
+def step_old(context, text):
+    context.old = group_of_text(text)
+
+
+def group_of_text(text):
+    """Return shares such as ``A2 B1``; each letter is a VM, G is gone."""
+    holders = [
+        HolderShare(item[0], 1, Share(int(item[1]), int(item[1]), 0))
+        for item in text.split()
+    ]
+    return GroupShares(servers={"rp-0": ServerShares(7, holders)})
+
+
+@when('daemon "{vm}" proposes the share object {text}')
+def step_propose(context, vm, text):
+    view = ShareView(
+        me=(vm, 1),
+        limits=lambda name: ServerLimit(7, Share(4, 4, 1), 5000),
+        desired=lambda name: [(vm, 1), ("C", 1)],
+        is_gone=lambda holder, incarnation: holder == "G",
+    )
+    context.findings = check_proposal(context.old, group_of_text(text), view)
+
+
+@then("the share proposal is refused by {rule}")
+def step_rule(context, rule):
+    found = {finding.found[:2] for finding in context.findings}
+    assert found == (set() if rule == "nothing" else {rule}), str(context.findings)
