--- a/hemlockspoke/node.py
+++ b/hemlockspoke/node.py
@@ -9,10 +9,10 @@
 from hemlockspoke.catalog import Catalog
 from hemlockspoke.config_sync import ConfigSync
 from hemlockspoke.configuration import Configuration
-from hemlockspoke.message_dispatch import Dispatcher, connect_parts
 from hemlockspoke.holder import Holder
 from hemlockspoke.invariants import Invariants
 from hemlockspoke.membership import Membership
+from hemlockspoke.message_dispatch import Dispatcher, connect_parts
 from hemlockspoke.order_claims import OrderClaims
 from hemlockspoke.orders import OrderEngine
 from hemlockspoke.pause import Pause
--- a/tests/fake_http.py
+++ b/tests/fake_http.py
@@ -6,7 +6,7 @@
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from hemlockspoke.errors import StoreErrorKind
-from tests.fakes import FakeStore
+from tests.fakes.store import FakeStore
 
 OBJECTS = "/v1/objects"
 STATUS_OF = {
--- a/tests/features/steps/edits_steps.py
+++ b/tests/features/steps/edits_steps.py
@@ -23,7 +23,7 @@
     perform_edit,
     run_steps,
 )
-from tests.fakes import FakeStore
+from tests.fakes.store import FakeStore
 
 KEY = "services/depot"
 REPORTS = {
