--- a/hemlockspoke/adapters/peer_stream.py
+++ b/hemlockspoke/adapters/peer_stream.py
@@ -160,6 +160,7 @@
     """
 
     __slots__ = (
+        "_connect_listener",
         "_dialers",
         "_epoch",
         "_loss_listener",
@@ -186,6 +187,7 @@
         self._timings = timings
         self._receiver = None
         self._loss_listener = None
+        self._connect_listener = None
         self._streams = {}
         self._unnamed = set()
         self._dialers = {}
@@ -240,6 +242,10 @@
         """Set who hears of lost streams."""
         self._loss_listener = listener
 
+    def set_connect_listener(self, listener):
+        """Set who hears of new streams."""
+        self._connect_listener = listener
+
     def set_addresses(self, addresses):
         """Dial the VMs with a higher name and close streams to unknown VMs."""
         for vm in list(self._dialers):
@@ -292,6 +298,8 @@
             self.stream_lost(current)
             current.transport.loseConnection()
         self._streams[stream.vm] = stream
+        if self._connect_listener is not None:
+            self._connect_listener(stream.vm)
 
     def _preferred(self, stream, current):
         if stream.dialed == current.dialed:
--- a/hemlockspoke/daemon.py
+++ b/hemlockspoke/daemon.py
@@ -44,8 +44,8 @@
         metrics = StatsdMetrics.from_config(settings, clock, reactor)
         epoch = uuid.uuid4().hex
         peers = TcpPeerNetwork.from_config(settings, reactor, clock, epoch, metrics)
-        store = HttpStore.from_config(settings, reactor, clock, metrics)
-        clients = HttpUpstreamClients.from_config(settings, reactor, clock, metrics)
+        store = HttpStore.from_config(settings, clock, reactor)
+        clients = HttpUpstreamClients(reactor, clock, settings.timings.stall_ms)
         node = Node(settings, clock, store, peers, clients, metrics)
         return cls(settings, reactor, node)
 
@@ -55,16 +55,17 @@
         The peer address is bound before the node registers: an earlier process
         on this VM can then no longer serve there.
         """
-        from hemlockspoke.adapters.caller_http import caller_site
+        from hemlockspoke.adapters.caller_http import CallerSite
         from hemlockspoke.adapters.operator_http import operator_site
 
         self._node.peers.listen(self._settings.peer_address)
         self._listen(self._settings.operator_address, operator_site(self._node))
-        site = caller_site(
+        site = CallerSite(
             queries=self._node.queries,
             orders=self._node.orders,
-            readiness=self._node.refusals,
-            timings=self._settings.timings,
+            readiness=self._node.refusal,
+            caller_idle_timeout_ms=self._settings.timings.caller_idle_timeout_ms,
+            reactor=self._reactor,
         )
         self._caller_ports.append(self._listen(self._settings.caller_address, site))
         self._node.start()
--- a/hemlockspoke/message_dispatch.py
+++ b/hemlockspoke/message_dispatch.py
@@ -28,7 +28,15 @@
     next turn of the reactor, so that no part is called back from its own call.
     """
 
-    __slots__ = ("_clock", "_handlers", "_loss_listeners", "_metrics", "_peers", "_vm")
+    __slots__ = (
+        "_clock",
+        "_connect_listeners",
+        "_handlers",
+        "_loss_listeners",
+        "_metrics",
+        "_peers",
+        "_vm",
+    )
 
     def __init__(self, clock, vm, peers, metrics):
         self._clock = clock
@@ -37,8 +45,10 @@
         self._metrics = metrics
         self._handlers = {}
         self._loss_listeners = []
+        self._connect_listeners = []
         peers.set_receiver(self.receive)
         peers.set_loss_listener(self.peer_lost)
+        peers.set_connect_listener(self.peer_connected)
 
     def subscribe(self, message_type, handler):
         """Deliver messages of a type to ``handler(vm, message)``."""
@@ -48,6 +58,10 @@
         """Report lost streams to ``listener(vm)``."""
         self._loss_listeners.append(listener)
 
+    def subscribe_connect(self, listener):
+        """Report new streams to ``listener(vm)``."""
+        self._connect_listeners.append(listener)
+
     def send(self, vm, message):
         """Send to a VM; False if it cannot be reached."""
         if vm == self._vm:
@@ -75,6 +89,11 @@
                 extra={"peer": vm, "message_type": message.type_name},
             )
 
+    def peer_connected(self, vm):
+        """Report a new stream to every listener."""
+        for listener in self._connect_listeners:
+            listener(vm)
+
     def peer_lost(self, vm):
         """Report a lost stream to every listener."""
         for listener in self._loss_listeners:
--- a/hemlockspoke/node.py
+++ b/hemlockspoke/node.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import Deferred, ensureDeferred
 
+from hemlockspoke.address import Address
 from hemlockspoke.catalog import Catalog
 from hemlockspoke.config_sync import ConfigSync
 from hemlockspoke.configuration import Configuration
@@ -19,7 +20,6 @@
 from hemlockspoke.query import QueryEngine
 from hemlockspoke.registration import Registration
 from hemlockspoke.routing import Router
-from hemlockspoke.settings import Address
 from hemlockspoke.share_manager import ShareManager
 
 logger = logging.getLogger(__name__)
@@ -110,7 +110,6 @@
             membership=self.membership,
             vm=settings.vm,
             incarnation=self._incarnation,
-            failure_domain=settings.failure_domain,
             pause=self.pause,
             rng=self.rng,
             set_share=self.holder.set_share,
@@ -159,6 +158,12 @@
             self.orders,
             self.catalog,
         )
+        self.dispatcher.subscribe_connect(self._peer_connected)
+
+    def _peer_connected(self, vm):
+        """Tell a new peer what this holder's servers serve."""
+        for update in self.holder.catalog_updates():
+            self.dispatcher.send(vm, update)
 
     def _incarnation(self):
         return self.registration.incarnation
@@ -215,6 +220,11 @@
         leaving = ["leaving"] if self.leaving else []
         return leaving + self.refusals()
 
+    def refusal(self):
+        """Return the first reason for taking no new work, or None."""
+        reasons = self.refusals()
+        return reasons[0] if reasons else None
+
     def refusals(self):
         """Return the reasons for taking no new work; empty when it is taken."""
         fleet = self.configuration.fleet()
--- a/hemlockspoke/ports.py
+++ b/hemlockspoke/ports.py
@@ -225,6 +225,10 @@
     def set_loss_listener(self, listener):
         """Set who hears of lost streams."""
 
+    @abstractmethod
+    def set_connect_listener(self, listener):
+        """Set who hears of new streams, as ``listener(vm)``."""
+
     @abstractmethod
     def set_addresses(self, addresses):
         """Set the peer address of each VM; streams to others are closed."""
