--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements against stand-ins on loopback."""
--- /dev/null
+++ b/tests/bench/load.py
@@ -0,0 +1,174 @@
+"""A paced load of queries or orders from threads, with a histogram."""
+
+import http.client
+import json
+import threading
+import time
+
+from hdrh.histogram import HdrHistogram
+
+from tests.cluster import CALLER_PORT
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+DIGITS = 3
+
+
+class Sample:
+    """What a load has seen."""
+
+    __slots__ = ("complete", "errors", "failed", "histogram", "partial", "wrong")
+
+    def __init__(self):
+        self.histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.complete = 0
+        self.partial = 0
+        # Answers with another status than 200, by problem type.
+        self.failed = {}
+        # Connections cut or refused.
+        self.errors = 0
+        # Answers whose rows contradict their snapshot or coverage.
+        self.wrong = 0
+
+    def percentile_ms(self, percentile):
+        """Return a latency in ms."""
+        return self.histogram.get_value_at_percentile(percentile) / 1000
+
+    def total(self):
+        """Return the number of requests."""
+        answered = self.complete + self.partial + self.errors
+        return answered + sum(self.failed.values())
+
+    def summary(self):
+        """Describe the outcome in one line."""
+        return (
+            f"{self.total()} requests, {self.complete} complete, "
+            f"{self.partial} partial, {sum(self.failed.values())} refused or failed "
+            f"{self.failed or ''}, {self.errors} cut, {self.wrong} wrong"
+        )
+
+
+class Load:
+    """Sends queries at a steady rate, spread over the daemons.
+
+    Latency is counted from the moment at which a request was due, so that a
+    stalled daemon is not hidden by fewer requests. A daemon that refuses new
+    connections or is not ready is skipped, as the platform's balancer does.
+    """
+
+    def __init__(self, cluster, index, rate_per_s, threads=16, deadline_ms=2000):
+        self.cluster = cluster
+        self.index = index
+        self.rate_per_s = rate_per_s
+        self.deadline_ms = deadline_ms
+        self.sample = Sample()
+        self.in_rotation = list(cluster.daemons)
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+        self._next_due_s = 0.0
+        self._next_daemon = 0
+        self._threads = [
+            threading.Thread(target=self._work, daemon=True) for _ in range(threads)
+        ]
+
+    def start(self):
+        """Start sending."""
+        self._next_due_s = time.monotonic()
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def stop(self):
+        """Stop sending and return the last sample."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+        return self.sample
+
+    def take_sample(self):
+        """Return the sample so far and begin a new one."""
+        with self._lock:
+            sample, self.sample = self.sample, Sample()
+        return sample
+
+    def run_for(self, duration_s):
+        """Begin a new sample, wait and return it."""
+        self.take_sample()
+        time.sleep(duration_s)
+        return self.take_sample()
+
+    def _next(self):
+        with self._lock:
+            due_s = self._next_due_s
+            self._next_due_s += 1.0 / self.rate_per_s
+            self._next_daemon += 1
+            daemon = self.in_rotation[self._next_daemon % len(self.in_rotation)]
+        return due_s, daemon
+
+    def _work(self):
+        connections = {}
+        while not self._stop.is_set():
+            due_s, daemon = self._next()
+            delay_s = due_s - time.monotonic()
+            if delay_s > 0:
+                time.sleep(delay_s)
+            self._send(connections, daemon, due_s)
+        for connection in connections.values():
+            connection.close()
+
+    def _send(self, connections, daemon, due_s):
+        service = self.cluster.layout.service
+        path = f"/v1/services/{service}/indexes/{self.index}/query"
+        body = json.dumps({"query": {}, "deadline_ms": self.deadline_ms})
+        try:
+            status, answer = self._exchange(connections, daemon, path, body)
+        except (OSError, http.client.HTTPException):
+            connections.pop(daemon.vm, None)
+            with self._lock:
+                self.sample.errors += 1
+            return
+        elapsed_us = int((time.monotonic() - due_s) * 1_000_000)
+        with self._lock:
+            self._record(status, answer, elapsed_us)
+
+    def _exchange(self, connections, daemon, path, body):
+        connection = connections.get(daemon.vm)
+        if connection is None:
+            timeout_s = self.deadline_ms / 1000 + 5
+            connection = http.client.HTTPConnection(
+                daemon.host, CALLER_PORT, timeout=timeout_s
+            )
+            connections[daemon.vm] = connection
+        connection.request("POST", path, body, {"Content-Type": "application/json"})
+        reply = connection.getresponse()
+        answer = json.loads(reply.read())
+        if reply.getheader("Connection", "").lower() == "close":
+            connections.pop(daemon.vm).close()
+        return reply.status, answer
+
+    def _record(self, status, answer, elapsed_us):
+        sample = self.sample
+        sample.histogram.record_value(min(elapsed_us, HIGHEST_US))
+        if status != 200:
+            name = answer.get("type", str(status)).rpartition(":")[2]
+            sample.failed[name] = sample.failed.get(name, 0) + 1
+            return
+        if answer["complete"]:
+            sample.complete += 1
+        else:
+            sample.partial += 1
+        sample.wrong += not consistent(answer)
+
+
+def consistent(answer):
+    """Tell whether rows, snapshot and coverage of an answer agree."""
+    version = answer["snapshot"]["version"]
+    coverage = answer["coverage"]
+    missing = coverage["missing_parts"]
+    parts = {row["part"] for row in answer["rows"]}
+    return (
+        all(row["version"] == version for row in answer["rows"])
+        and len(parts) == coverage["parts_answered"]
+        and coverage["parts_answered"] + len(missing) == coverage["parts_total"]
+        and parts.isdisjoint(missing)
+    )
--- /dev/null
+++ b/tests/bench/scenarios.py
@@ -0,0 +1,346 @@
+"""Measured scenarios, each against its target and, where it has one, a baseline."""
+
+import signal
+import time
+
+from hemlockspoke.registry import Registry
+from tests.bench.load import Load
+from tests.bench.order_load import OrderLoad
+from tests.cluster import Cluster, wait_until
+from tests.layout import laurentide_layout, vestkyst_layout
+
+scenarios = Registry("scenario")
+
+# One way, as the brief gives it for Laurentide, between client and VM and upstream.
+ONE_WAY_MS = 1
+SERVICE_MS = 5
+RATE_PER_S = 20
+STEADY_S = 10
+OUT_LIMIT_S = 3.0
+IN_FORCE_LIMIT_S = 2.0
+IN_FORCE_LIMIT_SILENT_S = 12.0
+
+
+class Row:
+    """One measured figure and whether it meets its target."""
+
+    __slots__ = ("deployment", "figure", "holds", "measured", "scenario", "target")
+
+    def __init__(self, scenario, deployment, figure, target, measured, holds):
+        self.scenario = scenario
+        self.deployment = deployment
+        self.figure = figure
+        self.target = target
+        self.measured = measured
+        self.holds = holds
+
+
+class Deployment:
+    """Layout of one customer, scaled to the machine."""
+
+    __slots__ = ("domain", "index", "layout", "name", "order")
+
+    def __init__(self, name, layout, index, order, domain):
+        self.name = name
+        self.layout = layout
+        self.index = index
+        self.order = order
+        self.domain = domain
+
+
+DEPLOYMENTS = {
+    "laurentide": Deployment("laurentide", laurentide_layout, "bins", "refill", "qc-a"),
+    "vestkyst": Deployment(
+        "vestkyst", vestkyst_layout, "catalogue", "reservation", "koege"
+    ),
+}
+
+
+def started_cluster(deployment, daemons=9, stand_in=None, **policy):
+    """Return a running cluster with the document in force."""
+    settings = {"service_ms": SERVICE_MS, "delay_ms": ONE_WAY_MS, **(stand_in or {})}
+    cluster = Cluster(deployment.layout, daemons, stand_in=settings, processes=2)
+    cluster.start_stand_ins()
+    cluster.put_document(**policy)
+    cluster.start_daemons()
+    return cluster
+
+
+def steady(cluster, deployment, duration_s=STEADY_S, rate_per_s=RATE_PER_S):
+    """Measure a steady load after a short warm-up."""
+    load = Load(cluster, deployment.index, rate_per_s).start()
+    time.sleep(3)
+    sample = load.run_for(duration_s)
+    load.stop()
+    return sample
+
+
+@scenarios.register("tail")
+def tail(deployment):
+    """p99 with 1% of sub-queries 10 times slow, for each hedge policy."""
+
+    def layout(hosts):
+        return deployment.layout(hosts, shards=40)
+
+    wide = Deployment(
+        deployment.name, layout, deployment.index, deployment.order, deployment.domain
+    )
+    straggling = {"straggler_ratio": 0.01, "straggler_factor": 10}
+    figures = {}
+    for policy in ("none", "quantile"):
+        with started_cluster(wide, stand_in=straggling, hedge_policy=policy) as cluster:
+            before = cluster.total("queries")
+            sample = steady(cluster, wide, 20, rate_per_s=8)
+            # The counters also hold the warm-up; its requests are in the ratio.
+            figures[policy] = (sample, cluster.total("queries") - before)
+    base_ms = figures["none"][0].percentile_ms(99)
+    hedged = figures["quantile"][0]
+    hedged_ms = hedged.percentile_ms(99)
+    yield Row(
+        "tail",
+        deployment.name,
+        "p99 of quantile against none",
+        "at most 1/3",
+        f"{hedged_ms:.0f} ms against {base_ms:.0f} ms",
+        hedged_ms <= base_ms / 3,
+    )
+    extra = figures["quantile"][1] / figures["none"][1] - 1
+    yield Row(
+        "tail",
+        deployment.name,
+        "extra load",
+        "at most 5%",
+        f"{extra:.1%}",
+        extra <= 0.05,
+    )
+    yield answers_row("tail", deployment, hedged)
+
+
+def answers_row(scenario, deployment, sample):
+    """Return the row that no query failed and every answer was whole."""
+    whole = sample.complete == sample.total() and sample.wrong == 0
+    return Row(
+        scenario,
+        deployment.name,
+        "queries",
+        "all complete",
+        sample.summary(),
+        whole,
+    )
+
+
+def violations_row(scenario, deployment, cluster):
+    """Return the row of what the upstreams have counted against us."""
+    names = ("cold_overruns", "connection_overruns", "slot_overruns")
+    names += ("work_after_drain", "orders_run_twice")
+    found = {name: cluster.total(name) for name in names}
+    found = {name: count for name, count in found.items() if count}
+    return Row(scenario, deployment.name, "violations", "0", found or 0, not found)
+
+
+def domain_queries(cluster, domain):
+    """Return how many sub-queries the servers of a failure domain have had."""
+    counters = cluster.upstream_counters()
+    servers = cluster.layout.all_servers()
+    names = [server.name for server in servers if server.failure_domain == domain]
+    return sum(counters[name]["queries"] for name in names)
+
+
+@scenarios.register("domain")
+def domain_out_and_back(deployment):
+    """A failure domain out and back under load."""
+    with started_cluster(deployment) as cluster:
+        load = Load(cluster, deployment.index, RATE_PER_S).start()
+        time.sleep(3)
+        normal_ms = load.run_for(STEADY_S).percentile_ms(99)
+        cluster.command("domain", "out", deployment.domain, "--why", "bench")
+        time.sleep(OUT_LIMIT_S)
+        before = domain_queries(cluster, deployment.domain)
+        time.sleep(5)
+        late = domain_queries(cluster, deployment.domain) - before
+        cluster.command("domain", "in", deployment.domain, "--why", "bench")
+        time.sleep(8)
+        moving = load.stop()
+        yield answers_row("domain", deployment, moving)
+        yield Row(
+            "domain",
+            deployment.name,
+            "new work after 3 s",
+            "0 sub-queries",
+            late,
+            late == 0,
+        )
+        moving_ms = moving.percentile_ms(99)
+        yield Row(
+            "domain",
+            deployment.name,
+            "p99 during the move",
+            "at most 1.5 times steady",
+            f"{moving_ms:.0f} ms against {normal_ms:.0f} ms",
+            moving_ms <= 1.5 * normal_ms,
+        )
+        yield violations_row("domain", deployment, cluster)
+
+
+@scenarios.register("cold")
+def cold_start(deployment):
+    """Half of the servers restart cold under load."""
+    with started_cluster(deployment) as cluster:
+        load = Load(cluster, deployment.index, RATE_PER_S).start()
+        time.sleep(3)
+        servers = [s.name for s in cluster.layout.all_servers()]
+        for server in servers[::2]:
+            cluster.upstream(server, "restart", {"down_ms": 200})
+        time.sleep(15)
+        load.take_sample()
+        after = load.run_for(5)
+        load.stop()
+        falls = cluster.total("falls")
+        yield Row("cold", deployment.name, "servers fallen over", "0", falls, not falls)
+        yield answers_row("cold", deployment, after)
+        yield violations_row("cold", deployment, cluster)
+
+
+@scenarios.register("store-down")
+def store_down(deployment):
+    """The platform's store down throughout."""
+    with started_cluster(deployment) as cluster:
+        cluster.set_faults({"kind": "down"})
+        load = Load(cluster, deployment.index, RATE_PER_S).start()
+        orders = OrderLoad(cluster, deployment.order, threads=2)
+        orders.run_for(STEADY_S)
+        sample = load.stop()
+        cluster.set_faults()
+        yield answers_row("store-down", deployment, sample)
+        yield Row(
+            "store-down",
+            deployment.name,
+            "orders",
+            "refused truthfully",
+            orders.summary(),
+            orders.true_refusals() and not orders.done,
+        )
+
+
+def in_force_delay_s(cluster, version, daemons, limit_s):
+    """Return after how long a version of the document is in force everywhere."""
+    key = f"services/{cluster.layout.service}"
+    started_s = time.monotonic()
+
+    def everywhere():
+        states = [d.operator("/v1/configuration").body["versions"] for d in daemons]
+        return all(versions.get(key, 0) >= version for versions in states)
+
+    wait_until(everywhere, limit_s * 3, poll_s=0.02)
+    return time.monotonic() - started_s
+
+
+@scenarios.register("configuration")
+def configuration(deployment):
+    """A document change in force on all daemons, also with faults."""
+    with started_cluster(deployment) as cluster:
+        version = cluster.put_document(default_deadline_ms=900)
+        delay_s = in_force_delay_s(cluster, version, cluster.daemons, IN_FORCE_LIMIT_S)
+        yield Row(
+            "configuration",
+            deployment.name,
+            "in force on 9 daemons",
+            "under 2 s",
+            f"{delay_s:.2f} s",
+            delay_s < IN_FORCE_LIMIT_S,
+        )
+        cluster.set_faults(
+            {"kind": "watch_silent"}, {"kind": "down", "vm": cluster.daemons[0].vm}
+        )
+        time.sleep(1)
+        version = cluster.put_document(default_deadline_ms=950)
+        delay_s = in_force_delay_s(
+            cluster, version, cluster.daemons, IN_FORCE_LIMIT_SILENT_S
+        )
+        yield Row(
+            "configuration",
+            deployment.name,
+            "watch silent, one daemon cut from the store",
+            "under 12 s",
+            f"{delay_s:.2f} s",
+            delay_s < IN_FORCE_LIMIT_SILENT_S,
+        )
+
+
+@scenarios.register("orders")
+def orders_under_kills(deployment):
+    """Orders under kills, lost replies and retries over other VMs."""
+    with started_cluster(deployment) as cluster:
+        cluster.set_faults({"kind": "lose_reply", "ratio": 0.1, "seed": 1})
+        orders = OrderLoad(cluster, deployment.order, threads=6).start()
+        for victim in cluster.daemons[:3]:
+            time.sleep(4)
+            victim.kill()
+            time.sleep(1)
+            victim.start()
+        time.sleep(4)
+        orders.stop()
+        cluster.set_faults()
+        twice = cluster.total("orders_run_twice")
+        false = orders.false_not_run()
+        yield Row("orders", deployment.name, "run twice", "0", twice, twice == 0)
+        yield Row("orders", deployment.name, "false not_run", "0", false, false == 0)
+        yield Row(
+            "orders",
+            deployment.name,
+            "orders",
+            "some done",
+            orders.summary(),
+            orders.done > 0,
+        )
+
+
+@scenarios.register("rolling")
+def rolling_restart(deployment):
+    """All daemons restarted one by one under load."""
+    with started_cluster(deployment) as cluster:
+        load = Load(cluster, deployment.index, RATE_PER_S).start()
+        time.sleep(3)
+        load.take_sample()
+        for daemon in cluster.daemons:
+            daemon.signal(signal.SIGTERM)
+            # The balancer takes a VM out one second after it is not ready.
+            time.sleep(1)
+            load.in_rotation = [d for d in cluster.daemons if d is not daemon]
+            daemon.process.wait(40)
+            daemon.start()
+            cluster.wait_ready([daemon])
+            load.in_rotation = list(cluster.daemons)
+        sample = load.stop()
+        yield Row(
+            "rolling",
+            deployment.name,
+            "requests cut",
+            "0",
+            sample.summary(),
+            sample.errors == 0 and not sample.failed,
+        )
+        yield answers_row("rolling", deployment, sample)
+        yield violations_row("rolling", deployment, cluster)
+
+
+@scenarios.register("connections")
+def connections(deployment):
+    """Connections at each server with 9 daemons under load."""
+    with started_cluster(deployment) as cluster:
+        steady(cluster, deployment)
+        counters = cluster.upstream_counters()
+        servers = cluster.layout.servers
+        worst = max(
+            counters[name]["max_connections"] / servers[name].upstream_class.connections
+            for name in servers
+        )
+        yield Row(
+            "connections",
+            deployment.name,
+            "most connections, of the cap",
+            "at most 100%",
+            f"{worst:.0%}",
+            worst <= 1,
+        )
+        yield violations_row("connections", deployment, cluster)
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -130,11 +130,13 @@
 class Cluster:
     """A platform, an upstream process and daemons over failure domains."""
 
-    def __init__(self, layout_factory, daemons=3, timings=None, stand_in=None):
+    def __init__(
+        self, layout_factory, daemons=3, timings=None, stand_in=None, processes=1
+    ):
         self.network = f"127.{random.randint(1, 250)}.{random.randint(0, 250)}"
         self.platform_host = f"{self.network}.1"
-        self.upstream_host = f"{self.network}.2"
-        self.layout = layout_factory(self.upstream_host)
+        hosts = [f"{self.network}.{100 + number}" for number in range(processes)]
+        self.layout = layout_factory(hosts)
         self.timings = dict(timings or {})
         self.stand_in = dict(stand_in or {})
         self._temporary = tempfile.TemporaryDirectory(prefix="hemlockspoke-")
@@ -176,13 +178,15 @@
             ["-m", "tests.standins.platform"]
             + ["--host", self.platform_host, "--port", str(PLATFORM_PORT)],
         )
-        config = self.layout.stand_in_config(**self.stand_in, **upstream_settings)
-        self.start_process(
-            "upstream",
-            ["-m", "tests.standins.upstream", "--host", self.upstream_host]
-            + ["--port", str(UPSTREAM_ADMIN_PORT)]
-            + ["--config-json", json.dumps(config)],
-        )
+        settings = {**self.stand_in, **upstream_settings}
+        for host in self.layout.hosts:
+            config = self.layout.stand_in_config(host, **settings)
+            self.start_process(
+                f"upstream-{host}",
+                ["-m", "tests.standins.upstream", "--host", host]
+                + ["--port", str(UPSTREAM_ADMIN_PORT)]
+                + ["--config-json", json.dumps(config)],
+            )
         wait_until(lambda: self._answers(self.platform, "GET", "counters"))
         wait_until(lambda: self._answers(self.upstream_counters))
         self.list_vms()
@@ -221,13 +225,16 @@
     def upstream(self, server, action, body=None):
         """Run an admin action of one upstream server."""
         path = f"/admin/{server}/{action}"
-        port = UPSTREAM_ADMIN_PORT
-        return call("POST", self.upstream_host, port, path, body or {}).body
+        host, port = self.layout.host_of(server), UPSTREAM_ADMIN_PORT
+        return call("POST", host, port, path, body or {}).body
 
     def upstream_counters(self):
         """Return the counters of all upstream servers."""
-        port = UPSTREAM_ADMIN_PORT
-        return call("GET", self.upstream_host, port, "/admin/counters").body
+        counters = {}
+        for host in self.layout.hosts:
+            reply = call("GET", host, UPSTREAM_ADMIN_PORT, "/admin/counters")
+            counters.update(reply.body)
+        return counters
 
     def total(self, counter):
         """Return a counter summed over all upstream servers."""
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -29,15 +29,18 @@
 
 
 class Layout:
-    """A service on servers of one stand-in process, with its document."""
+    """A service on servers of some stand-in processes, with its document.
 
-    __slots__ = ("domains", "host", "indexes", "orders", "servers", "service")
+    Each process serves its servers on an address of its own.
+    """
+
+    __slots__ = ("domains", "hosts", "indexes", "orders", "servers", "service")
 
     FIRST_PORT = 9001
 
-    def __init__(self, service, host, indexes, orders, domains=None):
+    def __init__(self, service, hosts, indexes, orders, domains=None):
         self.service = service
-        self.host = host
+        self.hosts = list(hosts)
         self.indexes = list(indexes)
         self.orders = list(orders)
         self.domains = dict(domains or DEMO_DOMAINS)
@@ -54,13 +57,15 @@
         domain_names = sorted(self.domains)
         domain = domain_names[(number + replica) % len(domain_names)]
         name = server_name(prefix, number, replica)
-        port = self.FIRST_PORT + len(self.servers)
+        position = len(self.servers)
+        host = self.hosts[position % len(self.hosts)]
+        address = f"{host}:{self.FIRST_PORT + position}"
         self.servers[name] = Server(
-            name, upstream_class, f"{self.host}:{port}", domain, self.domains[domain]
+            name, upstream_class, address, domain, self.domains[domain]
         )
 
-    def stand_in_config(self, **settings):
-        """Return the configuration of the upstream stand-in."""
+    def stand_in_config(self, host, **settings):
+        """Return the configuration of the stand-in process on one address."""
         items = []
         for number, server in enumerate(self.servers.values()):
             upstream_class = server.upstream_class
@@ -83,7 +88,12 @@
                 for replica in range(index.replicas):
                     item = by_name[server_name(index.name, shard, replica)]
                     item["indexes"] = {index.name: {"1": version}}
-        return {"servers": items}
+        here = [item for item in items if self.host_of(item["name"]) == host]
+        return {"servers": here}
+
+    def host_of(self, server):
+        """Return the address of the process that serves a server."""
+        return self.servers[server].address.partition(":")[0]
 
     def document(self, **query_policy):
         """Return the text of the service document."""
@@ -138,38 +148,38 @@
     return f"{prefix}-{number:02d}-{'abc'[replica]}"
 
 
-def demo_layout(host):
+def demo_layout(hosts):
     """Return a small service with one index and one order endpoint."""
     planner = UpstreamClass("planner", slots=2, connections=25, connect_cost_ms=6)
     ordering = UpstreamClass("ordering", slots=2, connections=110, connect_cost_ms=1)
     return Layout(
         "demo",
-        host,
+        hosts,
         [IndexLayout("bins", 6, planner)],
         [OrderLayout("refill", 3, ordering)],
     )
 
 
-def laurentide_layout(host, shards=20):
+def laurentide_layout(hosts, shards=20):
     """Return the route planner and the refill orders of Laurentide."""
     planner = UpstreamClass("route-planner", 2, 25, connect_cost_ms=6)
     refill = UpstreamClass("refill-orders", 2, 110, connect_cost_ms=1)
     return Layout(
         "laurentide",
-        host,
+        hosts,
         [IndexLayout("bins", shards, planner)],
         [OrderLayout("refill", 4, refill)],
     )
 
 
-def vestkyst_layout(host, shards=20):
+def vestkyst_layout(hosts, shards=20):
     """Return the order desk search and the stock ledger of Vestkyst."""
     search = UpstreamClass("order-desk-search", 3, 30, connect_cost_ms=6)
     ledger = UpstreamClass("stock-ledger", 3, 40, connect_cost_ms=1)
     domains = {"kolding": "jutland", "koege": "zealand", "klaipeda": "lithuania"}
     return Layout(
         "vestkyst",
-        host,
+        hosts,
         [IndexLayout("catalogue", shards, search)],
         [OrderLayout("reservation", 10, ledger)],
         domains,
