--- /dev/null
+++ b/tests/features/steps/peer_stream_steps.py
@@ -0,0 +1,129 @@
+"""Steps on streams between daemons, over loopback sockets."""
+
+import socket
+import time
+
+from behave import given, then, when
+from twisted.internet import reactor
+
+from hemlockspoke.address import Address
+from hemlockspoke.clock import ReactorClock
+from hemlockspoke.messages import Cancel
+from hemlockspoke.ports import NullMetrics
+from tests.reactor_thread import in_reactor
+
+
+class FastTimings:
+    """Heartbeats that fit a test."""
+
+    heartbeat_ms = 100
+    stream_silence_ms = 500
+
+
+class Peer:
+    """A peer network with a record of what it has received."""
+
+    def __init__(self, vm):
+        from hemlockspoke.adapters.peer_stream import TcpPeerNetwork
+
+        self.vm = vm
+        self.received = []
+        self.lost = []
+        clock = ReactorClock(reactor)
+        self.network = TcpPeerNetwork(
+            reactor, clock, vm, "mtl", vm, FastTimings, NullMetrics()
+        )
+        self.network.set_receiver(lambda vm, message: self.received.append(message))
+        self.network.set_loss_listener(self.lost.append)
+        self.port = self.network.listen(Address("127.0.0.1", 0))
+        self.address = Address("127.0.0.1", self.port.getHost().port)
+
+    def stop(self):
+        self.port.stopListening()
+        self.network.stop()
+
+
+def eventually(condition, limit_ms):
+    deadline_s = time.monotonic() + limit_ms / 1000
+    while not condition():
+        assert time.monotonic() < deadline_s, f"not within {limit_ms} ms"
+        time.sleep(0.01)
+
+
+def connect_each_other(peers):
+    for peer in peers.values():
+        others = [other for other in peers.values() if other is not peer]
+        peer.network.dial_seeds([o.address for o in others], own=peer.address)
+        peer.network.set_addresses({o.vm: o.address for o in others})
+
+
+@given(
+    'peer networks "{first}" and "{second}" that know each other\'s address and seed'
+)
+def step_peers(context, first, second):
+    context.peers = in_reactor(lambda: {vm: Peer(vm) for vm in (first, second)})
+    context.add_cleanup(
+        lambda: in_reactor(lambda: [p.stop() for p in context.peers.values()])
+    )
+    in_reactor(lambda: connect_each_other(context.peers))
+
+
+@when("the peer streams are up")
+def step_streams_up(context):
+    peers = context.peers.values()
+    eventually(lambda: all(peer.network.connected() for peer in peers), 5000)
+
+
+@then('a message from "{first}" arrives at "{second}" and the other way round')
+def step_exchange(context, first, second):
+    for source, target in ((first, second), (second, first)):
+        message = Cancel(request_id=f"from {source}", sub_ids=[time.monotonic_ns()])
+        sender = context.peers[source].network
+
+        def sent(sender=sender, target=target, message=message):
+            return in_reactor(lambda: sender.send(target, message))
+
+        eventually(sent, 5000)
+        received = context.peers[target].received
+        eventually(lambda r=received, m=message: m in r, 5000)
+
+
+@then("one peer stream is open on each side after {delay_ms:d} ms")
+def step_one_stream(context, delay_ms):
+    time.sleep(delay_ms / 1000)
+    for peer in context.peers.values():
+        assert len(peer.network.connected()) == 1
+
+
+@when('a raw connection sends {content} to "{vm}"')
+def step_raw(context, content, vm):
+    address = context.peers[vm].address
+    context.raw = socket.create_connection((address.host, address.port))
+    context.add_cleanup(context.raw.close)
+    if content != "nothing":
+        context.raw.sendall(bytes.fromhex(content))
+
+
+@then("the raw connection is closed within {limit_ms:d} ms")
+def step_raw_closed(context, limit_ms):
+    context.raw.settimeout(limit_ms / 1000)
+    try:
+        while context.raw.recv(4096):
+            pass
+    except ConnectionResetError:
+        pass
+
+
+@when("the open peer stream goes silent in both directions")
+def step_silent(context):
+    def silence():
+        for peer in context.peers.values():
+            for stream in list(peer.network._streams.values()):
+                stream.dataReceived = lambda data: None
+
+    in_reactor(silence)
+
+
+@then('"{vm}" reports the loss of "{other}" within {limit_ms:d} ms')
+def step_loss(context, vm, other, limit_ms):
+    eventually(lambda: other in context.peers[vm].lost, limit_ms)
