Serve the whole path: configuration from the store and peers

Configuration is a cache of versioned objects, kept up to date by watches of two daemons per failure domain, a bounded version check and an exchange of digests with random peers. A change is announced by key and version and fetched on demand, so that each daemon receives an object once.

--- /dev/null
+++ b/hemlockspoke/config_sync.py
@@ -0,0 +1,253 @@
+"""Keeps the configuration of this daemon up to date from the store and peers."""
+
+import logging
+
+from twisted.internet.defer import ensureDeferred
+
+from hemlockspoke.config_exchange import ConfigExchange
+from hemlockspoke.configuration import PREFIXES
+from hemlockspoke.rendezvous import rank
+
+logger = logging.getLogger(__name__)
+
+WATCHERS_PER_DOMAIN = 2
+RETRY_MS = 500
+# Time that other peers have to answer after the first one, when the store is down.
+PEER_ANSWER_MS = 2_000
+# Bounds the version checks of all daemons that do not watch.
+FLEET_CHECK_READS_PER_S = 200
+
+
+class ConfigSync:
+    """Watch, version check, exchange with peers, and the state of isolation.
+
+    Up to two daemons per failure domain watch the store. All check the versions
+    from time to time, since a watch may go silent for ever.
+    """
+
+    __slots__ = (
+        "_bootstrapped",
+        "_checking",
+        "_clock",
+        "_configuration",
+        "_exchange",
+        "_failure_domain",
+        "_first_state_ms",
+        "_last_check_ms",
+        "_membership",
+        "_metrics",
+        "_rng",
+        "_states",
+        "_stopped",
+        "_store",
+        "_store_read_ms",
+        "_timings",
+        "_vm",
+        "_watching",
+    )
+
+    def __init__(
+        self,
+        clock,
+        configuration,
+        membership,
+        store,
+        peers,
+        timings,
+        rng,
+        metrics,
+        vm,
+        failure_domain,
+    ):
+        self._clock = clock
+        self._configuration = configuration
+        self._membership = membership
+        self._store = store
+        self._timings = timings
+        self._rng = rng
+        self._metrics = metrics
+        self._vm = vm
+        self._failure_domain = failure_domain
+        self._exchange = ConfigExchange(
+            clock, configuration, peers, rng, metrics, self.ready, self._peer_state
+        )
+        self._stopped = False
+        self._bootstrapped = False
+        self._checking = False
+        self._watching = set()
+        self._states = {}
+        self._first_state_ms = None
+        self._store_read_ms = None
+        self._last_check_ms = None
+
+    def start(self):
+        """Read everything from the store or from peers, then keep up to date."""
+        self._configuration.subscribe(self._exchange.announce)
+        self._check_now()
+        self._tick()
+
+    def stop(self):
+        """Stop all activity."""
+        self._stopped = True
+
+    def receive(self, vm, message):
+        """Handle a message of the configuration exchange."""
+        self._exchange.receive(vm, message)
+
+    def ready(self):
+        """Tell whether the whole configuration has been read since the start."""
+        return self._bootstrapped
+
+    def isolated(self):
+        """Tell whether neither store nor peers were reached within the limit."""
+        return self._contact_age_ms() > self._timings.isolation_limit_ms
+
+    def store_contact_age_ms(self):
+        """Return the age of the newest reading of the store that is known here."""
+        return self._exchange.store_age_ms(self._store_read_ms)
+
+    def announce(self):
+        """Read the store now; a deferred that fires when it has been read."""
+        return ensureDeferred(self._check())
+
+    def _contact_age_ms(self):
+        contacts = [self._store_read_ms, self._exchange.last_received_ms]
+        known = [contact for contact in contacts if contact is not None]
+        return self._clock.now_ms() - max(known) if known else float("inf")
+
+    def _tick(self):
+        """Exchange digests and start whatever is due."""
+        if self._stopped:
+            return
+        self._clock.call_later(self._timings.digest_exchange_ms, self._tick)
+        if self._bootstrapped:
+            self._exchange.send_digests(self.store_contact_age_ms())
+        else:
+            self._exchange.ask_all()
+            self._finish_from_peers()
+        self._metrics.gauge("config.contact_age_ms", self._contact_age_ms())
+        if self._is_watcher():
+            self._watch_all()
+        if self._check_due():
+            self._check_now()
+
+    def _is_watcher(self):
+        names = [
+            member.vm
+            for member in self._membership.live()
+            if member.failure_domain == self._failure_domain
+        ]
+        ranked = rank(f"watch-{self._failure_domain}", names)
+        return not names or self._vm in ranked[:WATCHERS_PER_DOMAIN]
+
+    def _check_due(self):
+        if self._last_check_ms is None or not self._bootstrapped:
+            return True
+        return self._clock.now_ms() - self._last_check_ms >= self._check_interval_ms()
+
+    def _check_interval_ms(self):
+        timings = self._timings
+        if self._contact_age_ms() > timings.isolation_limit_ms / 3:
+            # Without peers, the store alone tells that this daemon is not isolated.
+            return timings.isolation_limit_ms / 3
+        if self._is_watcher():
+            return timings.watcher_check_ms
+        reads = len(self._membership.members()) * len(PREFIXES)
+        fleet_ms = reads * 1000 / FLEET_CHECK_READS_PER_S
+        return max(timings.version_check_ms, fleet_ms)
+
+    def _check_now(self):
+        ensureDeferred(self._check()).addErrback(self._failed, "version check")
+
+    async def _check(self):
+        """Compare the versions in the store and read what is newer."""
+        if self._checking:
+            return
+        self._checking = True
+        self._last_check_ms = self._clock.now_ms()
+        try:
+            complete = True
+            for prefix in PREFIXES:
+                complete = await self._check_prefix(prefix) and complete
+        finally:
+            self._checking = False
+        if complete and not self._bootstrapped:
+            self._finish_bootstrap("store")
+
+    async def _check_prefix(self, prefix):
+        sent_ms = self._clock.now_ms()
+        listed = await self._store.list(prefix, values=not self._bootstrapped)
+        if listed.is_error():
+            return False
+        # What the reply shows may be as old as the request.
+        self._store_read_ms = max(sent_ms, self._store_read_ms or sent_ms)
+        complete = True
+        for stored in listed.ok.objects:
+            if stored.version > self._configuration.known_version(stored.key):
+                complete = await self._adopt_listed(stored) and complete
+        return complete
+
+    async def _adopt_listed(self, stored):
+        if stored.value is None:
+            read = await self._store.get(stored.key)
+            if read.is_error():
+                return False
+            stored = read.ok
+        self._configuration.adopt(stored.key, stored.version, stored.value)
+        return True
+
+    def _note_store_read(self):
+        self._store_read_ms = self._clock.now_ms()
+
+    def _finish_bootstrap(self, source):
+        self._bootstrapped = True
+        self._states.clear()
+        logger.info("configuration read", extra={"source": source})
+
+    def _peer_state(self, vm, versions):
+        """Note what a peer has; used while the store is down at the start."""
+        if not self._bootstrapped:
+            self._states[vm] = versions
+            if self._first_state_ms is None:
+                self._first_state_ms = self._clock.now_ms()
+
+    def _finish_from_peers(self):
+        """Get ready once the answers of peers have arrived in full."""
+        if self._first_state_ms is None:
+            return
+        if self._clock.now_ms() - self._first_state_ms < PEER_ANSWER_MS:
+            return
+        known = self._configuration.known_version
+        for versions in self._states.values():
+            if any(known(key) < version for key, version in versions.items()):
+                return
+        self._finish_bootstrap("peers")
+
+    def _watch_all(self):
+        if not self._bootstrapped:
+            return
+        for prefix in PREFIXES:
+            if prefix not in self._watching:
+                self._watching.add(prefix)
+                watch = ensureDeferred(self._watch(prefix))
+                watch.addErrback(self._failed, "watch")
+                watch.addBoth(self._watch_ended, prefix)
+
+    def _watch_ended(self, _result, prefix):
+        self._clock.call_later(RETRY_MS, self._watching.discard, prefix)
+
+    async def _watch(self, prefix):
+        """Watch until the store fails or this daemon is no watcher any more."""
+        listed = await self._store.list(prefix, values=False)
+        while listed.is_ok() and self._is_watcher() and not self._stopped:
+            self._note_store_read()
+            for stored in listed.ok.objects:
+                if stored.version > self._configuration.known_version(stored.key):
+                    await self._adopt_listed(stored)
+            listed = await self._store.watch(
+                prefix, listed.ok.revision, self._timings.watch_wait_ms
+            )
+
+    def _failed(self, failure, what):
+        self._metrics.count("config.failed")
+        logger.error(f"{what} failed", extra={"reason": failure.getTraceback()})
--- /dev/null
+++ b/hemlockspoke/configuration.py
@@ -0,0 +1,223 @@
+"""The configuration in force in this daemon: versioned objects that never revert."""
+
+import logging
+
+import xxhash
+from expression import Error, Ok
+
+from hemlockspoke.address import Address
+from hemlockspoke.findings import Finding, Findings
+from hemlockspoke.fleet import FLEET_KEY, SERVICE_PREFIX, Fleet
+from hemlockspoke.ports import StoredObject
+from hemlockspoke.registry import Registry
+
+logger = logging.getLogger(__name__)
+
+SHARE_PREFIX = "shares/"
+VM_PREFIX = "vms/"
+PREFIXES = (SERVICE_PREFIX, FLEET_KEY, SHARE_PREFIX, VM_PREFIX)
+ADDRESS_FIELDS = ("peer_address", "operator_address")
+
+validators = Registry("configuration prefix")
+
+
+def refused(key, found, allowed):
+    """Return the error of a value that may not get in force."""
+    return Error(Findings([Finding(key, found, allowed, file=key)]))
+
+
+@validators.register(SERVICE_PREFIX)
+def check_service(key, value):
+    """Parse a stored service object with the check of the command line."""
+    # Imported here so that daemons without documents do not load the YAML reader.
+    from hemlockspoke.document_check import check_document
+
+    if not isinstance(value, dict) or not isinstance(value.get("text"), str):
+        return refused(key, type(value).__name__, "a map with the document's text")
+    result = check_document(value["text"], file=key)
+    if result.is_error():
+        return result
+    name = key.removeprefix(SERVICE_PREFIX)
+    if result.ok.service != name:
+        return refused(f"{key}: service", repr(result.ok.service), repr(name))
+    return result
+
+
+@validators.register(FLEET_KEY)
+def check_fleet(key, value):
+    """Parse the fleet object."""
+    try:
+        return Ok(Fleet.from_value(value))
+    except ValueError as error:
+        return refused(key, str(error), "lists of names")
+
+
+@validators.register(SHARE_PREFIX)
+def check_shares(key, value):
+    """Accept a share object in the form that its writers use."""
+    if not isinstance(value, dict) or not isinstance(value.get("servers"), dict):
+        return refused(key, type(value).__name__, "a map with the servers' shares")
+    return Ok(None)
+
+
+@validators.register(VM_PREFIX)
+def check_registration(key, value):
+    """Accept a registration whose addresses can be parsed."""
+    if not isinstance(value, dict):
+        return refused(key, type(value).__name__, "a registration")
+    for field in ADDRESS_FIELDS:
+        try:
+            Address.parse(str(value.get(field)))
+        except ValueError as error:
+            return refused(f"{key}: {field}", str(value.get(field)), str(error))
+    return Ok(None)
+
+
+def validator_of(key):
+    """Return the validator of a key, or None if the key is no configuration."""
+    for prefix in PREFIXES:
+        if key == prefix or (prefix.endswith("/") and key.startswith(prefix)):
+            return validators.get(prefix)
+    return None
+
+
+class Rejected:
+    """A version that has failed the check."""
+
+    __slots__ = ("findings", "version")
+
+    def __init__(self, version, findings):
+        self.version = version
+        self.findings = findings
+
+
+class Configuration:
+    """Objects in force, by key; each only ever moves to a higher version.
+
+    A version that fails its check is remembered as rejected, and the last good
+    one stays in force.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_digest",
+        "_listeners",
+        "_objects",
+        "_parsed",
+        "_rejected",
+        "_servers",
+    )
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._objects = {}
+        self._parsed = {}
+        self._rejected = {}
+        self._servers = None
+        self._digest = None
+        self._listeners = []
+
+    def subscribe(self, listener):
+        """Call ``listener(key)`` after each adoption."""
+        self._listeners.append(listener)
+
+    def adopt(self, key, version, value):
+        """Take an object in force if it is newer and good; tell whether it was."""
+        if version <= self.known_version(key):
+            return False
+        validator = validator_of(key)
+        if validator is None:
+            return False
+        result = validator(key, value)
+        if result.is_error():
+            self._reject(key, version, result.error)
+            return False
+        self._take(key, version, value, result.ok)
+        return True
+
+    def _reject(self, key, version, findings):
+        self._rejected[key] = Rejected(version, findings)
+        logger.error(
+            "configuration rejected",
+            extra={"key": key, "version": version, "findings": str(findings)},
+        )
+
+    def _take(self, key, version, value, parsed):
+        self._objects[key] = StoredObject(key, version, value)
+        self._parsed[key] = parsed
+        self._rejected.pop(key, None)
+        self._digest = None
+        if key.startswith(SERVICE_PREFIX):
+            self._servers = None
+            logger.info("document in force", extra={"key": key, "version": version})
+        for listener in self._listeners:
+            listener(key)
+
+    def known_version(self, key):
+        """Return the highest version that was adopted or rejected, or 0."""
+        stored = self._objects.get(key)
+        rejected = self._rejected.get(key)
+        return max(stored.version if stored else 0, rejected.version if rejected else 0)
+
+    def get(self, key):
+        """Return the ``StoredObject`` in force, or None."""
+        return self._objects.get(key)
+
+    def objects(self, prefix):
+        """Return the objects in force whose key starts with a prefix."""
+        return [o for key, o in self._objects.items() if key.startswith(prefix)]
+
+    def versions(self):
+        """Return the version in force of every key."""
+        return {key: stored.version for key, stored in self._objects.items()}
+
+    def digest(self):
+        """Return a summary that is equal where all versions are equal."""
+        if self._digest is None:
+            lines = sorted(f"{key}={o.version}" for key, o in self._objects.items())
+            self._digest = xxhash.xxh64_hexdigest("\n".join(lines).encode())
+        return self._digest
+
+    def rejected(self):
+        """Return the findings of each rejected version, by key."""
+        return {key: item.findings for key, item in self._rejected.items()}
+
+    def documents(self):
+        """Return the documents in force, by service."""
+        return {
+            key.removeprefix(SERVICE_PREFIX): parsed
+            for key, parsed in self._parsed.items()
+            if key.startswith(SERVICE_PREFIX)
+        }
+
+    def document(self, service):
+        """Return the document of a service, or None."""
+        return self._parsed.get(SERVICE_PREFIX + service)
+
+    def document_version(self, service):
+        """Return the version in force of a service's document, or 0."""
+        stored = self._objects.get(SERVICE_PREFIX + service)
+        return stored.version if stored else 0
+
+    def fleet(self):
+        """Return what operators have taken out."""
+        return self._parsed.get(FLEET_KEY) or Fleet()
+
+    def find_server(self, name):
+        """Return the ``document.Server`` of a name, or None."""
+        found = self._server_index().get(name)
+        return found[0] if found else None
+
+    def service_of(self, server_name):
+        """Return the service whose document names a server, or None."""
+        found = self._server_index().get(server_name)
+        return found[1] if found else None
+
+    def _server_index(self):
+        if self._servers is None:
+            self._servers = {}
+            # Where two documents claim a name, the first service by name has it.
+            for service, document in sorted(self.documents().items()):
+                for name, server in document.servers.items():
+                    self._servers.setdefault(name, (server, service))
+        return self._servers
--- a/hemlockspoke/messages.py
+++ b/hemlockspoke/messages.py
@@ -107,21 +107,24 @@
     """Summary of the configuration in force.
 
     ``store_contact_age_ms`` is the time since the sender, or a daemon that it has
-    heard of, last read the store.
+    heard of, last read the store. ``reply`` is true in the answer to a digest,
+    which tells the asker that it still reaches a peer.
     """
 
-    __slots__ = ("digest", "store_contact_age_ms")
+    __slots__ = ("digest", "store_contact_age_ms", "reply")
 
 
 @message("versions")
 class Versions(Message):
-    """Version of each configuration object; asks for what is newer.
+    """Versions of configuration objects; ``kind`` tells what is meant.
 
-    ``reply`` is true in the answer to a ``Versions`` message, which ends the
-    exchange.
+    ``ask``: all that the sender has, and a wish for all that it lacks. ``state``:
+    all that the sender has, after it has sent what the asker lacked. ``changed``:
+    some objects that the sender has just taken in force. ``wanted``: some objects
+    that the sender lacks, with the version that it has.
     """
 
-    __slots__ = ("versions", "reply")
+    __slots__ = ("kind", "versions")
 
 
 @message("object_push")
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -36,7 +36,8 @@
         applied = cluster.command(
             "service", "apply", str(document), "--who", "demo", "--why", "first version"
         )
-        self.check("document applied", applied.returncode == 0, applied.stdout.strip())
+        lines = applied.stdout.strip().splitlines()
+        self.check("document applied", applied.returncode == 0, lines[-2])
         started_s = time.monotonic()
         cluster.start_daemons()
         elapsed_s = time.monotonic() - started_s
