--- a/hemlockspoke/ui/changes.py
+++ b/hemlockspoke/ui/changes.py
@@ -16,7 +16,7 @@
     run_steps,
 )
 from hemlockspoke.ui.exits import CommandFailed, ExitCode
-from hemlockspoke.ui.output import format_time, show
+from hemlockspoke.ui.output import format_time, shorten_diff, show
 
 # Daemons that are told of a change. One is enough for the change to spread at once;
 # the others stand in for daemons that do not answer.
@@ -71,7 +71,7 @@
 
 
 def _print_accepted(value):
-    print(value["diff"])
+    print(shorten_diff(value["diff"]))
     print(f"{value['action']}: accepted, {value['key']} is at {value['version']}")
     told = ", ".join(value["announced_to"]) or "no daemon; they find it by themselves"
     print(f"announced to {told}")
@@ -102,7 +102,7 @@
     for entry in error.winners:
         when = format_time(entry.when_ms)
         lines.append(f"{when} {entry.who}: {entry.action} ({entry.why})")
-        lines.append(entry.diff)
+        lines.append(shorten_diff(entry.diff))
     return "\n".join(lines)
 
 
--- a/hemlockspoke/ui/output.py
+++ b/hemlockspoke/ui/output.py
@@ -6,6 +6,7 @@
 
 # Width of tables when standard output is no terminal, so that lines stay whole.
 PIPED_WIDTH = 200
+MAX_DIFF_LINES = 40
 
 
 def print_json(value):
@@ -42,6 +43,15 @@
     Console(width=width, markup=False, emoji=False, highlight=False).print(table)
 
 
+def shorten_diff(diff):
+    """Return a diff without the lines that a message has no room for."""
+    lines = diff.splitlines()
+    left_out = len(lines) - MAX_DIFF_LINES
+    if left_out <= 0:
+        return diff
+    return "\n".join([*lines[:MAX_DIFF_LINES], f"... and {left_out} more lines"])
+
+
 def format_time(when_ms):
     """Return a time of day in UTC.
 
--- a/hemlockspoke/ui/service_commands.py
+++ b/hemlockspoke/ui/service_commands.py
@@ -9,7 +9,7 @@
 from hemlockspoke.document_check import check_document
 from hemlockspoke.fleet import SERVICE_PREFIX
 from hemlockspoke.settings import unreadable
-from hemlockspoke.ui.audit_command import print_entries
+from hemlockspoke.ui.audit_command import Diffs, show_entries
 from hemlockspoke.ui.changes import change
 from hemlockspoke.ui.exits import CommandFailed, ExitCode
 from hemlockspoke.ui.options import AsJson, Platform, Who, Why
@@ -153,9 +153,14 @@
 
 
 @subcommand(app, "history", "hemlockspoke service history laurentide")
-def service_history(service: ServiceName, platform: Platform, as_json: AsJson = False):
+def service_history(
+    service: ServiceName,
+    platform: Platform,
+    diffs: Diffs = False,
+    as_json: AsJson = False,
+):
     """List the changes of a service, oldest first, with archived ones."""
     reader = StoreReader.from_address(platform)
     stored = find_service(reader, service)
     entries = [{"key": stored.key, **e.to_json()} for e in reader.history(stored)]
-    show(as_json, entries, print_entries)
+    show_entries(entries, as_json, diffs)
