Judge answers to the command line before printing them

A reply with status 200 that is no answer made `query` end with a traceback, and an order was reported as done without its outcome. Such a query is refused and such an order is unknown.

--- a/hemlockspoke/ui/caller_commands.py
+++ b/hemlockspoke/ui/caller_commands.py
@@ -1,6 +1,7 @@
 """Commands that send a query or an order as a caller does."""
 
 import json
+import re
 import sys
 import uuid
 from typing import Annotated
@@ -17,7 +18,11 @@
 # The daemon answers within its deadline; the rest is for the way there and back.
 REPLY_MARGIN_MS = 1000
 MAX_DEADLINE_MS = 600_000
+# Without --deadline-ms the daemon takes the deadline of the document.
+DEFAULT_WAIT_MS = 30_000
+KEY = re.compile(r"[\x21-\x7e]{1,255}")
 HTTP_OK = 200
+ANSWER_FIELDS = frozenset({"snapshot", "coverage", "rows"})
 BAD_INPUT_STATUS = frozenset({400, 413, 422})
 
 ServiceName = Annotated[str, typer.Argument(metavar="SERVICE", help="Service name.")]
@@ -76,12 +81,12 @@
     if min_coverage_ratio is not None:
         body["min_coverage_ratio"] = min_coverage_ratio
     path = f"/v1/services/{_quoted(service)}/indexes/{_quoted(index)}/query"
-    timeout_ms = (deadline_ms or MAX_DEADLINE_MS) + REPLY_MARGIN_MS
+    timeout_ms = (deadline_ms or DEFAULT_WAIT_MS) + REPLY_MARGIN_MS
     try:
         reply = exchange(entry, "POST", path, timeout_ms=timeout_ms, body=body)
     except NoReply as error:
         raise CommandFailed(ExitCode.REFUSED, f"no answer: {error}") from error
-    if reply.status != HTTP_OK:
+    if reply.status != HTTP_OK or not reply.fields().keys() >= ANSWER_FIELDS:
         raise _problem(reply, ExitCode.REFUSED)
     show(as_json, reply.fields(), _print_answer)
 
@@ -102,20 +107,26 @@
     entry: Entry,
     key: Key,
     body: Body = "{}",
+    deadline_ms: DeadlineMs = None,
     as_json: AsJson = False,
 ):
     """Send an order, which runs at most once for its key."""
     path = f"/v1/services/{_quoted(service)}/orders/{_quoted(name)}"
     content = _json(body)
-    timeout_ms = MAX_DEADLINE_MS + REPLY_MARGIN_MS
+    if not KEY.fullmatch(key):
+        text = "--key must be 1 to 255 printable ASCII characters without spaces"
+        raise CommandFailed(ExitCode.BAD_INPUT, text)
+    timeout_ms = (deadline_ms or DEFAULT_WAIT_MS) + REPLY_MARGIN_MS
     headers = {"Idempotency-Key": key}
+    if deadline_ms is not None:
+        headers["Deadline-Ms"] = str(deadline_ms)
     try:
         reply = exchange(
             entry, "POST", path, timeout_ms=timeout_ms, body=content, headers=headers
         )
     except NoReply as error:
         raise _no_order_reply(error, key) from error
-    if reply.status != HTTP_OK:
+    if reply.status != HTTP_OK or reply.fields().get("outcome") != "done":
         raise _problem(reply, ExitCode.UNKNOWN, key)
     show(as_json, {**reply.fields(), "key": key}, print_json)
 
@@ -133,7 +144,7 @@
     fields = reply.fields()
     title = fields.get("title", f"status {reply.status}")
     lines = [f"{title}: {fields['detail']}" if fields.get("detail") else str(title)]
-    lines += [json.dumps(finding) for finding in fields.get("findings", [])]
+    lines += [json.dumps(finding) for finding in fields.get("findings") or []]
     if "outcome" in fields:
         lines.append(f"outcome: {fields['outcome']}")
     extra = {"problem": fields, **({"key": key} if key else {})}
