--- a/hemlockspoke/adapters/operator_http.py
+++ b/hemlockspoke/adapters/operator_http.py
@@ -77,7 +77,7 @@
     fleet = configuration.fleet()
     return 200, {
         "vm": node.settings.vm,
-        "versions": configuration.versions(),
+        "objects": node.object_ages(),
         "digest": configuration.digest(),
         "store_contact_age_ms": node.sync.store_contact_age_ms(),
         "rejected": rejected,
@@ -105,6 +105,7 @@
         "failure_domain": node.settings.failure_domain,
         "incarnation": node.registration.incarnation,
         "ready": not node.unready(),
+        "store_contact_age_ms": node.sync.store_contact_age_ms(),
         "reasons": node.unready(),
         "in_flight": node.in_flight(),
         "peers": sorted(node.peers.connected()),
--- a/hemlockspoke/configuration.py
+++ b/hemlockspoke/configuration.py
@@ -99,6 +99,7 @@
     """
 
     __slots__ = (
+        "_adopted_ms",
         "_clock",
         "_digest",
         "_listeners",
@@ -111,6 +112,7 @@
     def __init__(self, clock):
         self._clock = clock
         self._objects = {}
+        self._adopted_ms = {}
         self._parsed = {}
         self._rejected = {}
         self._servers = None
@@ -144,6 +146,7 @@
 
     def _take(self, key, version, value, parsed):
         self._objects[key] = StoredObject(key, version, value)
+        self._adopted_ms[key] = self._clock.now_ms()
         self._parsed[key] = parsed
         self._rejected.pop(key, None)
         self._digest = None
@@ -171,6 +174,12 @@
         """Return the version in force of every key."""
         return {key: stored.version for key, stored in self._objects.items()}
 
+    def adoptions(self):
+        """Return key, version and time of adoption of every object in force."""
+        return [
+            (key, o.version, self._adopted_ms[key]) for key, o in self._objects.items()
+        ]
+
     def digest(self):
         """Return a summary that is equal where all versions are equal."""
         if self._digest is None:
--- a/hemlockspoke/node.py
+++ b/hemlockspoke/node.py
@@ -10,6 +10,7 @@
 from hemlockspoke.catalog import Catalog
 from hemlockspoke.config_sync import ConfigSync
 from hemlockspoke.configuration import Configuration
+from hemlockspoke.fleet import FLEET_KEY
 from hemlockspoke.holder import Holder
 from hemlockspoke.invariants import Invariants
 from hemlockspoke.membership import Membership
@@ -48,6 +49,7 @@
         "membership",
         "metrics",
         "orders",
+        "out_since_ms",
         "pause",
         "peers",
         "queries",
@@ -70,6 +72,7 @@
         self.invariants = Invariants(strict=False)
         self.leaving = False
         self.draining = False
+        self.out_since_ms = None
         timings = settings.timings
         self.pause = Pause(clock, timings.pause_limit_ms)
         self.configuration = Configuration(clock)
@@ -187,6 +190,28 @@
     def _configuration_changed(self, key):
         if key.startswith("vms/"):
             self._update_peer_addresses()
+        elif key == FLEET_KEY:
+            self._note_out()
+
+    def _note_out(self):
+        """Note when this daemon was taken out, by its domain or by itself."""
+        if not self.is_out():
+            self.out_since_ms = None
+        elif self.out_since_ms is None:
+            self.out_since_ms = self.clock.now_ms()
+
+    def is_out(self):
+        """Tell whether operators have taken out this VM or its failure domain."""
+        fleet = self.configuration.fleet()
+        settings = self.settings
+        return fleet.domain_out(settings.failure_domain) or fleet.vm_out(settings.vm)
+
+    def _out_long_enough(self):
+        """Tell whether the balancer has had time to see that this VM is out."""
+        if self.out_since_ms is None:
+            return False
+        out_ms = self.clock.now_ms() - self.out_since_ms
+        return out_ms > self.settings.timings.out_lag_ms
 
     def _update_peer_addresses(self):
         addresses = {}
@@ -214,11 +239,14 @@
     def unready(self):
         """Return the reasons for not being ready; empty when ready.
 
-        A leaving daemon is not ready but still takes new work until the balancer
-        has seen it.
+        A daemon that leaves or was taken out is not ready but still takes new work
+        until the balancer has seen it.
         """
-        leaving = ["leaving"] if self.leaving else []
-        return leaving + self.refusals()
+        reasons = {
+            "leaving": self.leaving,
+            "VM or failure domain is out": self.is_out(),
+        }
+        return [reason for reason, holds in reasons.items() if holds] + self.refusals()
 
     def refusal(self):
         """Return the first reason for taking no new work, or None."""
@@ -227,16 +255,22 @@
 
     def refusals(self):
         """Return the reasons for taking no new work; empty when it is taken."""
-        fleet = self.configuration.fleet()
         reasons = {
             "configuration not yet known": not self.sync.ready(),
             "neither store nor peers are reached": self.sync.isolated(),
             "shutting down": self.draining,
-            "failure domain is out": fleet.domain_out(self.settings.failure_domain),
-            "VM is out": fleet.vm_out(self.settings.vm),
+            "taken out": self._out_long_enough(),
         }
         return [reason for reason, holds in reasons.items() if holds]
 
+    def object_ages(self):
+        """Return version and time in force of each object, by key."""
+        now_ms = self.clock.now_ms()
+        return {
+            key: {"version": version, "age_ms": round(now_ms - adopted_ms)}
+            for key, version, adopted_ms in self.configuration.adoptions()
+        }
+
     def in_flight(self):
         """Return how many requests of callers are in progress."""
         return self.queries.in_flight() + self.orders.in_flight()
--- a/hemlockspoke/settings.py
+++ b/hemlockspoke/settings.py
@@ -27,6 +27,9 @@
 MONTH_MS = 31 * 24 * HOUR_MS
 # A daemon that reaches neither store nor peers takes no new work after 3 s.
 MAX_ISOLATION_MS = 3000
+# A daemon that was taken out must take no new work after 3 s; 300 ms are left for
+# the change to reach it.
+MAX_OUT_LAG_MS = 2700
 
 INTERVAL = Whole(1, HOUR_MS, "ms")
 MARGIN = Whole(0, HOUR_MS, "ms")
@@ -47,6 +50,7 @@
     "answer_margin_ms": MARGIN,
     "store_timeout_ms": INTERVAL,
     "drain_lag_ms": MARGIN,
+    "out_lag_ms": Whole(0, MAX_OUT_LAG_MS, "ms"),
     "drain_limit_ms": MARGIN,
     "order_retention_ms": Whole(1, MONTH_MS, "ms"),
     "caller_idle_timeout_ms": INTERVAL,
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -249,6 +249,8 @@
         version = current.body["version"] if current.status == 200 else 0
         headers = {"If-Match": str(version)}
         reply = call("PUT", host, port, path, {"value": value}, headers)
+        if reply.status != 200:
+            raise AssertionError(f"{key} not written: {reply.status} {reply.body}")
         return reply.body["version"]
 
     def put_document(self, **query_policy):
