Add the reference, the glossary and the changelog

Operators and callers had to read the code for fields, limits, exit codes and problems. The reference lists them with units, defaults and allowed values; a scenario compares its fields and the ranges of the timings with the checks.

--- a/tests/features/documents.feature
+++ b/tests/features/documents.feature
@@ -100,3 +100,7 @@
       timings: {heartbeat_ms: 3000, isolation_limit_ms: 3001}
       """
     Then the settings are refused at lines 5, 6, 8, 9, 9
+
+  Scenario: the reference agrees with the checks
+    # Guards against a page whose limits differ from those in force.
+    Then the reference names each field with its default and its range
