--- a/hemlockspoke/node.py
+++ b/hemlockspoke/node.py
@@ -151,7 +151,7 @@
             **common,
         )
         self.holder.set_listeners(
-            catalog=self._catalog_changed, server_state=self.dispatcher.broadcast
+            catalog=self._catalog_changed, server_state=self._server_state_changed
         )
         connect_parts(
             self.dispatcher,
@@ -175,6 +175,12 @@
         self.catalog.update(self.settings.vm, update)
         self.dispatcher.broadcast(update)
 
+    def _server_state_changed(self, message):
+        """Tell the other holders of the server, which are the only ones to use it."""
+        for vm in self.share_manager.holders_of(message.server):
+            if vm != self.settings.vm:
+                self.dispatcher.send(vm, message)
+
     def _registered(self, key, version, value):
         self.configuration.adopt(key, version, value)
 
