Add stateful fuzzing of the gate and the holder

Hand-written sequences do not reach the combinations of restarts, lagging statuses, drains, share changes and slow connections that a holder must bear.

The machine drives the real Holder against an oracle that knows only what the holder has been shown. It checks limits at every send, one timely answer per sub-query, orders sent once and truthful "not sent" answers, and that a healthy server gets its full share again.

Reviewing the oracle showed a fault, fixed here: a lagging status could name an incarnation that came and went unseen, after which the real one was ignored as ended. Only replies to work and other holders now establish an incarnation.

--- a/hemlockspoke/cold_start.py
+++ b/hemlockspoke/cold_start.py
@@ -95,6 +95,7 @@
         "_level",
         "_proof_ttl_ms",
         "_proven_ms",
+        "_reported",
         "_successes",
         "epoch",
         "incarnation",
@@ -111,6 +112,7 @@
         self._level = 0
         self._successes = 0
         self._proven_ms = None
+        self._reported = None
         self._earlier = deque(maxlen=REMEMBERED_INCARNATIONS)
 
     def permitted(self, share, now_ms):
@@ -145,8 +147,35 @@
         """Tell whether an incarnation is known to have ended."""
         return incarnation in self._earlier
 
-    def note_incarnation(self, incarnation):
-        """Take an incarnation and tell whether it shows a restart."""
+    def note_status(self, incarnation):
+        """Take the incarnation in a status and tell whether it is a sign.
+
+        A status lags, so it may name an incarnation that came and went unseen.
+        Only a reply to work or another holder establishes the incarnation.
+        """
+        if not incarnation or incarnation in (self.incarnation, self._reported):
+            return False
+        if self.is_earlier(incarnation):
+            return False
+        self._reported = incarnation
+        if self.incarnation is None:
+            return False
+        self._proven_ms = None
+        self.fall()
+        return True
+
+    def note_reply(self, incarnation, epoch, now_ms):
+        """Take the incarnation in a reply and tell whether it shows a restart."""
+        is_current = epoch == self.epoch
+        if is_current and self.is_earlier(incarnation):
+            # It runs after all: what replaced it was reported wrongly.
+            self._earlier.remove(incarnation)
+        restarted = self._establish(incarnation)
+        if is_current and not restarted and incarnation == self.incarnation:
+            self._proven_ms = now_ms
+        return restarted
+
+    def _establish(self, incarnation):
         if not incarnation or incarnation == self.incarnation:
             return False
         if self.is_earlier(incarnation):
@@ -159,13 +188,6 @@
         self.incarnation = incarnation
         return restarted
 
-    def note_reply(self, incarnation, epoch, now_ms):
-        """Take the incarnation in a reply and tell whether it shows a restart."""
-        restarted = self.note_incarnation(incarnation)
-        if incarnation == self.incarnation and epoch == self.epoch:
-            self._proven_ms = now_ms
-        return restarted
-
     def note_success(self, epoch, share):
         """Count a success, which may raise what is permitted."""
         if epoch != self.epoch or self.state == WARM:
@@ -183,11 +205,13 @@
         """Take the state that another holder of the server reports."""
         if self.is_earlier(incarnation):
             return
-        self.note_incarnation(incarnation)
         if state == COLD:
             if is_news:
                 self.fall()
             return
+        self._establish(incarnation)
+        if incarnation != self.incarnation:
+            return
         self._proven_ms = now_ms
         waits = self.state == COLD and not share.cold_start_slots
         if waits and state == WARM and is_news:
--- a/hemlockspoke/held_server.py
+++ b/hemlockspoke/held_server.py
@@ -325,7 +325,7 @@
             # A lagging status of a process that has ended.
             return
         self._reached()
-        restarted = self.cold_start.note_incarnation(status.incarnation)
+        restarted = self.cold_start.note_status(status.incarnation)
         if restarted:
             self._announce_trouble("a new incarnation")
         if status.state == "draining":
--- a/hemlockspoke/holder.py
+++ b/hemlockspoke/holder.py
@@ -106,6 +106,10 @@
         """Return a ``CatalogUpdate`` of each held server, for a new peer."""
         return [held.catalog_update() for held in self._held.values()]
 
+    def gates(self):
+        """Return the ``Gate`` of each held server, to be read only."""
+        return {name: held.gate for name, held in self._held.items()}
+
     def idle(self):
         """Tell whether nothing is queued or in progress."""
         working = any(work.work is not None for work in self._orders.values())
--- a/tests/fakes/holder_side.py
+++ b/tests/fakes/holder_side.py
@@ -97,6 +97,19 @@
             self.result.callback(result)
 
 
+class Observer:
+    """Sees what a fake upstream is asked, before the holder sees the result."""
+
+    def sent(self, call):
+        pass
+
+    def refused(self):
+        pass
+
+    def polled(self, status):
+        pass
+
+
 class FakeClient(UpstreamClient):
     """Client whose calls stay open until the test ends them.
 
@@ -115,6 +128,7 @@
         self.limit = 0
         self.lost = None
         self.status_now = None
+        self.observer = Observer()
 
     def open_calls(self):
         self.calls = [call for call in self.calls if not call.result.called]
@@ -138,10 +152,12 @@
     def status(self):
         result = Deferred()
         if self.unreachable:
+            self.observer.refused()
             result.callback(Error(UpstreamError(UpstreamErrorKind.REFUSED, False)))
         elif self.status_now is None:
             result.callback(Error(UpstreamError(UpstreamErrorKind.TIMEOUT, True)))
         else:
+            self.observer.polled(UpstreamStatus(*self.status_now))
             result.callback(Ok(UpstreamStatus(*self.status_now)))
         return result
 
@@ -166,6 +182,7 @@
         if call.result.called:
             return
         if self.unreachable:
+            self.observer.refused()
             call.fail(UpstreamErrorKind.REFUSED)
         elif not call.request.may_send():
             call.fail(UpstreamErrorKind.CANCELLED)
@@ -173,6 +190,7 @@
             call.sent = True
             self.calls.append(call)
             self.seen.append(call)
+            self.observer.sent(call)
 
 
 class HolderBench:
--- /dev/null
+++ b/tests/fuzz/gate_machine.py
@@ -0,0 +1,351 @@
+"""Stateful fuzzing of the real ``Holder`` and ``Gate`` against an oracle."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from hemlockspoke.errors import UpstreamErrorKind
+from hemlockspoke.messages import Cancel, OrderSend, ServerState, SubQueryBatch
+from hemlockspoke.requests import Share
+from tests.fakes.holder_side import HolderBench, Observer
+from tests.fuzz.gate_oracle import RAMP_SUCCESSES, SUCCESS, Oracle
+
+ENDS = ["shed", "draining", "version_gone", "stalled", "timeout", "broken", "failed"]
+LONGEST_DEADLINE_MS = 4000
+FULL_SHARE = Share(4, 8, 1)
+RACES = ["peer_turns_cold", "domain_goes_out", "share_shrinks", "pause", "lose_peer"]
+SHARES = [FULL_SHARE, Share(2, 4, 1), Share(3, 4, 0), Share(1, 1, 1), Share(), None]
+
+
+class Witness(Observer):
+    """Tells the oracle what the holder is about to see."""
+
+    def __init__(self, oracle, client):
+        self.oracle = oracle
+        self.client = client
+
+    def sent(self, call):
+        self.oracle.note_sent(call, len(self.client.open_calls()))
+
+    def refused(self):
+        self.oracle.show_sign()
+
+    def polled(self, status):
+        self.oracle.show_status(status)
+
+
+class GateMachine(RuleBasedStateMachine):
+    """One server ``s`` that misbehaves in every way a holder must bear."""
+
+    def __init__(self):
+        super().__init__()
+        self.bench = HolderBench(["s"], RAMP_SUCCESSES)
+        self.holder = self.bench.holder
+        self.clock = self.bench.clock
+        self.oracle = Oracle(self.clock)
+        self.generation = 1
+        self.peer_sequence = 0
+        self.next_id = 0
+        self.sub_ids = []
+        self.change_share(FULL_SHARE)
+        self.client = self.bench.clients["s"]
+        self.client.observer = Witness(self.oracle, self.client)
+        self.clock.advance(0)
+
+    def incarnation(self):
+        return f"s.{self.generation}"
+
+    def change_share(self, share):
+        if not self.oracle.slots:
+            self.oracle.demand_proof()
+        amounts = share or Share()
+        self.oracle.slots = amounts.slots
+        self.oracle.cold_start_slots = amounts.cold_start_slots
+        self.holder.set_share("s", share)
+
+    # Work
+
+    @initialize(rounds=st.sampled_from([0, 2 * RAMP_SUCCESSES]))
+    def warm_up(self, rounds):
+        self.serve(rounds)
+
+    @rule()
+    def fill(self):
+        """Use every slot and let more work wait."""
+        self.query(3, "shop", LONGEST_DEADLINE_MS)
+        self.order(100 + self.next_id, LONGEST_DEADLINE_MS)
+        self.query(3, "depot", LONGEST_DEADLINE_MS)
+
+    @rule(
+        count=st.integers(1, 3),
+        service=st.sampled_from(["shop", "depot"]),
+        remaining_ms=st.sampled_from([40, 400, LONGEST_DEADLINE_MS]),
+    )
+    def query(self, count, service, remaining_ms):
+        self.next_id += 1
+        request_id = f"q{self.next_id}"
+        added = [f"{request_id}/{number}" for number in range(count)]
+        self.sub_ids += added
+        self.oracle.expect(added, remaining_ms)
+        batch = SubQueryBatch(
+            request_id=request_id,
+            service=service,
+            index="bins",
+            version=1,
+            remaining_ms=remaining_ms,
+            traceparent=None,
+            query={},
+            items=[[number, "s", [0]] for number in range(count)],
+        )
+        self.holder.execute("entry", batch, self.oracle.note_answers)
+
+    @precondition(lambda self: self.sub_ids)
+    @rule(data=st.data())
+    def cancel(self, data):
+        chosen = data.draw(st.sampled_from(self.sub_ids[-4:]))
+        self.oracle.cancelled.add(chosen)
+        request_id, sub_id = chosen.split("/")
+        message = Cancel(request_id=request_id, sub_ids=[int(sub_id)])
+        for call in self.client.open_calls():
+            if call.request.request_id == chosen:
+                self.oracle.show_end(call, "cancelled", None)
+        self.holder.cancel("entry", message)
+
+    @rule(rounds=st.integers(1, 5))
+    def serve(self, rounds):
+        """Answer a few rounds of queries, which lets the gate open."""
+        for _ in range(rounds):
+            self.query(3, "shop", LONGEST_DEADLINE_MS)
+            while self.client.open_calls():
+                self.end(self.client.open_calls()[0], SUCCESS)
+
+    @rule(number=st.integers(1, 6), remaining_ms=st.sampled_from([40, 2000]))
+    def order(self, number, remaining_ms):
+        request_id = f"o{number}"
+        messages = self.oracle.order_messages
+        messages[request_id] = messages.get(request_id, 0) + 1
+        message = OrderSend(
+            request_id=request_id,
+            service="shop",
+            server="s",
+            idempotency_key=request_id,
+            remaining_ms=remaining_ms,
+            traceparent=None,
+            body={},
+        )
+        self.holder.send_order("entry", message, self.oracle.note_order_answer)
+
+    @rule()
+    def lose_peer(self):
+        self.oracle.cancelled.update(self.sub_ids)
+        for call in self.client.open_calls():
+            if call.kind == "query":
+                self.oracle.show_end(call, "cancelled", None)
+        self.holder.peer_lost("entry")
+
+    # Upstream
+
+    @precondition(lambda self: self.client.open_calls())
+    @rule(data=st.data(), count=st.integers(1, 4))
+    def succeed(self, data, count):
+        for _ in range(min(count, len(self.client.open_calls()))):
+            call = data.draw(st.sampled_from(self.client.open_calls()))
+            self.end(call, SUCCESS)
+
+    @precondition(lambda self: self.client.open_calls())
+    @rule(data=st.data(), end=st.sampled_from(ENDS))
+    def end_badly(self, data, end):
+        self.end(data.draw(st.sampled_from(self.client.open_calls())), end)
+
+    def end(self, call, end):
+        self.oracle.show_end(call, end, self.incarnation())
+        if end == SUCCESS:
+            call.succeed(self.incarnation())
+            return
+        replied = end in ("shed", "draining", "version_gone")
+        incarnation = self.incarnation() if replied else None
+        call.fail(UpstreamErrorKind(end), incarnation, {} if replied else None)
+
+    @rule(data=st.data(), end=st.sampled_from([*ENDS, "lost connection"]))
+    def trouble_under_load(self, data, end):
+        self.fill()
+        if end == "lost connection":
+            self.lose_connection()
+        elif self.client.open_calls():
+            self.end_badly(data, end)
+        for call in list(self.client.open_calls())[:2]:
+            self.end(call, SUCCESS)
+
+    @rule()
+    def interrupt_ramp(self):
+        """One success short of the ramp, a failure, and as many again."""
+        self.query(1, "shop", LONGEST_DEADLINE_MS)
+        row = [SUCCESS] * (RAMP_SUCCESSES - 1)
+        for end in ["shed", *row, "failed", *row]:
+            self.query(1, "shop", LONGEST_DEADLINE_MS)
+            if self.client.open_calls():
+                self.end(self.client.open_calls()[0], end)
+        self.fill()
+
+    @rule()
+    def idle_then_fill(self):
+        self.clock.advance(6000)
+        self.fill()
+
+    @rule(end=st.sampled_from(["stalled", "shed", "timeout"]))
+    def trouble_of_order(self, end):
+        self.fill()
+        for call in list(self.client.open_calls()):
+            if call.kind == "order":
+                self.end(call, end)
+
+    @rule(polled=st.booleans())
+    def restart_unseen(self, polled):
+        self.generation += 1
+        if polled:
+            self.say_status("live", 0)
+
+    @rule()
+    def crash(self):
+        self.generation += 1
+        for call in list(self.client.open_calls()):
+            self.end(call, "broken")
+        self.lose_connection()
+
+    def lose_connection(self):
+        self.oracle.demand_proof()
+        self.client.lost()
+
+    @rule(polled=st.booleans())
+    def refuse_connections(self, polled):
+        self.client.unreachable = True
+        self.query(1, "shop", LONGEST_DEADLINE_MS)
+        if polled:
+            self.clock.advance(1000)
+        self.client.unreachable = False
+
+    @rule(event=st.sampled_from(RACES))
+    def change_while_connecting(self, event):
+        """Change something between the start of a request and its first byte."""
+        self.client.delay_sends = True
+        self.query(3, "shop", LONGEST_DEADLINE_MS)
+        self.order(7, LONGEST_DEADLINE_MS)
+        getattr(self, event)()
+        self.client.delay_sends = False
+        self.client.flush()
+
+    def peer_turns_cold(self):
+        self.hear_other_holder("cold", False)
+
+    def domain_goes_out(self):
+        if not self.oracle.out:
+            self.take_out(["fd"])
+
+    def share_shrinks(self):
+        self.change_share(Share(1, 1, 1))
+
+    @rule(
+        state=st.sampled_from(["live", "live", "draining"]),
+        lag=st.integers(0, 2),
+    )
+    def say_status(self, state, lag):
+        said = f"s.{max(1, self.generation - lag)}"
+        self.client.status_now = (said, state, 0, {})
+        self.clock.advance(1000)
+        self.fill()
+
+    # Surroundings
+
+    @rule(share=st.sampled_from(SHARES))
+    def set_share(self, share):
+        self.change_share(share)
+
+    @rule()
+    def share_returns(self):
+        self.change_share(None)
+        self.change_share(FULL_SHARE)
+        self.fill()
+
+    @precondition(lambda self: not self.oracle.out)
+    @rule(domains=st.sampled_from([["fd"], []]))
+    def take_out(self, domains):
+        self.oracle.out = True
+        vms = [] if domains else ["s"]
+        self.bench.configuration.set_fleet(domains, vms)
+
+    @precondition(lambda self: self.oracle.out)
+    @rule()
+    def bring_back(self):
+        self.oracle.out = False
+        self.oracle.show_sign()
+        self.bench.configuration.set_fleet()
+
+    @rule(state=st.sampled_from(["cold", "warm"]), repeated=st.booleans())
+    def hear_other_holder(self, state, repeated):
+        if not repeated:
+            self.peer_sequence += 1
+        is_news = not repeated
+        self.oracle.show_peer(state, self.incarnation(), is_news)
+        message = ServerState(
+            server="s",
+            incarnation=self.incarnation(),
+            state=state,
+            sequence=self.peer_sequence,
+        )
+        self.holder.note_server_state("other", message)
+
+    @rule()
+    def pause(self):
+        self.bench.pause.pause_ms = 2000
+
+    @rule(duration_ms=st.sampled_from([0, 10, 300, 1000, 6000]))
+    def wait(self, duration_ms):
+        self.clock.advance(duration_ms)
+
+    # Checks
+
+    @invariant()
+    def nothing_is_wrong(self):
+        self.oracle.check_deadlines()
+        assert not self.oracle.failures, self.oracle.failures
+        assert not self.bench.invariants.violations, self.bench.invariants.violations
+        in_use = self.holder.in_use("s").slots
+        assert in_use >= len(self.client.open_calls()), in_use
+        gate = self.holder.gates()["s"]
+        assert not gate.queued() or gate.in_use >= gate.permitted()
+
+    def teardown(self):
+        self.clock.advance(2 * LONGEST_DEADLINE_MS)
+        self.oracle.check_orders_answered()
+        self.nothing_is_wrong()
+        assert self.holder.idle()
+        assert self.holder.in_use("s").slots == 0
+        self.check_recovery()
+
+    def check_recovery(self):
+        """A healthy server gets the full share again, so no slot has leaked."""
+        self.change_share(FULL_SHARE)
+        if self.oracle.out:
+            self.bring_back()
+        self.bench.pause.pause_ms = 0
+        for state in ("draining", "live"):
+            self.client.status_now = (self.incarnation(), state, 0, {})
+            self.clock.advance(1000)
+        self.serve(2 * RAMP_SUCCESSES)
+        self.query(3, "shop", LONGEST_DEADLINE_MS)
+        self.query(3, "shop", LONGEST_DEADLINE_MS)
+        self.nothing_is_wrong()
+        assert len(self.client.open_calls()) == FULL_SHARE.slots
+
+
+def run_gate_machine(examples, steps):
+    """Run the machine; raises on the first sequence that breaks a promise."""
+    bounded = settings(max_examples=examples, stateful_step_count=steps)
+    run_state_machine_as_test(GateMachine, settings=bounded)
