Take good versions below a rejected one, and date contact by its question

A daemon that met a bad version before the good one below it refused the good one for ever, so daemons kept different versions. Messages and watch replies that had waited during a pause counted as contact, so a daemon that was cut off took new work for up to 3 s after it resumed. An announcement during a running version check was dropped. A peer that was lost after its answer kept a daemon that had started without the store from getting ready. Malformed share objects got in force, and an exception in a validator escaped into the exchange. No alarm was raised when the store was not read.

Change: a version is refused only if it is not newer than the one in force or is the rejected one. Digest repeats the asker's own time in its answer, and only that time and the start of a store read count as contact. Announcements wait for a check that starts after them. Prefixes are checked together, so that a slow store delays a check once. Share objects and registrations are checked in full. Watches pause 20 ms between calls.

The lost peer and the dropped announcement were found by reading and have no scenario.

--- a/hemlockspoke/config_exchange.py
+++ b/hemlockspoke/config_exchange.py
@@ -27,7 +27,7 @@
         "_peers",
         "_ready",
         "_rng",
-        "last_received_ms",
+        "reached_ms",
     )
 
     def __init__(self, clock, configuration, peers, rng, metrics, ready, on_state):
@@ -39,7 +39,9 @@
         self._ready = ready
         self._on_state = on_state
         self._peer_store_read_ms = None
-        self.last_received_ms = None
+        # When this daemon sent the newest digest that a peer has answered. Messages
+        # that waited in a buffer while the process was paused do not count.
+        self.reached_ms = None
         self._handlers = {
             Digest: self._receive_digest,
             Versions: self._receive_versions,
@@ -48,7 +50,6 @@
 
     def receive(self, vm, message):
         """Handle a message of the exchange."""
-        self.last_received_ms = self._clock.now_ms()
         self._handlers[type(message)](vm, message)
 
     def _sample(self, count):
@@ -57,14 +58,16 @@
 
     def send_digests(self, store_age_ms):
         """Send the digest to some random peers."""
+        now_ms = self._clock.now_ms()
         for vm in self._sample(DIGEST_PEERS):
-            self._send_digest(vm, store_age_ms, reply=False)
+            self._send_digest(vm, store_age_ms, reply=False, sent_ms=now_ms)
 
-    def _send_digest(self, vm, store_age_ms, reply):
+    def _send_digest(self, vm, store_age_ms, reply, sent_ms):
         message = Digest(
             digest=self._configuration.digest(),
             store_contact_age_ms=store_age_ms,
             reply=reply,
+            sent_ms=sent_ms,
         )
         self._peers.send(vm, message)
 
@@ -94,11 +97,13 @@
         if message.store_contact_age_ms is not None:
             read_ms = self._clock.now_ms() - message.store_contact_age_ms
             self._peer_store_read_ms = max(read_ms, self._peer_store_read_ms or read_ms)
+        if message.reply:
+            self.reached_ms = max(message.sent_ms, self.reached_ms or message.sent_ms)
+        else:
+            self._send_digest(vm, None, reply=True, sent_ms=message.sent_ms)
         if message.digest != self._configuration.digest():
             self._metrics.count("config.digest_differs")
             self._ask(vm)
-        elif not message.reply:
-            self._send_digest(vm, None, reply=True)
 
     def _receive_versions(self, vm, message):
         theirs = message.versions
@@ -125,9 +130,12 @@
                 self._peers.send(vm, message)
 
     def _want_newer(self, vm, theirs):
-        known = self._configuration.known_version
-        wanted = {key: known(key) for key, version in theirs.items()}
-        wanted = {key: mine for key, mine in wanted.items() if theirs[key] > mine}
+        configuration = self._configuration
+        wanted = {
+            key: configuration.version(key)
+            for key, version in theirs.items()
+            if not configuration.has_seen(key, version)
+        }
         if wanted:
             self._peers.send(vm, Versions(kind="wanted", versions=wanted))
 
--- a/hemlockspoke/config_sync.py
+++ b/hemlockspoke/config_sync.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import Deferred, ensureDeferred, gatherResults
 
 from hemlockspoke.config_exchange import ConfigExchange
 from hemlockspoke.configuration import PREFIXES
@@ -12,6 +12,8 @@
 
 WATCHERS_PER_DOMAIN = 2
 RETRY_MS = 500
+# Bounds the calls of a watcher to a store that answers watches without a change.
+WATCH_GAP_MS = 20
 # Time that other peers have to answer after the first one, when the store is down.
 PEER_ANSWER_MS = 2_000
 # Bounds the version checks of all daemons that do not watch.
@@ -26,6 +28,8 @@
     """
 
     __slots__ = (
+        "_alarmed",
+        "_announced",
         "_bootstrapped",
         "_checking",
         "_clock",
@@ -36,7 +40,9 @@
         "_last_check_ms",
         "_membership",
         "_metrics",
+        "_peers",
         "_rng",
+        "_started_ms",
         "_states",
         "_stopped",
         "_store",
@@ -63,6 +69,7 @@
         self._configuration = configuration
         self._membership = membership
         self._store = store
+        self._peers = peers
         self._timings = timings
         self._rng = rng
         self._metrics = metrics
@@ -75,6 +82,9 @@
         self._bootstrapped = False
         self._checking = False
         self._watching = set()
+        self._announced = []
+        self._alarmed = False
+        self._started_ms = clock.now_ms()
         self._states = {}
         self._first_state_ms = None
         self._store_read_ms = None
@@ -107,11 +117,19 @@
         return self._exchange.store_age_ms(self._store_read_ms)
 
     def announce(self):
-        """Read the store now; a deferred that fires when it has been read."""
-        return ensureDeferred(self._check())
+        """Read the store now; a deferred that fires when it has been read.
+
+        If a check is running, another one follows, since the running one may have
+        read the object before it changed.
+        """
+        announced = Deferred()
+        self._announced.append(announced)
+        if not self._checking:
+            self._check_now()
+        return announced
 
     def _contact_age_ms(self):
-        contacts = [self._store_read_ms, self._exchange.last_received_ms]
+        contacts = [self._store_read_ms, self._exchange.reached_ms]
         known = [contact for contact in contacts if contact is not None]
         return self._clock.now_ms() - max(known) if known else float("inf")
 
@@ -120,17 +138,30 @@
         if self._stopped:
             return
         self._clock.call_later(self._timings.digest_exchange_ms, self._tick)
-        if self._bootstrapped:
-            self._exchange.send_digests(self.store_contact_age_ms())
-        else:
+        self._exchange.send_digests(self.store_contact_age_ms())
+        if not self._bootstrapped:
             self._exchange.ask_all()
             self._finish_from_peers()
-        self._metrics.gauge("config.contact_age_ms", self._contact_age_ms())
+        self._report_contact()
         if self._is_watcher():
             self._watch_all()
         if self._check_due():
             self._check_now()
 
+    def _report_contact(self):
+        """Report contact ages; raise an alarm when no daemon near reads the store."""
+        self._metrics.gauge("config.contact_age_ms", self._contact_age_ms())
+        age_ms = self.store_contact_age_ms()
+        if age_ms is None:
+            age_ms = self._clock.now_ms() - self._started_ms
+        self._metrics.gauge("config.store_contact_age_ms", age_ms)
+        timings = self._timings
+        late = age_ms > timings.version_check_ms + timings.watcher_check_ms
+        if late and not self._alarmed:
+            self._metrics.count("config.store_contact_alarm")
+            logger.error("store not read", extra={"store_contact_age_ms": age_ms})
+        self._alarmed = late
+
     def _is_watcher(self):
         names = [
             member.vm
@@ -165,14 +196,22 @@
             return
         self._checking = True
         self._last_check_ms = self._clock.now_ms()
+        announced, self._announced = self._announced, []
         try:
-            complete = True
-            for prefix in PREFIXES:
-                complete = await self._check_prefix(prefix) and complete
+            # Together, so that a slow store delays the check only once.
+            checks = [ensureDeferred(self._check_prefix(p)) for p in PREFIXES]
+            complete = all(await gatherResults(checks, consumeErrors=True))
+            if complete and not self._bootstrapped:
+                self._finish_bootstrap("store")
         finally:
-            self._checking = False
-        if complete and not self._bootstrapped:
-            self._finish_bootstrap("store")
+            self._check_ended(announced)
+
+    def _check_ended(self, announced):
+        self._checking = False
+        for deferred in announced:
+            deferred.callback(None)
+        if self._announced and not self._stopped:
+            self._check_now()
 
     async def _check_prefix(self, prefix):
         sent_ms = self._clock.now_ms()
@@ -183,7 +222,7 @@
         self._store_read_ms = max(sent_ms, self._store_read_ms or sent_ms)
         complete = True
         for stored in listed.ok.objects:
-            if stored.version > self._configuration.known_version(stored.key):
+            if not self._configuration.has_seen(stored.key, stored.version):
                 complete = await self._adopt_listed(stored) and complete
         return complete
 
@@ -196,9 +235,6 @@
         self._configuration.adopt(stored.key, stored.version, stored.value)
         return True
 
-    def _note_store_read(self):
-        self._store_read_ms = self._clock.now_ms()
-
     def _finish_bootstrap(self, source):
         self._bootstrapped = True
         self._states.clear()
@@ -217,11 +253,16 @@
             return
         if self._clock.now_ms() - self._first_state_ms < PEER_ANSWER_MS:
             return
-        known = self._configuration.known_version
-        for versions in self._states.values():
-            if any(known(key) < version for key, version in versions.items()):
-                return
-        self._finish_bootstrap("peers")
+        seen = self._configuration.has_seen
+        taken = {
+            vm: all(seen(key, version) for key, version in versions.items())
+            for vm, versions in self._states.items()
+        }
+        # A peer that was lost before its objects arrived cannot send them any more.
+        connected = self._peers.connected()
+        missing = [vm for vm, done in taken.items() if not done and vm in connected]
+        if any(taken.values()) and not missing:
+            self._finish_bootstrap("peers")
 
     def _watch_all(self):
         if not self._bootstrapped:
@@ -237,17 +278,26 @@
         self._clock.call_later(RETRY_MS, self._watching.discard, prefix)
 
     async def _watch(self, prefix):
-        """Watch until the store fails or this daemon is no watcher any more."""
+        """Watch until the store fails or this daemon is no watcher any more.
+
+        Its replies do not count as contact: they may have waited in a buffer while
+        the process was paused, and nothing tells when they were sent.
+        """
         listed = await self._store.list(prefix, values=False)
         while listed.is_ok() and self._is_watcher() and not self._stopped:
-            self._note_store_read()
             for stored in listed.ok.objects:
-                if stored.version > self._configuration.known_version(stored.key):
+                if not self._configuration.has_seen(stored.key, stored.version):
                     await self._adopt_listed(stored)
+            await self._pass(WATCH_GAP_MS)
             listed = await self._store.watch(
                 prefix, listed.ok.revision, self._timings.watch_wait_ms
             )
 
+    def _pass(self, duration_ms):
+        passed = Deferred()
+        self._clock.call_later(duration_ms, passed.callback, None)
+        return passed
+
     def _failed(self, failure, what):
         self._metrics.count("config.failed")
         logger.error(f"{what} failed", extra={"reason": failure.getTraceback()})
--- a/hemlockspoke/configuration.py
+++ b/hemlockspoke/configuration.py
@@ -17,6 +17,8 @@
 VM_PREFIX = "vms/"
 PREFIXES = (SERVICE_PREFIX, FLEET_KEY, SHARE_PREFIX, VM_PREFIX)
 ADDRESS_FIELDS = ("peer_address", "operator_address")
+TEXT_FIELDS = ("region", "failure_domain")
+HOLDER_COUNTS = ("incarnation", "slots", "connections", "cold_start_slots")
 
 validators = Registry("configuration prefix")
 
@@ -57,7 +59,32 @@
     """Accept a share object in the form that its writers use."""
     if not isinstance(value, dict) or not isinstance(value.get("servers"), dict):
         return refused(key, type(value).__name__, "a map with the servers' shares")
-    return Ok(None)
+    findings = Findings()
+    for server, entry in value["servers"].items():
+        if not is_share_entry(entry):
+            path = f"{key}: servers.{server}"
+            findings.add(Finding(path, repr(entry), "holders and amounts", file=key))
+    return Error(findings) if findings else Ok(None)
+
+
+def is_share_entry(entry):
+    """Tell whether an entry has a document version and well-formed holders."""
+    if not isinstance(entry, dict) or not is_count(entry.get("document_version")):
+        return False
+    holders = entry.get("holders")
+    return isinstance(holders, list) and all(is_holder(holder) for holder in holders)
+
+
+def is_holder(holder):
+    """Tell whether a holder names its VM and its amounts."""
+    if not isinstance(holder, dict) or not isinstance(holder.get("vm"), str):
+        return False
+    return all(is_count(holder.get(name)) for name in HOLDER_COUNTS)
+
+
+def is_count(value):
+    """Tell whether a value is a whole number of at least 0."""
+    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
 
 
 @validators.register(VM_PREFIX)
@@ -65,6 +92,11 @@
     """Accept a registration whose addresses can be parsed."""
     if not isinstance(value, dict):
         return refused(key, type(value).__name__, "a registration")
+    if value.get("vm") != key.removeprefix(VM_PREFIX):
+        return refused(f"{key}: vm", repr(value.get("vm")), "the name in the key")
+    for field in TEXT_FIELDS:
+        if not isinstance(value.get(field), str):
+            return refused(f"{key}: {field}", repr(value.get(field)), "a name")
     for field in ADDRESS_FIELDS:
         try:
             Address.parse(str(value.get(field)))
@@ -81,6 +113,18 @@
     return None
 
 
+def run_validator(validator, key, value):
+    """Return the result of a validator; an exception in it rejects the value.
+
+    A value that trips a defect of a checker must not stop the exchange.
+    """
+    try:
+        return validator(key, value)
+    except Exception as error:
+        logger.exception("validator failed", extra={"key": key})
+        return refused(key, f"{type(error).__name__}: {error}", "a value to check")
+
+
 class Rejected:
     """A version that has failed the check."""
 
@@ -125,12 +169,10 @@
 
     def adopt(self, key, version, value):
         """Take an object in force if it is newer and good; tell whether it was."""
-        if version <= self.known_version(key):
-            return False
         validator = validator_of(key)
-        if validator is None:
+        if validator is None or not is_count(version) or self.has_seen(key, version):
             return False
-        result = validator(key, value)
+        result = run_validator(validator, key, value)
         if result.is_error():
             self._reject(key, version, result.error)
             return False
@@ -138,6 +180,9 @@
         return True
 
     def _reject(self, key, version, findings):
+        known = self._rejected.get(key)
+        if known is not None and known.version > version:
+            return
         self._rejected[key] = Rejected(version, findings)
         logger.error(
             "configuration rejected",
@@ -148,7 +193,8 @@
         self._objects[key] = StoredObject(key, version, value)
         self._adopted_ms[key] = self._clock.now_ms()
         self._parsed[key] = parsed
-        self._rejected.pop(key, None)
+        if key in self._rejected and self._rejected[key].version < version:
+            del self._rejected[key]
         self._digest = None
         if key.startswith(SERVICE_PREFIX):
             self._servers = None
@@ -156,11 +202,21 @@
         for listener in self._listeners:
             listener(key)
 
-    def known_version(self, key):
-        """Return the highest version that was adopted or rejected, or 0."""
-        stored = self._objects.get(key)
+    def has_seen(self, key, version):
+        """Tell whether reading this version of an object could change nothing.
+
+        A good version below a rejected one is still to be taken, or daemons that
+        met the bad one first would keep an older version for ever.
+        """
+        if version <= self.version(key):
+            return True
         rejected = self._rejected.get(key)
-        return max(stored.version if stored else 0, rejected.version if rejected else 0)
+        return rejected is not None and rejected.version == version
+
+    def version(self, key):
+        """Return the version in force, or 0."""
+        stored = self._objects.get(key)
+        return stored.version if stored else 0
 
     def get(self, key):
         """Return the ``StoredObject`` in force, or None."""
@@ -205,8 +261,7 @@
 
     def document_version(self, service):
         """Return the version in force of a service's document, or 0."""
-        stored = self._objects.get(SERVICE_PREFIX + service)
-        return stored.version if stored else 0
+        return self.version(SERVICE_PREFIX + service)
 
     def fleet(self):
         """Return what operators have taken out."""
--- a/hemlockspoke/messages.py
+++ b/hemlockspoke/messages.py
@@ -107,11 +107,12 @@
     """Summary of the configuration in force.
 
     ``store_contact_age_ms`` is the time since the sender, or a daemon that it has
-    heard of, last read the store. ``reply`` is true in the answer to a digest,
-    which tells the asker that it still reaches a peer.
+    heard of, last read the store. ``reply`` is true in the answer to a digest. The
+    answer repeats ``sent_ms``, the asker's own clock at its question, which tells
+    the asker at what time it certainly reached a peer.
     """
 
-    __slots__ = ("digest", "store_contact_age_ms", "reply")
+    __slots__ = ("digest", "store_contact_age_ms", "reply", "sent_ms")
 
 
 @message("versions")
--- /dev/null
+++ b/tests/fakes/configuration_world.py
@@ -0,0 +1,314 @@
+"""Fakes for the configuration: a store, a peer network and a checker.
+
+Everything runs on one ``ManualClock``, so a test decides when a message arrives.
+"""
+
+import random
+from types import SimpleNamespace
+
+from expression import Error, Ok
+from twisted.internet.defer import CancelledError, Deferred
+
+from hemlockspoke import document_check
+from hemlockspoke.config_sync import ConfigSync
+from hemlockspoke.configuration import Configuration
+from hemlockspoke.errors import StoreError, StoreErrorKind
+from hemlockspoke.findings import Finding, Findings
+from hemlockspoke.ports import (
+    NullMetrics,
+    ObjectList,
+    PeerNetwork,
+    Store,
+    StoredObject,
+)
+from tests.standins.platform_state import ObjectTable
+
+STORE_DELAY_MS = 5
+# Replies of a slow store arrive late and tell of an earlier state.
+SLOW_STORE_MS = 1500
+STORE_TIMEOUT_MS = 2000
+BAD_TEXT = "bad"
+TIMINGS = SimpleNamespace(
+    watcher_check_ms=2000,
+    version_check_ms=10000,
+    watch_wait_ms=20000,
+    digest_exchange_ms=500,
+    isolation_limit_ms=3000,
+)
+
+
+def fake_check_document(text, file=""):
+    """Accept any text but ``BAD_TEXT``; the service is the file's last part."""
+    if text == BAD_TEXT:
+        return Error(Findings([Finding("service", text, "another text", file=file)]))
+    return Ok(SimpleNamespace(service=file.split("/")[-1], servers={}, text=text))
+
+
+def use_fake_checker():
+    """Make the validators use the fake checker; return a call that undoes it."""
+    original = document_check.check_document
+    document_check.check_document = fake_check_document
+    return lambda: setattr(document_check, "check_document", original)
+
+
+class SharedStore:
+    """The store's objects and the faults between it and each daemon."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.table = ObjectTable()
+        self.down = False
+        self.silent_watches = False
+        self.cut = set()
+        self.slow = set()
+        self.watches = []
+
+    def write(self, key, value):
+        """Write as an operator does; return the new version."""
+        current = self.table.get(key)
+        _, version = self.table.put(key, value, current[0] if current else 0)
+        self.answer_watches()
+        return version
+
+    def answer_watches(self):
+        """Answer the watches that have something to report."""
+        for watch in list(self.watches):
+            watch.answer_if_changed()
+
+    def reaches(self, vm):
+        """Tell whether a daemon reaches the store."""
+        return not self.down and vm not in self.cut
+
+    def listing(self, prefix, since=0, values=True):
+        """Return an ``ObjectList`` of the present state."""
+        found = self.table.list(prefix, since, values)
+        objects = [
+            StoredObject(item["key"], item["version"], item.get("value"))
+            for item in found["objects"]
+        ]
+        return ObjectList(found["revision"], objects)
+
+
+class FakeWatch:
+    """A waiting watch of one daemon."""
+
+    def __init__(self, client, prefix, since):
+        self.client = client
+        self.prefix = prefix
+        self.since = since
+        self.deferred = Deferred(self._cancelled)
+
+    def _cancelled(self, deferred):
+        self._forget()
+        deferred.errback(CancelledError())
+
+    def _forget(self):
+        watches = self.client.world.watches
+        if self in watches:
+            watches.remove(self)
+
+    def answer_if_changed(self):
+        """Answer soon if there is something newer."""
+        world = self.client.world
+        if world.silent_watches or not world.reaches(self.client.vm):
+            return
+        if world.listing(self.prefix, self.since, values=False).objects:
+            self._forget()
+            world.clock.call_later(STORE_DELAY_MS, self.end)
+
+    def end(self):
+        """Answer with what is there, or fail if the store is not reached."""
+        self._forget()
+        world = self.client.world
+        result = Ok(world.listing(self.prefix, self.since))
+        self.client.answer(
+            self.deferred, unavailable() if world.silent_watches else result
+        )
+
+
+def unavailable():
+    """Return the result of a call that did not reach the store."""
+    return Error(StoreError(StoreErrorKind.UNAVAILABLE, "not reached"))
+
+
+class FakeStoreClient(Store):
+    """The store as one daemon sees it."""
+
+    def __init__(self, world, vm, clock):
+        self.world = world
+        self.vm = vm
+        self._clock = clock
+
+    def answer(self, deferred, result):
+        """Give the result if the daemon reaches the store, after its pause."""
+        reached = self.world.reaches(self.vm)
+        self._clock.run(self._fire, deferred, result if reached else unavailable())
+
+    def _fire(self, deferred, result):
+        if not deferred.called:
+            deferred.callback(result)
+
+    def _later(self, result):
+        delay_ms = STORE_TIMEOUT_MS
+        if self.world.reaches(self.vm):
+            slow = self.vm in self.world.slow
+            delay_ms = SLOW_STORE_MS if slow else STORE_DELAY_MS
+        else:
+            result = unavailable()
+        deferred = Deferred()
+        self.world.clock.call_later(delay_ms, self.answer, deferred, result)
+        return deferred
+
+    def get(self, key):
+        found = self.world.table.get(key)
+        if found is None:
+            return self._later(Error(StoreError(StoreErrorKind.NOT_FOUND, key)))
+        return self._later(Ok(StoredObject(key, *found)))
+
+    def put(self, key, value, if_version):
+        raise NotImplementedError("the configuration writes nothing")
+
+    def list(self, prefix, values=True):
+        return self._later(Ok(self.world.listing(prefix, values=values)))
+
+    def watch(self, prefix, since_revision, wait_ms):
+        watch = FakeWatch(self, prefix, since_revision)
+        self.world.watches.append(watch)
+        self.world.clock.call_later(wait_ms, watch.end)
+        watch.answer_if_changed()
+        return watch.deferred
+
+    def list_vms(self):
+        raise NotImplementedError("the configuration reads no list of VMs")
+
+
+class FakeNetwork:
+    """Messages between daemons, with cuts, losses, repeats and delays."""
+
+    def __init__(self, clock, seed=0):
+        self.clock = clock
+        self.random = random.Random(seed)
+        self.nodes = {}
+        self.cuts = set()
+        self.unreliable = False
+
+    def linked(self, one, other):
+        """Tell whether two daemons have a stream."""
+        both = one in self.nodes and other in self.nodes
+        return both and one != other and frozenset((one, other)) not in self.cuts
+
+    def send(self, sender, vm, message):
+        """Send a message; under ``unreliable`` it may be lost or come twice."""
+        if not self.linked(sender, vm):
+            return False
+        copies = self.random.choice((0, 1, 1, 2)) if self.unreliable else 1
+        for _ in range(copies):
+            delay_ms = self.random.uniform(1, 900 if self.unreliable else 5)
+            self.clock.call_later(delay_ms, self._deliver, sender, vm, message)
+        return True
+
+    def _deliver(self, sender, vm, message):
+        if self.linked(sender, vm):
+            self.nodes[vm].deliver(sender, message)
+
+
+class FakePeers(PeerNetwork):
+    """The network as one daemon sees it."""
+
+    def __init__(self, network, vm):
+        self._network = network
+        self._vm = vm
+        self.closed = False
+
+    def set_receiver(self, receiver):
+        """Do nothing: the node receives."""
+
+    def set_loss_listener(self, listener):
+        """Do nothing: losses concern no configuration."""
+
+    def set_connect_listener(self, listener):
+        """Do nothing: new streams concern no configuration."""
+
+    def set_addresses(self, addresses):
+        """Do nothing: names suffice."""
+
+    def send(self, vm, message):
+        return not self.closed and self._network.send(self._vm, vm, message)
+
+    def connected(self):
+        if self.closed:
+            return []
+        names = self._network.nodes
+        return [vm for vm in names if self._network.linked(self._vm, vm)]
+
+
+class PausableClock:
+    """Clock of one daemon; calls that fall due in a pause run after it."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._held = []
+        self.paused = False
+
+    def now_ms(self):
+        return self._clock.now_ms()
+
+    def call_later(self, delay_ms, function, *args):
+        return self._clock.call_later(delay_ms, self.run, function, *args)
+
+    def run(self, function, *args):
+        """Run the call now, or after the pause."""
+        if self.paused:
+            self._held.append((function, args))
+        else:
+            function(*args)
+
+    def resume(self):
+        """End the pause and run what was held."""
+        self.paused = False
+        held, self._held = self._held, []
+        for function, args in held:
+            function(*args)
+
+
+class Node:
+    """One daemon's configuration on the fakes, with what it has adopted."""
+
+    def __init__(self, vm, world, network, domain_vms, seed=0):
+        self.vm = vm
+        self.clock = PausableClock(world.clock)
+        self.configuration = Configuration(self.clock)
+        self.adopted = []
+        self.configuration.subscribe(self._note)
+        self._peers = FakePeers(network, vm)
+        live = [SimpleNamespace(vm=name, failure_domain="d") for name in domain_vms]
+        self.sync = ConfigSync(
+            clock=self.clock,
+            configuration=self.configuration,
+            membership=SimpleNamespace(live=lambda: live, members=lambda: live),
+            store=FakeStoreClient(world, vm, self.clock),
+            peers=self._peers,
+            timings=TIMINGS,
+            rng=random.Random(f"{vm}/{seed}"),
+            metrics=NullMetrics(),
+            vm=vm,
+            failure_domain="d",
+        )
+        network.nodes[vm] = self
+        self.sync.start()
+
+    def _note(self, key):
+        self.adopted.append((key, self.configuration.get(key)))
+
+    def accepts_work(self):
+        """Tell whether the configuration permits new work, as ``Node`` does."""
+        return self.sync.ready() and not self.sync.isolated()
+
+    def deliver(self, sender, message):
+        """Hand a message over, after the pause if there is one."""
+        self.clock.run(self.sync.receive, sender, message)
+
+    def crash(self):
+        """End the daemon without notice."""
+        self.clock.paused = True
+        self._peers.closed = True
--- /dev/null
+++ b/tests/features/configuration.feature
@@ -0,0 +1,122 @@
+Feature: adoption and distribution of the configuration
+  Guards against an accepted change that is missed or reverts, against a bad
+  document in force, and against work taken by a daemon that reaches nobody.
+
+  Scenario: only higher versions of good objects are taken in force
+    Given a configuration of its own
+    When version 5 of "services/bins" with the text "five" is offered
+    Then the configuration has version 5 of "services/bins"
+    When version 4 of "services/bins" with the text "four" is offered
+    Then the configuration has version 5 of "services/bins"
+    When version 7 of "services/bins" with the text "bad" is offered
+    Then the configuration has version 5 of "services/bins"
+    And the configuration lists "services/bins" as rejected
+    When version 6 of "services/bins" with the text "six" is offered
+    Then the configuration has version 6 of "services/bins"
+    And the configuration lists "services/bins" as rejected
+    When version 8 of "services/bins" with the text "eight" is offered
+    Then the configuration has version 8 of "services/bins"
+    And the configuration lists nothing as rejected
+
+  Scenario Outline: a malformed object is rejected whatever its prefix
+    Given a configuration of its own
+    When version 1 of "<key>" with the value <value> is offered
+    Then the configuration has version 0 of "<key>"
+
+    Examples:
+      | key           | value                                                    |
+      | fleet         | {"failure_domains_out": "mtl-a"}                         |
+      | fleet         | []                                                       |
+      | services/bins | {"text": 7}                                              |
+      | vms/e1        | {"vm": "e2"}                                             |
+      | shares/mtl-00 | {"servers": {"s": {"document_version": 1}}}              |
+      | shares/mtl-00 | {"servers": {"s": {"document_version": 1, "holders": [{"vm": "e1", "incarnation": 1, "slots": -1, "connections": 1, "cold_start_slots": 0}]}}} |
+      | orders/7      | {}                                                       |
+
+  Scenario Outline: a change reaches every daemon within its bound
+    Given 9 configuration daemons that have started
+    And <fault> among the configuration daemons
+    When an operator changes "services/bins"
+    Then every daemon has the change within <bound_ms> ms
+
+    Examples:
+      | fault                              | bound_ms |
+      | no fault                           | 2000     |
+      | a silent watch                     | 12000    |
+      | a silent watch and e1 cut off      | 12000    |
+      | no links between daemons           | 12000    |
+      | an unreliable network and e1 cut off | 12000  |
+
+  Scenario: a bad document changes nothing and is reported everywhere
+    Given 9 configuration daemons that have started
+    When an operator stores a bad "services/bins"
+    And 12000 ms pass for the configuration
+    Then every daemon has the former "services/bins" in force and reports the bad one
+
+  Scenario: an announced change is read at once
+    Given 1 configuration daemons that have started
+    And a silent watch among the configuration daemons
+    When an operator changes "services/bins"
+    And daemon e0 is told of the change
+    And 20 ms pass for the configuration
+    Then every daemon has the change within 0 ms
+
+  Scenario: a daemon that reaches nobody takes no new work after the limit
+    Given 3 configuration daemons that have started
+    When e1 reaches neither the store nor a peer
+    And 2500 ms pass for the configuration
+    Then configuration daemon e1 is ready
+    When 1000 ms pass for the configuration
+    Then configuration daemon e1 is not ready
+    And configuration daemon e0 is ready
+    When e1 reaches everything again
+    And 2500 ms pass for the configuration
+    Then configuration daemon e1 is ready
+
+  Scenario Outline: what waited during a pause does not count as contact
+    Given 3 configuration daemons that have started
+    When configuration daemon <vm> is paused
+    And an operator changes "services/bins"
+    And 2000 ms pass for the configuration
+    And <vm> reaches neither the store nor a peer
+    And 2000 ms pass for the configuration
+    And configuration daemon <vm> resumes
+    Then configuration daemon <vm> is not ready
+
+    Examples:
+      | vm |
+      | e0 |
+      | e1 |
+      | e2 |
+
+  Scenario: a group cut off from the store continues and knows the age of its data
+    Given 3 configuration daemons that have started
+    When the store is down for the configuration
+    And 20000 ms pass for the configuration
+    Then configuration daemon e1 is ready
+    And the store contact of e1 is between 19000 and 23000 ms old
+
+  Scenario: a daemon started without the store takes the highest versions of its peers
+    Given 3 configuration daemons that have started
+    And a change that only e2 has, with the store down since
+    When configuration daemon e1 restarts
+    And 1900 ms pass for the configuration
+    Then configuration daemon e1 is not ready
+    When 700 ms pass for the configuration
+    Then configuration daemon e1 is ready
+    And every daemon has the change within 0 ms
+
+  Scenario: daemons that all start without the store do not become ready
+    Given 3 configuration daemons that have started
+    When the store is down for the configuration
+    And all configuration daemons restart
+    And 20000 ms pass for the configuration
+    Then configuration daemon e0 is not ready
+    And configuration daemon e1 is not ready
+    When the store is up for the configuration
+    And 5000 ms pass for the configuration
+    Then configuration daemon e1 is ready
+
+  Scenario: two of nine daemons of a failure domain watch the store
+    Given 9 configuration daemons that have started
+    Then the store has the watches of 2 daemons
--- /dev/null
+++ b/tests/features/steps/configuration_steps.py
@@ -0,0 +1,209 @@
+"""Steps on the adoption and distribution of the configuration."""
+
+import json
+
+from behave import given, then, when
+
+from hemlockspoke.clock import ManualClock
+from hemlockspoke.configuration import Configuration
+from tests.fakes.configuration_world import (
+    BAD_TEXT,
+    FakeNetwork,
+    Node,
+    SharedStore,
+    use_fake_checker,
+)
+
+KEY = "services/bins"
+
+
+@given("a configuration of its own")
+def step_alone(context):
+    context.add_cleanup(use_fake_checker())
+    context.configuration = Configuration(ManualClock())
+
+
+@when('version {version:d} of "{key}" with the text "{text}" is offered')
+def step_offer(context, version, key, text):
+    context.configuration.adopt(key, version, {"text": text})
+
+
+@when('version {version:d} of "{key}" with the value {value} is offered')
+def step_offer_value(context, version, key, value):
+    context.configuration.adopt(key, version, json.loads(value))
+
+
+@then('the configuration has version {version:d} of "{key}"')
+def step_version(context, version, key):
+    stored = context.configuration.get(key)
+    assert (stored.version if stored else 0) == version
+
+
+@then('the configuration lists "{key}" as rejected')
+def step_rejected(context, key):
+    assert key in context.configuration.rejected()
+
+
+@then("the configuration lists nothing as rejected")
+def step_nothing_rejected(context):
+    assert not context.configuration.rejected()
+
+
+@given("{count:d} configuration daemons that have started")
+def step_daemons(context, count):
+    context.add_cleanup(use_fake_checker())
+    context.clock = ManualClock()
+    context.world = SharedStore(context.clock)
+    context.network = FakeNetwork(context.clock)
+    context.vms = [f"e{number}" for number in range(count)]
+    context.version = context.world.write(KEY, {"text": "first"})
+    for vm in context.vms:
+        start_node(context, vm)
+    step_pass(context, 3000)
+    assert all(node.accepts_work() for node in context.network.nodes.values())
+
+
+def start_node(context, vm):
+    Node(vm, context.world, context.network, context.vms)
+
+
+@given("{fault} among the configuration daemons")
+def step_fault(context, fault):
+    for part in fault.split(" and "):
+        FAULTS[part](context)
+    step_pass(context, 100)
+
+
+def cut_all_links(context):
+    pairs = ((a, b) for a in context.vms for b in context.vms if a < b)
+    context.network.cuts = {frozenset(pair) for pair in pairs}
+
+
+FAULTS = {
+    "no fault": lambda context: None,
+    "a silent watch": lambda context: setattr(context.world, "silent_watches", True),
+    "e1 cut off": lambda context: context.world.cut.add("e1"),
+    "no links between daemons": cut_all_links,
+    "an unreliable network": lambda context: setattr(
+        context.network, "unreliable", True
+    ),
+}
+
+
+@when('an operator changes "{key}"')
+def step_change(context, key):
+    context.version = context.world.write(key, {"text": "changed"})
+
+
+@when('an operator stores a bad "{key}"')
+def step_bad(context, key):
+    context.world.write(key, {"text": BAD_TEXT})
+
+
+@when("{duration_ms:d} ms pass for the configuration")
+def step_pass(context, duration_ms):
+    context.clock.advance(duration_ms)
+
+
+@then("every daemon has the change within {bound_ms:d} ms")
+def step_has_change(context, bound_ms):
+    context.clock.advance(bound_ms)
+    found = versions_in_force(context)
+    assert set(found.values()) == {context.version}, found
+
+
+def versions_in_force(context):
+    nodes = context.network.nodes
+    return {vm: node.configuration.versions().get(KEY) for vm, node in nodes.items()}
+
+
+@then('every daemon has the former "{key}" in force and reports the bad one')
+def step_former(context, key):
+    step_has_change(context, 0)
+    for node in context.network.nodes.values():
+        assert key in node.configuration.rejected(), node.vm
+
+
+@when("daemon {vm} is told of the change")
+def step_announce(context, vm):
+    context.network.nodes[vm].sync.announce()
+
+
+@when("{vm} reaches neither the store nor a peer")
+def step_cut(context, vm):
+    context.world.cut.add(vm)
+    others = [other for other in context.vms if other != vm]
+    context.network.cuts = {frozenset((vm, other)) for other in others}
+
+
+@when("{vm} reaches everything again")
+def step_uncut(context, vm):
+    context.world.cut.discard(vm)
+    context.network.cuts = set()
+
+
+@then("configuration daemon {vm} is ready")
+def step_ready(context, vm):
+    assert context.network.nodes[vm].accepts_work()
+
+
+@then("configuration daemon {vm} is not ready")
+def step_not_ready(context, vm):
+    assert not context.network.nodes[vm].accepts_work()
+
+
+@when("configuration daemon {vm} is paused")
+def step_pause(context, vm):
+    context.network.nodes[vm].clock.paused = True
+
+
+@when("configuration daemon {vm} resumes")
+def step_resume(context, vm):
+    context.network.nodes[vm].clock.resume()
+
+
+@when("the store is down for the configuration")
+def step_down(context):
+    context.world.down = True
+
+
+@when("the store is up for the configuration")
+def step_up(context):
+    context.world.down = False
+
+
+@then("the store contact of {vm} is between {low:d} and {high:d} ms old")
+def step_contact(context, vm, low, high):
+    age_ms = context.network.nodes[vm].sync.store_contact_age_ms()
+    assert low <= age_ms <= high, age_ms
+
+
+@given("a change that only {vm} has, with the store down since")
+def step_lone_change(context, vm):
+    context.network.unreliable = False
+    cut_all_links(context)
+    context.world.cut = {other for other in context.vms if other != vm}
+    step_change(context, KEY)
+    step_pass(context, 2500)
+    holders = [n for n, v in versions_in_force(context).items() if v == context.version]
+    assert holders == [vm], holders
+    context.world.down = True
+    context.network.cuts = set()
+
+
+@when("configuration daemon {vm} restarts")
+def step_restart(context, vm):
+    context.network.nodes[vm].crash()
+    start_node(context, vm)
+
+
+@when("all configuration daemons restart")
+def step_restart_all(context):
+    for vm in context.vms:
+        step_restart(context, vm)
+
+
+@then("the store has the watches of {count:d} daemons")
+def step_watchers(context, count):
+    watchers = {watch.client.vm for watch in context.world.watches}
+    assert len(watchers) == count, watchers
