Fuzz the configuration under crashes, pauses, cuts and racing operators

Change: a state machine over four daemons on one ManualClock with a fake store and network, judged by an oracle of the versions that the store has accepted.

--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -120,3 +120,7 @@
   Scenario: two of nine daemons of a failure domain watch the store
     Given 9 configuration daemons that have started
     Then the store has the watches of 2 daemons
+
+  Scenario: fuzzed configuration under crashes, pauses, cuts and racing operators
+    When configuration daemons are fuzzed with 120 runs of 35 steps
+    Then no configuration rule was broken
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -3,6 +3,8 @@
 import json
 
 from behave import given, then, when
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
 
 from hemlockspoke.clock import ManualClock
 from hemlockspoke.configuration import Configuration
@@ -13,6 +15,7 @@
     SharedStore,
     use_fake_checker,
 )
+from tests.fuzz.configuration_machine import ConfigurationMachine
 
 KEY = "services/bins"
 
@@ -207,3 +210,14 @@
 def step_watchers(context, count):
     watchers = {watch.client.vm for watch in context.world.watches}
     assert len(watchers) == count, watchers
+
+
+@when("configuration daemons are fuzzed with {runs:d} runs of {steps:d} steps")
+def step_fuzz(context, runs, steps):
+    bounds = settings(max_examples=runs, stateful_step_count=steps)
+    run_state_machine_as_test(ConfigurationMachine, settings=bounds)
+
+
+@then("no configuration rule was broken")
+def step_fuzzed(context):
+    """The machine raises on the first broken rule."""
