Fuzz the query engine against an oracle

Races between answers, lost holders, new index versions, draining servers and deadlines are too many for single scenarios. A state machine drives the real engine, catalog and router with a manual clock; an oracle that owns the true versions and partition maps checks each result.

Retries now ask again whether a server may get new work: a plan is as old as its query, and with a deadline of 5 s a retry could reach a server that had been taken out more than 3 s before.

Seen failing with the version check of replies removed, and with 18 further single changes to the engine, among them hedges that keep refunding tokens, losers that are not cancelled and a lost holder that is ignored. Four of these (losers, refunds, earnings of refused and of restarted sub-queries) needed 1500 examples instead of the 200 of a normal run.

--- a/hemlockspoke/dispatch.py
+++ b/hemlockspoke/dispatch.py
@@ -113,7 +113,8 @@
             groups = self._transmit(assigned.values(), choose is choose_hedge_route)
 
     def _assign(self, group, assigned, choose, pay):
-        route = choose(group, self._engine.router.routes, self._salt)
+        routes_of = self._routes_now if group.sends else self._engine.router.routes
+        route = choose(group, routes_of, self._salt)
         if route is None:
             self._leave_stuck(group)
             return
@@ -129,6 +130,11 @@
         sub.add(group, self.merge.missing_of(group.group))
         group.begin(route)
 
+    def _routes_now(self, server):
+        router = self._engine.router
+        usable = router.usable(self._query.request.service, server)
+        return router.routes(server) if usable else ()
+
     def _leave_stuck(self, group, retry_at_ms=None):
         # A group with a sub-query under way only goes without its hedge.
         if group.in_flight == 0:
--- a/hemlockspoke/routing.py
+++ b/hemlockspoke/routing.py
@@ -145,6 +145,17 @@
         usable.sort(key=lambda name: self._distance(document.servers[name]))
         return self._choices(usable)
 
+    def usable(self, service, server):
+        """Tell whether a server may get new work now.
+
+        A plan is as old as its query, so a retry asks again.
+        """
+        document = self._configuration.document(service)
+        known = document.servers.get(server) if document else None
+        if known is None or not self._catalog.available(server):
+            return False
+        return self._permits(document, self._configuration.fleet(), known)
+
     def routes(self, server):
         """Return the ``Route`` of each holder of a server."""
         routes = self._routes_by_server.get(server)
--- a/tests/features/query.feature
+++ b/tests/features/query.feature
@@ -33,6 +33,14 @@
     Then the fan-out result is complete with version 7
     And the loser of the hedge is cancelled
 
+  Scenario: a part that two replicas answer is merged once
+    Given a query tier of 1 shards with 2 parts of version 7
+    When a fan-out query is started
+    And 60 ms pass and a hedge is sent
+    And the slow sub-query answers only part 0
+    And the hedge is answered
+    Then the fan-out result is complete with version 7
+
   Scenario: the answer is partial and truthful at the deadline
     Given a query tier of 2 shards with 4 parts of version 7
     When a fan-out query is started
--- /dev/null
+++ b/tests/features/steps/query_fuzz_steps.py
@@ -0,0 +1,13 @@
+"""Steps that run the state machine of queries."""
+
+from behave import when
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from tests.fuzz.query_machine import QueryMachine
+
+
+@when("the query machine runs {examples:d} examples of {steps:d} steps")
+def step_run(context, examples, steps):
+    bounded = settings(max_examples=examples, stateful_step_count=steps)
+    run_state_machine_as_test(QueryMachine, settings=bounded)
--- a/tests/features/steps/query_steps.py
+++ b/tests/features/steps/query_steps.py
@@ -108,6 +108,17 @@
     assert context.hedge[2][1] != slow[2][1]
 
 
+@when("{time_ms:d} ms pass and a hedge is sent")
+def step_hedge_sent(context, time_ms):
+    context.tier.clock.advance(time_ms)
+    (context.hedge,) = context.tier.items()
+
+
+@when("the slow sub-query answers only part 0")
+def step_partial_answer(context):
+    context.tier.answer(context.items[0], parts=[0])
+
+
 @when("the hedge is answered")
 def step_answer_hedge(context):
     context.tier.answer(context.hedge)
