Explain or drop malformed input at the callers' and peers' edges

Two faults were seen: a frame with a list as the key of a map raised TypeError out of messages.decode, and a head line without an end closed the connection without an answer. decode now reports the first as a bad frame, the channel answers the second with malformed-http. Answers and catalog updates with fields of the wrong type are dropped, since frames are checked by their number of fields only.

--- a/hemlockspoke/adapters/caller_http.py
+++ b/hemlockspoke/adapters/caller_http.py
@@ -160,6 +160,10 @@
         if not self._refused:
             super().rawDataReceived(data)
 
+    def lineLengthExceeded(self, line):
+        """Refuse a line of the head that does not end."""
+        self._respondToBadRequestAndDisconnect()
+
     def allHeadersReceived(self):
         """Refuse a body whose stated length is too large before it arrives."""
         if self.length is not None and self.length > MAX_BODY_BYTES:
--- a/hemlockspoke/catalog.py
+++ b/hemlockspoke/catalog.py
@@ -118,6 +118,8 @@
 
     def update(self, holder_vm, message):
         """Take a ``CatalogUpdate`` of a holder; an outdated one is dropped."""
+        if type(message.server) is not str or type(message.sequence) is not int:
+            return
         reports = self._reports.setdefault(message.server, {})
         known = reports.get(holder_vm)
         if known is not None and message.sequence <= known.sequence:
--- a/hemlockspoke/messages.py
+++ b/hemlockspoke/messages.py
@@ -69,7 +69,8 @@
     """Return the message of a frame, or raise ``BadFrame``."""
     try:
         values = msgpack.unpackb(frame, raw=False, strict_map_key=False)
-    except (ValueError, msgpack.exceptions.UnpackException, RecursionError) as error:
+    except (ValueError, TypeError, RecursionError, msgpack.UnpackException) as error:
+        # A list as the key of a map is a TypeError.
         raise BadFrame(f"not msgpack: {error}") from error
     if not isinstance(values, list) or not values or not isinstance(values[0], str):
         raise BadFrame("a frame is an array that starts with a type name")
--- a/hemlockspoke/query.py
+++ b/hemlockspoke/query.py
@@ -97,6 +97,9 @@
 
     def receive(self, vm, message):
         """Take a ``SubAnswerBatch`` of the holder on a VM."""
+        if type(message.request_id) is not str or type(message.items) is not list:
+            self.metrics.count("query.bad_answers")
+            return
         query = self._queries.get(message.request_id)
         if query is None:
             self.metrics.count("query.late_answers", len(message.items))
--- a/hemlockspoke/query_task.py
+++ b/hemlockspoke/query_task.py
@@ -191,7 +191,7 @@
         self._dispatch.send(groups)
 
     def _take_answer(self, vm, item, retry):
-        if not isinstance(item, list) or len(item) != ITEM_FIELDS:
+        if not _well_formed(item):
             self._engine.metrics.count("query.bad_answers")
             return
         sub_id, status, version, parts = item
@@ -354,3 +354,10 @@
         if self._dispatch is not None:
             self._dispatch.cancel(list(self._dispatch.subs.values()))
         self._engine.finished(self, result)
+
+
+def _well_formed(item):
+    # Peers check frames by their number of fields only.
+    if type(item) is not list or len(item) != ITEM_FIELDS:
+        return False
+    return type(item[0]) is int and type(item[1]) is str
