--- a/hemlockspoke/node.py
+++ b/hemlockspoke/node.py
@@ -28,6 +28,8 @@
 # Bounds the readings of the platform's list over the whole fleet.
 FLEET_LIST_READS_PER_S = 200
 DRAIN_POLL_MS = 50
+# An index whose servers are all lost must not keep a daemon from getting ready.
+CATALOG_WAIT_MS = 5000
 # Time for handing over shares once all work is done; with the store down the
 # shares are replaced later, when the platform's list no longer shows the VM.
 RELEASE_LIMIT_MS = 5000
@@ -38,6 +40,8 @@
 
     __slots__ = (
         "catalog",
+        "catalog_due_ms",
+        "catalog_known",
         "claims",
         "clock",
         "configuration",
@@ -72,6 +76,8 @@
         self.invariants = Invariants(strict=False)
         self.leaving = False
         self.draining = False
+        self.catalog_known = False
+        self.catalog_due_ms = None
         self.out_since_ms = None
         timings = settings.timings
         self.pause = Pause(clock, timings.pause_limit_ms)
@@ -251,9 +257,27 @@
         reasons = {
             "leaving": self.leaving,
             "VM or failure domain is out": self.is_out(),
+            "index versions not yet known": not self._catalog_known(),
         }
         return [reason for reason, holds in reasons.items() if holds] + self.refusals()
 
+    def _catalog_known(self):
+        """Tell whether each index has a known version, or none is to be expected.
+
+        A daemon that has just started learns the versions from its peers' holders;
+        if it served at once, its first queries would find no snapshot.
+        """
+        if self.catalog_known or not self.sync.ready():
+            return self.catalog_known
+        if self.catalog_due_ms is None:
+            self.catalog_due_ms = self.clock.now_ms() + CATALOG_WAIT_MS
+        self.catalog_known = self.clock.now_ms() >= self.catalog_due_ms or all(
+            self.router.pin(service, index) is not None
+            for service, document in self.configuration.documents().items()
+            for index in document.indexes
+        )
+        return self.catalog_known
+
     def refusal(self):
         """Return the first reason for taking no new work, or None."""
         reasons = self.refusals()
--- a/hemlockspoke/order_attempt.py
+++ b/hemlockspoke/order_attempt.py
@@ -39,6 +39,7 @@
     __slots__ = (
         "attempt_id",
         "deadline_ms",
+        "detail",
         "key_hash",
         "request",
         "result",
@@ -52,6 +53,7 @@
         self.deadline_ms = deadline_ms
         self.state = AttemptState.CLAIMING
         self.result = None
+        self.detail = "no server takes orders now"
 
     def may_send(self):
         """Tell whether the order may be sent: claimed and never sent."""
--- a/hemlockspoke/order_replies.py
+++ b/hemlockspoke/order_replies.py
@@ -14,11 +14,12 @@
     ``status`` is that of the answer, ``timeout`` or ``lost``.
     """
 
-    __slots__ = ("result", "status")
+    __slots__ = ("detail", "result", "status")
 
-    def __init__(self, status, result=None):
+    def __init__(self, status, result=None, detail=""):
         self.status = status
         self.result = result
+        self.detail = detail
 
 
 class PendingReply:
@@ -74,7 +75,8 @@
         if pending is not None and pending.vm == vm:
             del self._pending[message.request_id]
             pending.timer.cancel()
-            pending.deferred.callback(Reply(message.status, message.result))
+            detail = getattr(message, "detail", "")
+            pending.deferred.callback(Reply(message.status, message.result, detail))
             return
         late = self._late.get(message.request_id)
         if late is not None and late.vm == vm and isinstance(message, OrderAnswer):
--- a/hemlockspoke/orders.py
+++ b/hemlockspoke/orders.py
@@ -198,6 +198,7 @@
         )
         for server, holder_vm in choices:
             reply = await self._ask_holder(attempt, server, holder_vm)
+            attempt.detail = f"{server} through {holder_vm}: {reply.detail}"
             if reply.status == "not_sent":
                 attempt.state = AttemptState.CLAIMED
                 continue
@@ -209,7 +210,7 @@
     async def _ask_holder(self, attempt, server, holder_vm):
         remaining_ms = self._remaining_ms(attempt)
         if remaining_ms <= 0:
-            return Reply("not_sent")
+            return Reply("not_sent", detail="the deadline has passed")
         if not self._invariants.check(
             "order.sent_at_most_once", attempt.may_send(), attempt.attempt_id
         ):
@@ -226,7 +227,7 @@
         )
         attempt.state = AttemptState.SENT
         if not self._send(holder_vm, message):
-            return Reply("not_sent")
+            return Reply("not_sent", detail="no stream to the holder")
         return await self._replies.wait(request_id, holder_vm, remaining_ms, attempt)
 
     def receive(self, vm, message):
@@ -254,7 +255,8 @@
         if attempt.state is AttemptState.DONE:
             return Ok(OrderResult(attempt.result))
         if attempt.state in (AttemptState.NOT_SENT, AttemptState.NOT_RUN):
-            return Error(not_run("no upstream has run the order"))
+            detail = f"no upstream has run the order; last: {attempt.detail}"
+            return Error(not_run(detail))
         return Error(unknown_outcome("no answer to the order has arrived in time"))
 
     def _record(self, attempt):
