Test announcements during a check and a peer lost at the start

Cause: two faults corrected in the configuration sync had no scenario, and the platform stand-in listened again after it had been stopped during a refusal.

Change: a scenario for each fault; the stand-in cancels the pending listen when it stops.

--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -61,6 +61,15 @@
     And 20 ms pass for the configuration
     Then every daemon has the change within 0 ms
 
+  Scenario: an announcement during a version check waits for a later one
+    Given 1 configuration daemons that have started
+    And a slow store and a silent watch among the configuration daemons
+    And daemon e0 is told of the change
+    When an operator changes "services/bins"
+    And daemon e0 is told of the change
+    And 6000 ms pass for the configuration
+    Then the answer to the announcement came with the change in force
+
   Scenario: a daemon that reaches nobody takes no new work after the limit
     Given 3 configuration daemons that have started
     When e1 reaches neither the store nor a peer
@@ -106,6 +115,14 @@
     Then configuration daemon e1 is ready
     And every daemon has the change within 0 ms
 
+  Scenario: a peer that is lost after its answer does not keep a daemon from starting
+    Given 3 configuration daemons that have started
+    And a change that only e2 has, with the store down since
+    When configuration daemon e1 restarts
+    And e2 answers e1 and is lost before its objects arrive
+    And 2600 ms pass for the configuration
+    Then configuration daemon e1 is ready
+
   Scenario: daemons that all start without the store do not become ready
     Given 3 configuration daemons that have started
     When the store is down for the configuration
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -8,6 +8,7 @@
 
 from hemlockspoke.clock import ManualClock
 from hemlockspoke.configuration import Configuration
+from hemlockspoke.messages import Versions
 from tests.fakes.configuration_world import (
     BAD_TEXT,
     FakeNetwork,
@@ -85,6 +86,7 @@
 FAULTS = {
     "no fault": lambda context: None,
     "a silent watch": lambda context: setattr(context.world, "silent_watches", True),
+    "a slow store": lambda context: context.world.slow.update(context.vms),
     "e1 cut off": lambda context: context.world.cut.add("e1"),
     "no links between daemons": cut_all_links,
     "an unreliable network": lambda context: setattr(
@@ -127,9 +129,27 @@
         assert key in node.configuration.rejected(), node.vm
 
 
+@given("daemon {vm} is told of the change")
 @when("daemon {vm} is told of the change")
 def step_announce(context, vm):
-    context.network.nodes[vm].sync.announce()
+    node = context.network.nodes[vm]
+    context.announced = announced = []
+    answer = node.sync.announce()
+    answer.addCallback(lambda _: announced.append(node.configuration.versions()[KEY]))
+
+
+@then("the answer to the announcement came with the change in force")
+def step_announced(context):
+    assert context.announced == [context.version], context.announced
+
+
+@when("{vm} answers {asker} and is lost before its objects arrive")
+def step_lost_after_answer(context, vm, asker):
+    node = context.network.nodes[vm]
+    versions = Versions(kind="state", versions=node.configuration.versions())
+    context.network.nodes[asker].deliver(vm, versions)
+    node.crash()
+    del context.network.nodes[vm]
 
 
 @when("{vm} reaches neither the store nor a peer")
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -149,6 +149,7 @@
         self._watches = []
         self._silenced = set()
         self._port = None
+        self._relisten = None
         site = Site(ApiResource(self), reactor=reactor)
         self._factory = TrackingFactory(self, site)
         self.objects = ObjectTable()
@@ -163,6 +164,8 @@
 
     def stop_listening(self):
         """Refuse connections and drop those that are open."""
+        if self._relisten is not None:
+            self._relisten.cancel()
         port, self._port = self._port, None
         for connection in list(self._factory.protocols):
             connection.transport.abortConnection()
@@ -179,7 +182,9 @@
     def _refuse(self, duration_ms):
         host = self._port.getHost()
         self.stop_listening()
-        self._clock.call_later(duration_ms, self.listen, host.port, host.host)
+        self._relisten = self._clock.call_later(
+            duration_ms, self.listen, host.port, host.host
+        )
 
     def accept(self, call):
         """Serve a call, under the faults in force."""
