Fuzz the shares and fix what it found

Single scenarios cannot cover pauses, lost writes, stale lists and lowered limits in any combination. A state machine now runs the real managers of several daemons with ManualClock and an oracle for shares, work in use and work of dead holders.

--- a/hemlockspoke/share_keeper.py
+++ b/hemlockspoke/share_keeper.py
@@ -41,14 +41,18 @@
 
 
 class Wait:
-    """What may be used of a replaced share until the old holder's work ended."""
+    """A replaced share that is not used until the old holder's work has ended.
 
-    __slots__ = ("duration_ms", "until_ms", "usable")
+    ``before`` holds the ``ServerShares`` before the replacement. Until then the
+    daemon uses no more than it might have used by these.
+    """
+
+    __slots__ = ("before", "duration_ms", "until_ms")
 
-    def __init__(self, duration_ms, usable):
+    def __init__(self, duration_ms, before):
         self.duration_ms = duration_ms
         self.until_ms = None
-        self.usable = usable
+        self.before = [before]
 
 
 class ShareKeeper:
@@ -177,7 +181,8 @@
         if name in self._caps:
             share = lower_of(share, self._caps[name])
         if name in self._waits:
-            share = lower_of(share, self._waits[name].usable)
+            for before in self._waits[name].before:
+                share = lower_of(share, before.clipped(me, limit.share))
         return share
 
     def _settle(self):
@@ -198,7 +203,7 @@
         wait.until_ms = clock.now_ms() + wait.duration_ms
         if name in self._waits:
             earlier = self._waits[name]
-            wait.usable = lower_of(wait.usable, earlier.usable)
+            wait.before = wait.before + earlier.before
             wait.until_ms = max(wait.until_ms, earlier.until_ms)
         self._waits[name] = wait
         clock.call_later(wait.until_ms - clock.now_ms(), self._wait_over)
@@ -296,8 +301,8 @@
 
     def _waits_for(self, plan):
         return {
-            name: Wait(self._manager.limit(name).max_deadline_ms, usable)
-            for name, usable in plan.taken.items()
+            name: Wait(self._manager.limit(name).max_deadline_ms, before)
+            for name, before in plan.taken.items()
         }
 
     def _written(self, result, proposal, value):
--- a/hemlockspoke/share_plan.py
+++ b/hemlockspoke/share_plan.py
@@ -33,7 +33,7 @@
 
     ``lowered`` names the servers in which the daemon's own share goes down, so
     that its use must fit before the write. ``taken`` maps the servers in which it
-    replaces a gone holder to its own share before.
+    replaces a gone holder to the ``ServerShares`` before.
     """
 
     __slots__ = ("group", "lowered", "taken")
@@ -63,7 +63,7 @@
         if not fits(own, new.share_of(view.me)):
             lowered.add(name)
         if plan.took_from_gone:
-            taken[name] = own
+            taken[name] = old
     if not changed:
         return None
     return GroupPlan(GroupShares(servers=servers), lowered, taken)
@@ -110,12 +110,12 @@
 
     def _run_known(self, blocked):
         self._desired = list(self._view.desired(self._name))
-        if not blocked:
-            self._clip()
         if self._me in self._desired:
             self._claim()
             self._replace_gone()
+        # Lowering in the same write would set amounts free whose wait is pending.
         if not blocked and not self.took_from_gone:
+            self._clip()
             self._hand_over()
 
     def _shares(self):
@@ -182,14 +182,31 @@
             left = lower_of(item.share, due)
             if left.slots == 0 or not self._has_room_beside(item):
                 left = Share()
+            if self._own().slots + item.share.slots - left.slots == 0:
+                # With the sum over a lowered limit nothing can be claimed, so a
+                # rest for the other holder would keep both from any slot.
+                left = Share()
             taken = subtract(item.share, left)
-            if is_empty(taken) or self._own().slots + taken.slots == 0:
+            if is_empty(taken):
                 continue
             due = subtract(due, left)
-            self._replace(item.holder, left)
-            self._set_own(add(self._own(), taken))
+            self._take(item, taken, left)
             self.took_from_gone = True
 
+    def _take(self, gone, taken, left):
+        """Take a share of a gone holder, as a new holder in its very place.
+
+        A holder behind it would otherwise count on more of a lowered limit at
+        once, while work of the gone holder may still run.
+        """
+        own = self._own()
+        if is_empty(own) and is_empty(left):
+            mine = HolderShare(*self._me, taken)
+            self._holders = [mine if item is gone else item for item in self._holders]
+            return
+        self._replace(gone.holder, left)
+        self._set_own(add(own, taken))
+
     def _due_to_other(self):
         others = [holder for holder in self._desired if holder != self._me]
         if not others:
--- a/hemlockspoke/share_rules.py
+++ b/hemlockspoke/share_rules.py
@@ -1,6 +1,7 @@
 """Checks a proposed share object against the old one by the rules R1 to R5."""
 
 from hemlockspoke.findings import Finding, Findings
+from hemlockspoke.requests import Share
 from hemlockspoke.shares import MAX_HOLDERS, fits, is_empty, subtract, total
 
 
@@ -115,21 +116,36 @@
             self._report("R4", f"a claim of {me}", "claims of desired holders")
 
     def _check_order(self):
-        """Check that no other holder's clip goes down by this write.
+        """Check that this write moves no other live holder's clip the wrong way.
 
         A holder that has not read this write clips by the old order; with a
         larger sum before it in the new one, both clips together could exceed a
-        lowered limit.
+        lowered limit. One that has read it must not count on the amounts of a
+        gone holder before it, whose work may still run.
         """
         kept = {item.holder for item in self._old.holders}
         for item in self._new.holders:
             if item.holder == self._view.me or item.holder not in kept:
                 continue
+            if self._view.is_gone(*item.holder):
+                continue
             old_sum = self._old.before(item.holder)
             new_sum = self._new.before(item.holder)
             if not fits(new_sum, old_sum):
                 found = f"{new_sum} before {item.vm}"
                 self._report("R5", found, f"at most {old_sum}")
+            needed = subtract(old_sum, self._own_before(item.holder))
+            if not fits(needed, new_sum):
+                found = f"{new_sum} before {item.vm}"
+                self._report("R5", found, f"at least {needed}")
+
+    def _own_before(self, holder):
+        """Return the writer's old share if it came before ``holder``."""
+        order = [item.holder for item in self._old.holders]
+        me = self._view.me
+        if me in order and order.index(me) < order.index(holder):
+            return self._old.share_of(me)
+        return Share()
 
     def _lowered_by(self, chosen):
         return total(
--- a/hemlockspoke/shares.py
+++ b/hemlockspoke/shares.py
@@ -12,23 +12,38 @@
     >>> add(Share(1, 2, 0), Share(1, 1, 1))
     Share(2, 3, 1)
     """
-    return _combine(left, right, lambda a, b: a + b)
+    return Share(
+        left.slots + right.slots,
+        left.connections + right.connections,
+        left.cold_start_slots + right.cold_start_slots,
+    )
 
 
 def subtract(left, right):
     """Return ``left`` less ``right``, at least 0 in each amount."""
-    return _combine(left, right, lambda a, b: max(0, a - b))
+    return Share(
+        max(0, left.slots - right.slots),
+        max(0, left.connections - right.connections),
+        max(0, left.cold_start_slots - right.cold_start_slots),
+    )
 
 
 def lower_of(left, right):
     """Return the lower of each amount."""
-    return _combine(left, right, min)
+    return Share(
+        min(left.slots, right.slots),
+        min(left.connections, right.connections),
+        min(left.cold_start_slots, right.cold_start_slots),
+    )
 
 
 def fits(share, limit):
     """Tell whether no amount of ``share`` is over that of ``limit``."""
-    pairs = zip(share.amounts(), limit.amounts(), strict=True)
-    return all(amount <= allowed for amount, allowed in pairs)
+    return (
+        share.slots <= limit.slots
+        and share.connections <= limit.connections
+        and share.cold_start_slots <= limit.cold_start_slots
+    )
 
 
 def is_empty(share):
@@ -44,11 +59,6 @@
     return result
 
 
-def _combine(left, right, function):
-    pairs = zip(left.amounts(), right.amounts(), strict=True)
-    return Share(*(function(a, b) for a, b in pairs))
-
-
 class HolderShare:
     """The share of one incarnation of a VM in one server."""
 
--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -105,4 +105,20 @@
       | A1 B2   | B2 A2   | nothing |
       | A2 B2   | B2 C2   | nothing |
       | A2 G2   | A4      | nothing |
+      | G2 B2   | B2 A2   | R5      |
+      | G2 B2   | A2 B2   | nothing |
       | A2 B2   | A2 B2   | nothing |
+
+  # Guards against a write that was given up arriving after its sender has taken
+  # its share back into use.
+  Scenario: a write that arrives late adds nothing to the shares in use
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And the next share writes of daemon 0 arrive late
+    And the VM of share daemon 0 is taken out by operators
+    And 150 ms of share time pass
+    And no VM is taken out by operators
+    And 3000 ms of share time pass
+    And the late share writes arrive
+    And 3000 ms of share time pass
+    Then each share server has 2 slots at 2 live holders
--- a/tests/features/steps/shares_steps.py
+++ b/tests/features/steps/shares_steps.py
@@ -94,13 +94,14 @@
 @when("share daemon {number:d} is busy with all that it holds")
 def step_busy(context, number):
     use = context.world.daemons[f"vm-{number}"].use
-    use.used = dict(use.shares)
-    assert use.used
+    for name in list(use.shares):
+        use.begin(name, 60_000)
+    assert use.work
 
 
 @when("share daemon {number:d} has finished its work")
 def step_finished(context, number):
-    context.world.daemons[f"vm-{number}"].use.used = {}
+    context.world.daemons[f"vm-{number}"].use.work = []
 
 
 @when("the VM of share daemon {number:d} is taken out by operators")
@@ -208,3 +209,23 @@
 def step_rule(context, rule):
     found = {finding.found[:2] for finding in context.findings}
     assert found == (set() if rule == "nothing" else {rule}), str(context.findings)
+
+
+@when("the next share writes of daemon {number:d} arrive late")
+def step_late(context, number):
+    store = context.world.daemons[f"vm-{number}"].store
+    store.fates = ["delayed"] * 10
+    store.lost_reads = 1
+    context.late_store = store
+
+
+@when("no VM is taken out by operators")
+def step_in(context):
+    context.late_store.fates = []
+    assert context.late_store.delayed
+    context.world.set_fleet()
+
+
+@when("the late share writes arrive")
+def step_arrive(context):
+    context.late_store.deliver_delayed()
--- a/tests/fuzz/share_fakes.py
+++ b/tests/fuzz/share_fakes.py
@@ -15,6 +15,7 @@
 from hemlockspoke.fleet import FLEET_KEY, SERVICE_PREFIX, Fleet
 from hemlockspoke.ports import ListedVm, StoredObject, VmList
 from hemlockspoke.requests import Share
+from hemlockspoke.shares import subtract, total
 
 MAX_DEADLINE_MS = 5000
 
@@ -51,7 +52,7 @@
         held = self._objects.get(key)
         if held is not None and held.version >= version:
             return False
-        self._objects[key] = StoredObject(key, version, copy.deepcopy(value))
+        self._objects[key] = StoredObject(key, version, value)
         if key.startswith(SERVICE_PREFIX):
             service = key[len(SERVICE_PREFIX) :]
             self._documents[service] = document_of(service, value)
@@ -110,7 +111,9 @@
         self.objects = {}
         self.revision = 0
         self.lag_ms = lag_ms
+        # VMs in the list, and where each VM is, listed or not.
         self.vms = {}
+        self.placed = {}
 
     def put(self, key, value, if_version=None):
         """Write unconditionally, or if the version matches; 0 on conflict."""
@@ -124,8 +127,13 @@
 
     def list_vm(self, vm, region, failure_domain, state="live"):
         """Add a VM to the list or change it."""
+        self.place_vm(vm, region, failure_domain)
         self.vms[vm] = ListedVm(vm, "127.0.0.1:1", region, failure_domain, state)
 
+    def place_vm(self, vm, region, failure_domain):
+        """Add a VM that is not yet in the list."""
+        self.placed[vm] = ListedVm(vm, "127.0.0.1:1", region, failure_domain, "live")
+
     def vm_list(self, without=()):
         """Return a reading of the list."""
         listed = [item for vm, item in self.vms.items() if vm not in without]
@@ -135,35 +143,41 @@
 class FakeStore:
     """One daemon's access to the platform, with faults that a test sets.
 
-    ``cut`` makes every call fail. ``next_put`` is the fate of the next write:
-    None, ``lost_reply`` (applied), ``not_applied`` (unknown as well), ``delayed``
+    ``cut`` makes every call fail. ``fates`` holds those of the next writes:
+    ``lost_reply`` (applied), ``not_applied`` (unknown as well), ``delayed``
     (unknown now, arrives when ``deliver_delayed`` is called) or ``held`` (applied
-    now, answered when ``answer_held`` is called).
+    now, answered when ``answer_held`` is called). After a write of unknown result
+    the next ``lost_reads`` reads fail, as they do when the store is slow.
     """
 
     def __init__(self, platform):
         self.platform = platform
         self.cut = False
-        self.next_put = None
+        self.fates = []
+        self.lost_reads = 0
+        self._reads_to_lose = 0
         self.delayed = []
         self.held = []
         self.writes = []
 
     def get(self, key):
         """Read one object."""
-        if self.cut:
+        self._reads_to_lose -= 1
+        if self.cut or self._reads_to_lose >= 0:
             return _failed(StoreErrorKind.UNAVAILABLE)
         stored = self.platform.objects.get(key)
         if stored is None:
             return _failed(StoreErrorKind.NOT_FOUND)
-        return succeed(Ok(copy.deepcopy(stored)))
+        return succeed(Ok(stored))
 
     def put(self, key, value, if_version):
         """Write one object with the fate that was set."""
         if self.cut:
             return _failed(StoreErrorKind.UNAVAILABLE)
-        fate, self.next_put = self.next_put, None
+        fate = self.fates.pop() if self.fates else None
         value = copy.deepcopy(value)
+        if fate is not None:
+            self._reads_to_lose = self.lost_reads
         if fate == "not_applied":
             return _failed(StoreErrorKind.UNKNOWN)
         if fate == "delayed":
@@ -204,17 +218,25 @@
         return Ok(version)
 
 
+class Work:
+    """Work at a server that uses some of a share until it ends."""
+
+    def __init__(self, server, amounts, end_ms):
+        self.server = server
+        self.amounts = amounts
+        self.end_ms = end_ms
+
+
 class FakeUse:
     """Shares in force and work in use at one daemon, in place of ``Holder``."""
 
-    def __init__(self):
+    def __init__(self, clock):
+        self._clock = clock
         self.shares = {}
-        self.used = {}
-        self.changes = []
+        self.work = []
 
     def set_share(self, name, share):
         """Take a share in force."""
-        self.changes.append((name, share))
         if share is None:
             self.shares.pop(name, None)
         else:
@@ -222,7 +244,21 @@
 
     def in_use(self, name):
         """Return what is in use."""
-        return self.used.get(name, Share())
+        return self.running(name, self._clock.now_ms())
+
+    def running(self, name, now_ms):
+        """Return what is in use at a time, also after the process has died."""
+        running = [w for w in self.work if w.server == name and w.end_ms > now_ms]
+        return total(work.amounts for work in running)
+
+    def begin(self, name, duration_ms):
+        """Use all slots and connections of a server that the share permits."""
+        now_ms = self._clock.now_ms()
+        self.work = [work for work in self.work if work.end_ms > now_ms]
+        share = self.shares.get(name, Share())
+        free = subtract(share, self.in_use(name))
+        if any(free.amounts()):
+            self.work.append(Work(name, free, now_ms + duration_ms))
 
 
 def _failed(kind):
--- a/tests/fuzz/share_world.py
+++ b/tests/fuzz/share_world.py
@@ -32,7 +32,7 @@
         self.clock = ManualClock(now_ms)
         self.configuration = FakeConfiguration()
         self.store = FakeStore(platform)
-        self.use = FakeUse()
+        self.use = FakeUse(self.clock)
         self.incarnation = self._register()
         self.read_objects()
         self.membership = Membership(self.clock, self.configuration, GONE_MARGIN_MS)
@@ -55,7 +55,7 @@
         self.shares.start()
 
     def _register(self):
-        listed = self.platform.vms[self.vm]
+        listed = self.platform.placed[self.vm]
         value = {
             "vm": self.vm,
             "writer": f"{self.vm}-{self.platform.revision}",
@@ -109,15 +109,14 @@
         daemon.pause.stop()
         return daemon
 
-    def run(self, duration_ms, step_ms=100, sync=True):
-        """Let time pass; with ``sync`` every daemon reads the store regularly."""
+    def run(self, duration_ms, step_ms=100):
+        """Let time pass; every daemon reads the store regularly."""
         end_ms = self.now_ms + duration_ms
         while self.now_ms < end_ms:
             self.now_ms += step_ms
             for daemon in list(self.daemons.values()):
                 daemon.clock.advance(step_ms)
-                if sync:
-                    self.sync(daemon)
+                self.sync(daemon)
 
     def sync(self, daemon):
         """Bring a daemon up to date; peers reach one that is cut from the store."""
