Test single share mechanisms that the fuzzing rarely reaches

Scenarios now reach each directly: a late write, a pause past the loss of the VM, a VM that finds itself missing from the list, one reading without a VM.

--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -76,6 +76,34 @@
     And 3000 ms of share time pass
     Then each share server has 2 slots at 2 live holders
 
+  # Guards against a paused process that goes on after its VM was taken away, while
+  # its own view still shows its shares.
+  Scenario Outline: a paused daemon whose VM was taken away uses nothing
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And share daemon 0 sleeps while its VM <fate>
+    Then share daemon 0 may use nothing but still stands in the store
+
+    Examples:
+      | fate                                |
+      | vanishes                            |
+      | is replaced by one of the same name |
+
+  Scenario: a daemon whose VM is missing from the list for long uses nothing
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And 4 readings of share daemon 0 omit the VM of share daemon 0
+    Then share daemon 0 may use nothing but still stands in the store
+
+  Scenario: a VM is not gone when one reading omits it or none has listed it
+    Given a share fleet of 2 daemons and 1 servers with 2 slots
+    When 3000 ms of share time pass
+    And 1 readings of share daemon 1 omit the VM of share daemon 0
+    Then share daemon 1 counts the VM of share daemon 0 as present
+    And share daemon 1 does not count the unlisted VM "vm-9" as gone
+    When 4 readings of share daemon 1 omit the VM of share daemon 0
+    Then share daemon 1 counts the VM of share daemon 0 as gone
+
   Scenario: a lowered limit is clipped at once and a raised one is claimed
     Given a share fleet of 3 daemons and 4 servers with 4 slots
     When 3000 ms of share time pass
@@ -119,6 +147,5 @@
     And 150 ms of share time pass
     And no VM is taken out by operators
     And 3000 ms of share time pass
-    And the late share writes arrive
-    And 3000 ms of share time pass
-    Then each share server has 2 slots at 2 live holders
+    Then the late share writes arrive and are refused
+    And each share server has 2 slots at 2 live holders
--- a/tests/features/steps/shares_steps.py
+++ b/tests/features/steps/shares_steps.py
@@ -226,6 +226,44 @@
     context.world.set_fleet()
 
 
-@when("the late share writes arrive")
+@then("the late share writes arrive and are refused")
 def step_arrive(context):
+    revision = context.world.platform.revision
     context.late_store.deliver_delayed()
+    assert context.world.platform.revision == revision
+
+
+@when("share daemon {number:d} sleeps while its VM {fate}")
+def step_sleep(context, number, fate):
+    daemon = context.world.daemons[f"vm-{number}"]
+    if fate == "vanishes":
+        del context.world.platform.vms[daemon.vm]
+    else:
+        registration = context.world.platform.objects[f"vms/{daemon.vm}"]
+        context.world.platform.put(registration.key, registration.value)
+    daemon.clock.jump(1500)
+    daemon.pause.check()
+    daemon.clock.advance(3000)
+
+
+@when(
+    "{count:d} readings of share daemon {number:d} omit the VM of share daemon {of:d}"
+)
+def step_omit_readings(context, count, number, of):
+    daemon = context.world.daemons[f"vm-{number}"]
+    for _ in range(count):
+        daemon.clock.jump(1000)
+        daemon.read_list(without={f"vm-{of}"})
+
+
+@then("share daemon {number:d} counts the VM of share daemon {of:d} as {state}")
+def step_state(context, number, of, state):
+    daemon = context.world.daemons[f"vm-{number}"]
+    incarnation = context.world.daemons[f"vm-{of}"].incarnation
+    gone = daemon.membership.is_gone(f"vm-{of}", incarnation)
+    assert gone == (state == "gone")
+
+
+@then('share daemon {number:d} does not count the unlisted VM "{vm}" as gone')
+def step_unlisted(context, number, vm):
+    assert not context.world.daemons[f"vm-{number}"].membership.is_gone(vm, 1)
