--- /dev/null
+++ b/hemlockspoke/node.py
@@ -0,0 +1,312 @@
+"""The parts of one daemon and how they are connected."""
+
+import logging
+import random
+import uuid
+
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from hemlockspoke.address import Address
+from hemlockspoke.catalog import Catalog
+from hemlockspoke.config_sync import ConfigSync
+from hemlockspoke.configuration import Configuration
+from hemlockspoke.fleet import FLEET_KEY
+from hemlockspoke.holder import Holder
+from hemlockspoke.invariants import Invariants
+from hemlockspoke.membership import Membership
+from hemlockspoke.message_dispatch import Dispatcher, connect_parts
+from hemlockspoke.order_claims import OrderClaims
+from hemlockspoke.orders import OrderEngine
+from hemlockspoke.pause import Pause
+from hemlockspoke.query import QueryEngine
+from hemlockspoke.registration import Registration
+from hemlockspoke.routing import Router
+from hemlockspoke.share_manager import ShareManager
+
+logger = logging.getLogger(__name__)
+
+# Bounds the readings of the platform's list over the whole fleet.
+FLEET_LIST_READS_PER_S = 200
+DRAIN_POLL_MS = 50
+# Time for handing over shares once all work is done; with the store down the
+# shares are replaced later, when the platform's list no longer shows the VM.
+RELEASE_LIMIT_MS = 5000
+
+
+class Node:
+    """One daemon without its HTTP interfaces."""
+
+    __slots__ = (
+        "catalog",
+        "claims",
+        "clock",
+        "configuration",
+        "dispatcher",
+        "draining",
+        "holder",
+        "invariants",
+        "leaving",
+        "membership",
+        "metrics",
+        "orders",
+        "out_since_ms",
+        "pause",
+        "peers",
+        "queries",
+        "registration",
+        "rng",
+        "router",
+        "settings",
+        "share_manager",
+        "store",
+        "sync",
+    )
+
+    def __init__(self, settings, clock, store, peers, clients, metrics, rng=None):
+        self.settings = settings
+        self.clock = clock
+        self.store = store
+        self.peers = peers
+        self.metrics = metrics
+        self.rng = rng or random.Random(uuid.uuid4().int)
+        self.invariants = Invariants(strict=False)
+        self.leaving = False
+        self.draining = False
+        self.out_since_ms = None
+        timings = settings.timings
+        self.pause = Pause(clock, timings.pause_limit_ms)
+        self.configuration = Configuration(clock)
+        self.membership = Membership(clock, self.configuration, timings.gone_margin_ms)
+        self.dispatcher = Dispatcher(clock, settings.vm, peers, metrics)
+        self.sync = ConfigSync(
+            clock=clock,
+            configuration=self.configuration,
+            membership=self.membership,
+            store=store,
+            peers=peers,
+            timings=timings,
+            rng=self.rng,
+            metrics=metrics,
+            vm=settings.vm,
+            failure_domain=settings.failure_domain,
+        )
+        self.registration = Registration.from_config(
+            settings, clock, store, self._registered
+        )
+        self._build_serving_parts(clients, timings)
+
+    def _build_serving_parts(self, clients, timings):
+        """Build the holder, the shares and the two engines."""
+        settings = self.settings
+        common = {
+            "clock": self.clock,
+            "configuration": self.configuration,
+            "metrics": self.metrics,
+            "invariants": self.invariants,
+        }
+        self.holder = Holder(
+            clients=clients, pause=self.pause, timings=timings, **common
+        )
+        self.catalog = Catalog(self.clock)
+        self.share_manager = ShareManager(
+            store=self.store,
+            membership=self.membership,
+            vm=settings.vm,
+            incarnation=self._incarnation,
+            pause=self.pause,
+            rng=self.rng,
+            set_share=self.holder.set_share,
+            in_use=self.holder.in_use,
+            **common,
+        )
+        self.router = Router(
+            configuration=self.configuration,
+            catalog=self.catalog,
+            holders_of=self.share_manager.holders_of,
+            vm=settings.vm,
+            region=settings.region,
+        )
+        self.queries = QueryEngine(
+            catalog=self.catalog,
+            router=self.router,
+            send=self.dispatcher.send,
+            rng=self.rng,
+            timings=timings,
+            **common,
+        )
+        self.claims = OrderClaims(
+            clock=self.clock,
+            store=self.store,
+            rng=self.rng,
+            retention_ms=timings.order_retention_ms,
+            metrics=self.metrics,
+        )
+        self.orders = OrderEngine(
+            router=self.router,
+            claims=self.claims,
+            send=self.dispatcher.send,
+            vm=settings.vm,
+            incarnation=self._incarnation,
+            timings=timings,
+            **common,
+        )
+        self.holder.set_listeners(
+            catalog=self._catalog_changed, server_state=self._server_state_changed
+        )
+        connect_parts(
+            self.dispatcher,
+            self.sync,
+            self.holder,
+            self.queries,
+            self.orders,
+            self.catalog,
+        )
+        self.dispatcher.subscribe_connect(self._peer_connected)
+
+    def _peer_connected(self, vm):
+        """Tell a new peer what this holder's servers serve."""
+        for update in self.holder.catalog_updates():
+            self.dispatcher.send(vm, update)
+
+    def _incarnation(self):
+        return self.registration.incarnation
+
+    def _catalog_changed(self, update):
+        self.catalog.update(self.settings.vm, update)
+        self.dispatcher.broadcast(update)
+
+    def _server_state_changed(self, message):
+        """Tell the other holders of the server, which are the only ones to use it."""
+        for vm in self.share_manager.holders_of(message.server):
+            if vm != self.settings.vm:
+                self.dispatcher.send(vm, message)
+
+    def _registered(self, key, version, value):
+        self.configuration.adopt(key, version, value)
+
+    def start(self):
+        """Start every part."""
+        self.configuration.subscribe(self._configuration_changed)
+        self.pause.start()
+        self.sync.start()
+        self.registration.start()
+        self.share_manager.start()
+        self._read_vm_list()
+
+    def _configuration_changed(self, key):
+        if key.startswith("vms/"):
+            self._update_peer_addresses()
+        elif key == FLEET_KEY:
+            self._note_out()
+
+    def _note_out(self):
+        """Note when this daemon was taken out, by its domain or by itself."""
+        if not self.is_out():
+            self.out_since_ms = None
+        elif self.out_since_ms is None:
+            self.out_since_ms = self.clock.now_ms()
+
+    def is_out(self):
+        """Tell whether operators have taken out this VM or its failure domain."""
+        fleet = self.configuration.fleet()
+        settings = self.settings
+        return fleet.domain_out(settings.failure_domain) or fleet.vm_out(settings.vm)
+
+    def _out_long_enough(self):
+        """Tell whether the balancer has had time to see that this VM is out."""
+        if self.out_since_ms is None:
+            return False
+        out_ms = self.clock.now_ms() - self.out_since_ms
+        return out_ms > self.settings.timings.out_lag_ms
+
+    def _update_peer_addresses(self):
+        addresses = {}
+        for member in self.membership.members():
+            gone = self.membership.is_gone(member.vm, member.incarnation)
+            if member.vm != self.settings.vm and not gone:
+                addresses[member.vm] = Address.parse(member.peer_address)
+        self.peers.set_addresses(addresses)
+
+    def _read_vm_list(self):
+        ensureDeferred(self._read_vm_list_once()).addErrback(self._list_failed)
+        fleet_ms = len(self.membership.members()) * 1000 / FLEET_LIST_READS_PER_S
+        interval_ms = max(self.settings.timings.vm_list_ms, fleet_ms)
+        self.clock.call_later(interval_ms, self._read_vm_list)
+
+    async def _read_vm_list_once(self):
+        result = await self.store.list_vms()
+        if result.is_ok():
+            self.membership.note_list(result.ok)
+            self._update_peer_addresses()
+
+    def _list_failed(self, failure):
+        logger.error("VM list not read", extra={"reason": failure.getTraceback()})
+
+    def unready(self):
+        """Return the reasons for not being ready; empty when ready.
+
+        A daemon that leaves or was taken out is not ready but still takes new work
+        until the balancer has seen it.
+        """
+        reasons = {
+            "leaving": self.leaving,
+            "VM or failure domain is out": self.is_out(),
+        }
+        return [reason for reason, holds in reasons.items() if holds] + self.refusals()
+
+    def refusal(self):
+        """Return the first reason for taking no new work, or None."""
+        reasons = self.refusals()
+        return reasons[0] if reasons else None
+
+    def refusals(self):
+        """Return the reasons for taking no new work; empty when it is taken."""
+        reasons = {
+            "configuration not yet known": not self.sync.ready(),
+            "neither store nor peers are reached": self.sync.isolated(),
+            "shutting down": self.draining,
+            "taken out": self._out_long_enough(),
+        }
+        return [reason for reason, holds in reasons.items() if holds]
+
+    def object_ages(self):
+        """Return version and time in force of each object, by key."""
+        now_ms = self.clock.now_ms()
+        return {
+            key: {"version": version, "age_ms": round(now_ms - adopted_ms)}
+            for key, version, adopted_ms in self.configuration.adoptions()
+        }
+
+    def in_flight(self):
+        """Return how many requests of callers are in progress."""
+        return self.queries.in_flight() + self.orders.in_flight()
+
+    async def finish_work(self):
+        """Wait until nothing of callers or peers is in progress, then release.
+
+        Shares are handed over first, while the work in progress goes on, so that
+        peers find the new holders as early as possible.
+        """
+        release = self.share_manager.release_all()
+        while self.in_flight() or not self.holder.idle():
+            await self.sleep(DRAIN_POLL_MS)
+        deadline_ms = self.clock.now_ms() + RELEASE_LIMIT_MS
+        while not release.called and self.clock.now_ms() < deadline_ms:
+            await self.sleep(DRAIN_POLL_MS)
+        while self.in_flight() or not self.holder.idle():
+            await self.sleep(DRAIN_POLL_MS)
+        logger.info("work finished", extra={"shares_released": bool(release.called)})
+
+    def sleep(self, delay_ms):
+        """Return a deferred that fires after ``delay_ms``."""
+        waiting = Deferred()
+        self.clock.call_later(delay_ms, waiting.callback, None)
+        return waiting
+
+    def stop(self):
+        """Close everything; nothing may be in progress."""
+        self.registration.stop()
+        self.share_manager.stop()
+        self.sync.stop()
+        self.holder.stop()
+        self.peers.stop()
--- a/hemlockspoke/ports.py
+++ b/hemlockspoke/ports.py
@@ -86,14 +86,18 @@
 
 
 class UpstreamReply:
-    """Answer of an upstream to a query: rows for each part of one version."""
+    """Answer of an upstream to a query: rows for each part of one version.
 
-    __slots__ = ("incarnation", "parts", "version")
+    ``size_bytes`` is the length of the reply as received.
+    """
+
+    __slots__ = ("incarnation", "parts", "size_bytes", "version")
 
-    def __init__(self, incarnation, version, parts):
+    def __init__(self, incarnation, version, parts, size_bytes=0):
         self.incarnation = incarnation
         self.version = version
         self.parts = parts
+        self.size_bytes = size_bytes
 
 
 class OrderReply:
@@ -125,32 +129,60 @@
     """One request to an upstream.
 
     ``body`` is a JSON-ready map. ``remaining_ms`` is passed on as the deadline.
-    ``idempotency_key`` is set for orders only.
+    ``idempotency_key`` is set for orders only. ``may_send`` is called right before
+    the first byte leaves, which may be later than the call when a connection has to
+    be opened; if it returns false, nothing is sent and the error is ``CANCELLED``.
     """
 
-    __slots__ = ("body", "idempotency_key", "remaining_ms", "request_id", "traceparent")
+    __slots__ = (
+        "body",
+        "idempotency_key",
+        "may_send",
+        "remaining_ms",
+        "request_id",
+        "traceparent",
+    )
 
     def __init__(
-        self, request_id, body, remaining_ms, traceparent=None, idempotency_key=None
+        self,
+        request_id,
+        body,
+        remaining_ms,
+        traceparent=None,
+        idempotency_key=None,
+        may_send=None,
     ):
         self.request_id = request_id
         self.body = body
         self.remaining_ms = remaining_ms
         self.traceparent = traceparent
         self.idempotency_key = idempotency_key
+        self.may_send = may_send
 
 
 class UpstreamClient(ABC):
     """Connections of this daemon to one server, within its connection share.
 
-    Cancelling a returned deferred closes the connection of that request. Errors
-    are ``UpstreamError``.
+    Cancelling a returned deferred closes the connection of that request; the
+    deferred fires once the server holds nothing for the request any more. A request
+    ends as ``TIMEOUT`` after its ``remaining_ms``. Errors are ``UpstreamError``.
     """
 
     @abstractmethod
     def set_limit(self, connections):
         """Set the most connections that may be open at once."""
 
+    @abstractmethod
+    def open_connections(self):
+        """Return how many are open, being opened or being closed."""
+
+    @abstractmethod
+    def set_loss_listener(self, listener):
+        """Set a callable that is told when the server closes an idle connection.
+
+        This is often the first sign of a restart.
+        """
+
     @abstractmethod
     def query(self, request):
         """Return ``Result[UpstreamReply, UpstreamError]``."""
@@ -193,6 +225,10 @@
     def set_loss_listener(self, listener):
         """Set who hears of lost streams."""
 
+    @abstractmethod
+    def set_connect_listener(self, listener):
+        """Set who hears of new streams, as ``listener(vm)``."""
+
     @abstractmethod
     def set_addresses(self, addresses):
         """Set the peer address of each VM; streams to others are closed."""
