Give each server its limit in one group only

A server whose region changes, or that two documents name, could get its full limit in two share objects. A group now plans only the servers that belong to it by the document in force, and holders in another group drop their shares. Membership forgets the readings of gone VMs and bears registrations with missing fields.

--- a/hemlockspoke/membership.py
+++ b/hemlockspoke/membership.py
@@ -117,8 +117,8 @@
         self._lag_ms = max(self._lag_ms, vm_list.lag_ms)
         changed = self._note_present(vm_list.vms)
         present = {listed.vm for listed in vm_list.vms}
-        for vm, listing in self._listings.items():
-            if vm not in present and vm not in self._gone:
+        for vm, listing in list(self._listings.items()):
+            if vm not in present:
                 listing.note_missing(now_ms)
                 changed |= self._judge(vm, listing)
         if changed:
@@ -131,7 +131,7 @@
         process that started after the VM had vanished could never count it as
         gone, and its shares would be lost for good.
         """
-        if vm not in self._listings:
+        if vm not in self._listings and vm not in self._gone:
             self._listings[vm] = Listing(UNLISTED)
 
     def is_listed(self, vm):
@@ -177,6 +177,7 @@
         if not listing.missing_longer_than(self._lag_ms + self._gone_margin_ms):
             return False
         self._gone.add(vm)
+        del self._listings[vm]
         self._update_state(vm)
         return True
 
@@ -191,9 +192,9 @@
         self._members[vm] = Member(
             vm=vm,
             incarnation=registration_incarnation(stored),
-            region=value["region"],
-            failure_domain=value["failure_domain"],
-            peer_address=value["peer_address"],
+            region=value.get("region", ""),
+            failure_domain=value.get("failure_domain", ""),
+            peer_address=value.get("peer_address", ""),
             state=self._state_of(vm),
         )
 
--- a/hemlockspoke/server_groups.py
+++ b/hemlockspoke/server_groups.py
@@ -48,10 +48,14 @@
                 del self._by_group[group]
         return affected
 
-    def limit(self, name):
-        """Return the ``ServerLimit`` of a server, None if no document has it."""
+    def limit(self, group, name):
+        """Return the ``ServerLimit`` of a server, None if it is not in the group.
+
+        A server whose region has changed, or that two documents name with two
+        regions, has limits in one group only; else both would grant them.
+        """
         server = self._configuration.find_server(name)
-        if server is None:
+        if server is None or group_of(name, server.region) != group:
             return None
         service = self._configuration.service_of(name)
         upstream_class = server.upstream_class
--- a/hemlockspoke/share_keeper.py
+++ b/hemlockspoke/share_keeper.py
@@ -170,7 +170,7 @@
         A sent write of unknown result counts as well: of all values that the
         store may hold, the lowest is used.
         """
-        limit = self._manager.limit(name)
+        limit = self._manager.limit(self.group, name)
         if limit is None or not self._manager.may_use():
             return Share()
         me = self._manager.me
@@ -247,7 +247,7 @@
         self._write_when_fitting()
 
     def _make_plan(self, busy=()):
-        view = self._manager.view([*self._waits, *busy])
+        view = self._manager.view(self.group, [*self._waits, *busy])
         names = self._manager.servers(self.group)
         return plan_group(self.shares, names, view)
 
@@ -280,7 +280,8 @@
 
     def _write(self):
         plan = self._plan
-        findings = check_proposal(self.shares, plan.group, self._manager.view())
+        view = self._manager.view(self.group)
+        findings = check_proposal(self.shares, plan.group, view)
         permitted = self._manager.invariants.check(
             "share-proposal-permitted", not findings, f"{self.group}: {findings}"
         )
@@ -301,7 +302,7 @@
 
     def _waits_for(self, plan):
         return {
-            name: Wait(self._manager.limit(name).max_deadline_ms, before)
+            name: Wait(self._manager.limit(self.group, name).max_deadline_ms, before)
             for name, before in plan.taken.items()
         }
 
--- a/hemlockspoke/share_manager.py
+++ b/hemlockspoke/share_manager.py
@@ -1,6 +1,7 @@
 """The shares of one daemon: what it may use of which server."""
 
 import logging
+from functools import partial
 
 from twisted.internet.defer import Deferred
 
@@ -179,15 +180,15 @@
         """Return the names of the servers of a group."""
         return self._groups.servers(group)
 
-    def limit(self, name):
-        """Return the ``ServerLimit`` of a server or None."""
-        return self._groups.limit(name)
+    def limit(self, group, name):
+        """Return the ``ServerLimit`` of a server of a group, or None."""
+        return self._groups.limit(group, name)
 
-    def view(self, blocked=()):
-        """Return the ``ShareView`` of now."""
+    def view(self, group, blocked=()):
+        """Return the ``ShareView`` of a group now."""
         return ShareView(
             me=self.me,
-            limits=self._groups.limit,
+            limits=partial(self._groups.limit, group),
             desired=self._desired,
             is_gone=self._is_gone,
             blocked=blocked,
@@ -209,7 +210,7 @@
         _, old = self._in_force.get(name, (group, Share()))
         if share == old:
             return
-        limit = self.limit(name)
+        limit = self.limit(group, name)
         if not is_empty(share) and not self.invariants.check(
             "share-within-limit",
             limit is not None and fits(share, limit.share),
@@ -362,14 +363,13 @@
         would only delay the return of their failure domain.
         """
         server = self.configuration.find_server(name)
-        limit = self._groups.limit(name)
         if server is None:
             return []
         pool = self._active if self.configuration.fleet().permits(server) else self._all
         best = pool.best(group_of(name, server.region))
         if self._releasing:
             best = [vm for vm in best if vm != self._vm]
-        count = max(1, limit.share.slots)
+        count = max(1, server.upstream_class.slots)
         return [(vm, self._incarnations[vm]) for vm in best[:count]]
 
     def _is_gone(self, vm, incarnation):
--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -115,6 +115,16 @@
     And 3000 ms of share time pass
     Then each share server has 3 slots at 2 live holders
 
+  # Guards against a server that has its full limit in two groups at once.
+  Scenario: a server that changes its region moves to another group
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And the share servers change to region "qc"
+    Then each share server has at most 2 slots in use
+    When 3000 ms of share time pass
+    Then each share server has 2 slots at 2 live holders
+    And no share object of region "mtl" has a holder
+
   Scenario Outline: a proposal that breaks a rule is refused
     Given the share object <old> of a server with 4 slots
     When daemon "A" proposes the share object <new>
--- a/tests/features/steps/shares_steps.py
+++ b/tests/features/steps/shares_steps.py
@@ -15,9 +15,9 @@
 from tests.fuzz.share_world import ShareWorld
 
 
-def servers_value(count, slots):
+def servers_value(count, slots, region="mtl"):
     """Return a document of ``count`` servers."""
-    limits = ("mtl", "mtl-a", slots, 25, 1)
+    limits = (region, "mtl-a", slots, 25, 1)
     return service_value({f"rp-{number}": limits for number in range(count)})
 
 
@@ -136,6 +136,23 @@
         daemon.read_objects()
 
 
+@when('the share servers change to region "{region}"')
+def step_region(context, region):
+    value = servers_value(context.server_count, 2, region)
+    context.world.set_document("lau", value)
+    for daemon in context.world.daemons.values():
+        daemon.read_objects()
+    context.world.run(200)
+
+
+@then('no share object of region "{region}" has a holder')
+def step_no_holder(context, region):
+    objects = context.world.platform.objects.items()
+    values = [item.value for key, item in objects if key.startswith(f"shares/{region}")]
+    assert values
+    assert "vm-" not in str([value["servers"] for value in values])
+
+
 @then("share daemon {number:d} may use nothing but still stands in the store")
 def step_lowered(context, number):
     vm = f"vm-{number}"
