Release shares only after the announcement is written

The fuzzing found a daemon that exited without its mark in the registration after three quick failures; another daemon handed shares back to it, and they were lost while its VM stayed listed. The mark is now tried until it is written, and the release waits for it. The first claims of a group are spread over 800 ms, since 9 daemons that started at once made 306 writes in 300 ms, 102 of them conflicts.

--- a/hemlockspoke/share_confirmation.py
+++ b/hemlockspoke/share_confirmation.py
@@ -2,16 +2,14 @@
 
 import logging
 
-from twisted.internet.defer import inlineCallbacks
+from twisted.internet.defer import Deferred, inlineCallbacks
 
-from hemlockspoke.errors import StoreErrorKind
 from hemlockspoke.membership import REGISTRATION_PREFIX, registration_incarnation
 
 logger = logging.getLogger(__name__)
 
 RETRY_MS = 250
 RETRY_LIMIT_MS = 2000
-MARK_ATTEMPTS = 3
 
 
 class ShareConfirmation:
@@ -28,6 +26,7 @@
         "_delay_ms",
         "_manager",
         "_membership",
+        "_stopped",
         "_timer",
         "confirmed",
         "superseded",
@@ -38,12 +37,18 @@
         self._membership = membership
         self._attempt = 0
         self._delay_ms = RETRY_MS
+        self._stopped = False
         self.superseded = False
         self._timer = None
         self.confirmed = True
 
     def stop(self):
-        """Stop trying to confirm."""
+        """Stop trying to confirm and to mark the registration."""
+        self._stopped = True
+        self._cancel()
+
+    def _cancel(self):
+        """Make an attempt to confirm void."""
         self._attempt += 1
         if self._timer is not None:
             self._timer.cancel()
@@ -61,13 +66,13 @@
         if self.superseded:
             return
         logger.error("another incarnation has registered for this VM")
-        self.stop()
+        self._cancel()
         self.superseded = True
         self.confirmed = False
         self._manager.reapply()
 
     def _begin(self):
-        self.stop()
+        self._cancel()
         self._timer = None
         running = self._confirm(self._attempt)
         running.addErrback(self._defect)
@@ -127,24 +132,41 @@
 
     @inlineCallbacks
     def mark_leaving(self):
-        """Write into the registration that this process is about to exit."""
+        """Write into the registration that this process is about to exit.
+
+        Tried until it succeeds: unmarked, the process would get shares back from
+        others for which it still is a desired holder.
+        """
+        while not self._stopped and not self.superseded:
+            if (yield self._try_to_mark()):
+                return
+            yield self._sleep(RETRY_MS)
+
+    @inlineCallbacks
+    def _try_to_mark(self):
         vm, incarnation = self._manager.me
+        if incarnation is None:
+            return True
         key = REGISTRATION_PREFIX + vm
-        for _ in range(MARK_ATTEMPTS):
-            read = yield self._manager.store.get(key)
-            if read.is_error():
-                continue
-            stored = read.ok
-            if registration_incarnation(stored) != incarnation:
-                return False
-            value = {**stored.value, "incarnation": incarnation, "leaving": True}
-            value["writer"] = self._manager.next_writer()
-            result = yield self._manager.store.put(
-                key, value, if_version=stored.version
-            )
-            if result.is_ok():
-                self._manager.configuration.adopt(key, result.ok, value)
-                return True
-            if result.error.kind == StoreErrorKind.UNAVAILABLE:
-                return False
-        return False
+        read = yield self._manager.store.get(key)
+        if read.is_error():
+            return False
+        stored = read.ok
+        if registration_incarnation(stored) != incarnation:
+            self.supersede()
+            return True
+        if stored.value.get("leaving"):
+            # An earlier write took effect although its reply was lost.
+            self._manager.configuration.adopt(key, stored.version, stored.value)
+            return True
+        value = {**stored.value, "incarnation": incarnation, "leaving": True}
+        value["writer"] = self._manager.next_writer()
+        result = yield self._manager.store.put(key, value, if_version=stored.version)
+        if result.is_ok():
+            self._manager.configuration.adopt(key, result.ok, value)
+        return result.is_ok()
+
+    def _sleep(self, delay_ms):
+        waiting = Deferred()
+        self._manager.clock.call_later(delay_ms, waiting.callback, None)
+        return waiting
--- a/hemlockspoke/share_keeper.py
+++ b/hemlockspoke/share_keeper.py
@@ -12,6 +12,9 @@
 
 # Spreads the writes of daemons that react to the same change.
 WAKE_JITTER_MS = 100
+# The same for the first share object of a group, which the two desired holders want
+# to write as soon as they start: the store sustains a few hundred writes per second.
+START_JITTER_MS = 800
 # How often work in use is compared with a lowered share.
 USE_POLL_MS = 20
 # After this long, servers whose use does not fit yet no longer delay the others.
@@ -138,9 +141,14 @@
     def wake(self, delay_ms=None):
         """Plan again soon; a plan in progress is not written any more."""
         self._outdated = True
-        if delay_ms is None:
-            delay_ms = self._manager.rng.uniform(0, WAKE_JITTER_MS)
-        self._schedule(delay_ms)
+        if delay_ms is not None:
+            self._schedule(delay_ms)
+            return
+        jitter_ms = WAKE_JITTER_MS if self.version else START_JITTER_MS
+        latest_ms = self._manager.clock.now_ms() + jitter_ms
+        # Drawing again at each of many changes would undo the spread.
+        if self._timer is None or self._timer_due_ms > latest_ms:
+            self._schedule(self._manager.rng.uniform(0, jitter_ms))
 
     def _schedule(self, delay_ms):
         """Call ``_woken`` after ``delay_ms``, or sooner if that is due already."""
--- a/hemlockspoke/share_manager.py
+++ b/hemlockspoke/share_manager.py
@@ -43,10 +43,10 @@
         "_incarnations",
         "_keepers",
         "_membership",
+        "_marked",
         "_pause",
         "_periodic",
         "_released",
-        "_releasing",
         "_set_share",
         "_started",
         "_vm",
@@ -98,7 +98,7 @@
         self._confirmation = ShareConfirmation(self, membership)
         self._periodic = None
         self._released = None
-        self._releasing = False
+        self._marked = False
         self._started = False
         self._writes = 0
 
@@ -147,15 +147,20 @@
         """
         if self._released is None:
             self._released = Deferred()
-            self._releasing = True
             marking = self._confirmation.mark_leaving()
-            marking.addBoth(lambda _: self._begin_release())
+            marking.addCallback(lambda _: self._begin_release())
+            marking.addErrback(self._defect)
         return self._released
 
     def _begin_release(self):
+        self._marked = True
         self._wake_all()
         self.rested()
 
+    def _defect(self, failure):
+        logger.error("release failed", extra={"failure": str(failure)})
+        return failure
+
     # What the keepers of groups ask for.
 
     def may_use(self):
@@ -192,7 +197,7 @@
             desired=self._desired,
             is_gone=self._is_gone,
             blocked=blocked,
-            releasing=self._releasing,
+            releasing=self._marked,
         )
 
     def next_writer(self):
@@ -225,7 +230,7 @@
 
     def rested(self):
         """Note that a keeper has nothing to do; completes a release."""
-        if not self._releasing or self._released.called:
+        if not self._marked or self._released.called:
             return
         if self._confirmation.superseded or not self.keepers_with_shares():
             self._released.callback(True)
@@ -367,7 +372,7 @@
             return []
         pool = self._active if self.configuration.fleet().permits(server) else self._all
         best = pool.best(group_of(name, server.region))
-        if self._releasing:
+        if self._marked:
             best = [vm for vm in best if vm != self._vm]
         count = max(1, server.upstream_class.slots)
         return [(vm, self._incarnations[vm]) for vm in best[:count]]
--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -45,6 +45,17 @@
     Then the share release has completed
     And each share server has 2 slots at 2 live holders
 
+  # Guards against shares that others hand back to a daemon that has exited.
+  Scenario: a release waits until its announcement is written
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And the next 3 writes of share daemon 0 are not applied
+    And share daemon 0 releases all shares
+    Then share daemon 0 has not completed its release
+    When 3000 ms of share time pass
+    Then the share release has completed
+    And each share server has 2 slots at 2 live holders
+
   # Guards against a write that comes before the work in use has ended.
   Scenario: work in use delays the handover of a share
     Given a share fleet of 3 daemons and 4 servers with 2 slots
--- a/tests/features/steps/shares_steps.py
+++ b/tests/features/steps/shares_steps.py
@@ -284,3 +284,15 @@
 @then('share daemon {number:d} does not count the unlisted VM "{vm}" as gone')
 def step_unlisted(context, number, vm):
     assert not context.world.daemons[f"vm-{number}"].membership.is_gone(vm, 1)
+
+
+@when("the next {count:d} writes of share daemon {number:d} are not applied")
+def step_not_applied(context, count, number):
+    store = context.world.daemons[f"vm-{number}"].store
+    store.fates = ["not_applied"] * count
+
+
+@then("share daemon {number:d} has not completed its release")
+def step_not_released(context, number):
+    assert context.released == []
+    assert context.world.daemons[f"vm-{number}"].use.shares
