--- a/hemlockspoke/share_keeper.py
+++ b/hemlockspoke/share_keeper.py
@@ -12,6 +12,9 @@
 
 # Spreads the writes of daemons that react to the same change.
 WAKE_JITTER_MS = 100
+# The same for the first share object of a group, which the two desired holders want
+# to write as soon as they start: the store sustains a few hundred writes per second.
+START_JITTER_MS = 800
 # How often work in use is compared with a lowered share.
 USE_POLL_MS = 20
 # After this long, servers whose use does not fit yet no longer delay the others.
@@ -41,14 +44,18 @@
 
 
 class Wait:
-    """What may be used of a replaced share until the old holder's work ended."""
+    """A replaced share that is not used until the old holder's work has ended.
 
-    __slots__ = ("duration_ms", "until_ms", "usable")
+    ``before`` holds the ``ServerShares`` before the replacement. Until then the
+    daemon uses no more than it might have used by these.
+    """
+
+    __slots__ = ("before", "duration_ms", "until_ms")
 
-    def __init__(self, duration_ms, usable):
+    def __init__(self, duration_ms, before):
         self.duration_ms = duration_ms
         self.until_ms = None
-        self.usable = usable
+        self.before = [before]
 
 
 class ShareKeeper:
@@ -134,9 +141,14 @@
     def wake(self, delay_ms=None):
         """Plan again soon; a plan in progress is not written any more."""
         self._outdated = True
-        if delay_ms is None:
-            delay_ms = self._manager.rng.uniform(0, WAKE_JITTER_MS)
-        self._schedule(delay_ms)
+        if delay_ms is not None:
+            self._schedule(delay_ms)
+            return
+        jitter_ms = WAKE_JITTER_MS if self.version else START_JITTER_MS
+        latest_ms = self._manager.clock.now_ms() + jitter_ms
+        # Drawing again at each of many changes would undo the spread.
+        if self._timer is None or self._timer_due_ms > latest_ms:
+            self._schedule(self._manager.rng.uniform(0, jitter_ms))
 
     def _schedule(self, delay_ms):
         """Call ``_woken`` after ``delay_ms``, or sooner if that is due already."""
@@ -166,7 +178,7 @@
         A sent write of unknown result counts as well: of all values that the
         store may hold, the lowest is used.
         """
-        limit = self._manager.limit(name)
+        limit = self._manager.limit(self.group, name)
         if limit is None or not self._manager.may_use():
             return Share()
         me = self._manager.me
@@ -177,7 +189,8 @@
         if name in self._caps:
             share = lower_of(share, self._caps[name])
         if name in self._waits:
-            share = lower_of(share, self._waits[name].usable)
+            for before in self._waits[name].before:
+                share = lower_of(share, before.clipped(me, limit.share))
         return share
 
     def _settle(self):
@@ -198,7 +211,7 @@
         wait.until_ms = clock.now_ms() + wait.duration_ms
         if name in self._waits:
             earlier = self._waits[name]
-            wait.usable = lower_of(wait.usable, earlier.usable)
+            wait.before = wait.before + earlier.before
             wait.until_ms = max(wait.until_ms, earlier.until_ms)
         self._waits[name] = wait
         clock.call_later(wait.until_ms - clock.now_ms(), self._wait_over)
@@ -242,7 +255,7 @@
         self._write_when_fitting()
 
     def _make_plan(self, busy=()):
-        view = self._manager.view([*self._waits, *busy])
+        view = self._manager.view(self.group, [*self._waits, *busy])
         names = self._manager.servers(self.group)
         return plan_group(self.shares, names, view)
 
@@ -275,7 +288,8 @@
 
     def _write(self):
         plan = self._plan
-        findings = check_proposal(self.shares, plan.group, self._manager.view())
+        view = self._manager.view(self.group)
+        findings = check_proposal(self.shares, plan.group, view)
         permitted = self._manager.invariants.check(
             "share-proposal-permitted", not findings, f"{self.group}: {findings}"
         )
@@ -296,8 +310,8 @@
 
     def _waits_for(self, plan):
         return {
-            name: Wait(self._manager.limit(name).max_deadline_ms, usable)
-            for name, usable in plan.taken.items()
+            name: Wait(self._manager.limit(self.group, name).max_deadline_ms, before)
+            for name, before in plan.taken.items()
         }
 
     def _written(self, result, proposal, value):
--- a/hemlockspoke/share_manager.py
+++ b/hemlockspoke/share_manager.py
@@ -1,6 +1,7 @@
 """The shares of one daemon: what it may use of which server."""
 
 import logging
+from functools import partial
 
 from twisted.internet.defer import Deferred
 
@@ -42,10 +43,10 @@
         "_incarnations",
         "_keepers",
         "_membership",
+        "_marked",
         "_pause",
         "_periodic",
         "_released",
-        "_releasing",
         "_set_share",
         "_started",
         "_vm",
@@ -97,7 +98,7 @@
         self._confirmation = ShareConfirmation(self, membership)
         self._periodic = None
         self._released = None
-        self._releasing = False
+        self._marked = False
         self._started = False
         self._writes = 0
 
@@ -146,15 +147,20 @@
         """
         if self._released is None:
             self._released = Deferred()
-            self._releasing = True
             marking = self._confirmation.mark_leaving()
-            marking.addBoth(lambda _: self._begin_release())
+            marking.addCallback(lambda _: self._begin_release())
+            marking.addErrback(self._defect)
         return self._released
 
     def _begin_release(self):
+        self._marked = True
         self._wake_all()
         self.rested()
 
+    def _defect(self, failure):
+        logger.error("release failed", extra={"failure": str(failure)})
+        return failure
+
     # What the keepers of groups ask for.
 
     def may_use(self):
@@ -179,19 +185,19 @@
         """Return the names of the servers of a group."""
         return self._groups.servers(group)
 
-    def limit(self, name):
-        """Return the ``ServerLimit`` of a server or None."""
-        return self._groups.limit(name)
+    def limit(self, group, name):
+        """Return the ``ServerLimit`` of a server of a group, or None."""
+        return self._groups.limit(group, name)
 
-    def view(self, blocked=()):
-        """Return the ``ShareView`` of now."""
+    def view(self, group, blocked=()):
+        """Return the ``ShareView`` of a group now."""
         return ShareView(
             me=self.me,
-            limits=self._groups.limit,
+            limits=partial(self._groups.limit, group),
             desired=self._desired,
             is_gone=self._is_gone,
             blocked=blocked,
-            releasing=self._releasing,
+            releasing=self._marked,
         )
 
     def next_writer(self):
@@ -209,7 +215,7 @@
         _, old = self._in_force.get(name, (group, Share()))
         if share == old:
             return
-        limit = self.limit(name)
+        limit = self.limit(group, name)
         if not is_empty(share) and not self.invariants.check(
             "share-within-limit",
             limit is not None and fits(share, limit.share),
@@ -224,7 +230,7 @@
 
     def rested(self):
         """Note that a keeper has nothing to do; completes a release."""
-        if not self._releasing or self._released.called:
+        if not self._marked or self._released.called:
             return
         if self._confirmation.superseded or not self.keepers_with_shares():
             self._released.callback(True)
@@ -362,14 +368,13 @@
         would only delay the return of their failure domain.
         """
         server = self.configuration.find_server(name)
-        limit = self._groups.limit(name)
         if server is None:
             return []
         pool = self._active if self.configuration.fleet().permits(server) else self._all
         best = pool.best(group_of(name, server.region))
-        if self._releasing:
+        if self._marked:
             best = [vm for vm in best if vm != self._vm]
-        count = max(1, limit.share.slots)
+        count = max(1, server.upstream_class.slots)
         return [(vm, self._incarnations[vm]) for vm in best[:count]]
 
     def _is_gone(self, vm, incarnation):
--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -45,6 +45,17 @@
     Then the share release has completed
     And each share server has 2 slots at 2 live holders
 
+  # Guards against shares that others hand back to a daemon that has exited.
+  Scenario: a release waits until its announcement is written
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And the next 3 writes of share daemon 0 are not applied
+    And share daemon 0 releases all shares
+    Then share daemon 0 has not completed its release
+    When 3000 ms of share time pass
+    Then the share release has completed
+    And each share server has 2 slots at 2 live holders
+
   # Guards against a write that comes before the work in use has ended.
   Scenario: work in use delays the handover of a share
     Given a share fleet of 3 daemons and 4 servers with 2 slots
@@ -76,6 +87,34 @@
     And 3000 ms of share time pass
     Then each share server has 2 slots at 2 live holders
 
+  # Guards against a paused process that goes on after its VM was taken away, while
+  # its own view still shows its shares.
+  Scenario Outline: a paused daemon whose VM was taken away uses nothing
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And share daemon 0 sleeps while its VM <fate>
+    Then share daemon 0 may use nothing but still stands in the store
+
+    Examples:
+      | fate                                |
+      | vanishes                            |
+      | is replaced by one of the same name |
+
+  Scenario: a daemon whose VM is missing from the list for long uses nothing
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And 4 readings of share daemon 0 omit the VM of share daemon 0
+    Then share daemon 0 may use nothing but still stands in the store
+
+  Scenario: a VM is not gone when one reading omits it or none has listed it
+    Given a share fleet of 2 daemons and 1 servers with 2 slots
+    When 3000 ms of share time pass
+    And 1 readings of share daemon 1 omit the VM of share daemon 0
+    Then share daemon 1 counts the VM of share daemon 0 as present
+    And share daemon 1 does not count the unlisted VM "vm-9" as gone
+    When 4 readings of share daemon 1 omit the VM of share daemon 0
+    Then share daemon 1 counts the VM of share daemon 0 as gone
+
   Scenario: a lowered limit is clipped at once and a raised one is claimed
     Given a share fleet of 3 daemons and 4 servers with 4 slots
     When 3000 ms of share time pass
@@ -87,6 +126,16 @@
     And 3000 ms of share time pass
     Then each share server has 3 slots at 2 live holders
 
+  # Guards against a server that has its full limit in two groups at once.
+  Scenario: a server that changes its region moves to another group
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And the share servers change to region "qc"
+    Then each share server has at most 2 slots in use
+    When 3000 ms of share time pass
+    Then each share server has 2 slots at 2 live holders
+    And no share object of region "mtl" has a holder
+
   Scenario Outline: a proposal that breaks a rule is refused
     Given the share object <old> of a server with 4 slots
     When daemon "A" proposes the share object <new>
@@ -105,4 +154,19 @@
       | A1 B2   | B2 A2   | nothing |
       | A2 B2   | B2 C2   | nothing |
       | A2 G2   | A4      | nothing |
+      | G2 B2   | B2 A2   | R5      |
+      | G2 B2   | A2 B2   | nothing |
       | A2 B2   | A2 B2   | nothing |
+
+  # Guards against a write that was given up arriving after its sender has taken
+  # its share back into use.
+  Scenario: a write that arrives late adds nothing to the shares in use
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And the next share writes of daemon 0 arrive late
+    And the VM of share daemon 0 is taken out by operators
+    And 150 ms of share time pass
+    And no VM is taken out by operators
+    And 3000 ms of share time pass
+    Then the late share writes arrive and are refused
+    And each share server has 2 slots at 2 live holders
--- a/tests/features/steps/shares_steps.py
+++ b/tests/features/steps/shares_steps.py
@@ -15,9 +15,9 @@
 from tests.fuzz.share_world import ShareWorld
 
 
-def servers_value(count, slots):
+def servers_value(count, slots, region="mtl"):
     """Return a document of ``count`` servers."""
-    limits = ("mtl", "mtl-a", slots, 25, 1)
+    limits = (region, "mtl-a", slots, 25, 1)
     return service_value({f"rp-{number}": limits for number in range(count)})
 
 
@@ -94,13 +94,14 @@
 @when("share daemon {number:d} is busy with all that it holds")
 def step_busy(context, number):
     use = context.world.daemons[f"vm-{number}"].use
-    use.used = dict(use.shares)
-    assert use.used
+    for name in list(use.shares):
+        use.begin(name, 60_000)
+    assert use.work
 
 
 @when("share daemon {number:d} has finished its work")
 def step_finished(context, number):
-    context.world.daemons[f"vm-{number}"].use.used = {}
+    context.world.daemons[f"vm-{number}"].use.work = []
 
 
 @when("the VM of share daemon {number:d} is taken out by operators")
@@ -135,6 +136,23 @@
         daemon.read_objects()
 
 
+@when('the share servers change to region "{region}"')
+def step_region(context, region):
+    value = servers_value(context.server_count, 2, region)
+    context.world.set_document("lau", value)
+    for daemon in context.world.daemons.values():
+        daemon.read_objects()
+    context.world.run(200)
+
+
+@then('no share object of region "{region}" has a holder')
+def step_no_holder(context, region):
+    objects = context.world.platform.objects.items()
+    values = [item.value for key, item in objects if key.startswith(f"shares/{region}")]
+    assert values
+    assert "vm-" not in str([value["servers"] for value in values])
+
+
 @then("share daemon {number:d} may use nothing but still stands in the store")
 def step_lowered(context, number):
     vm = f"vm-{number}"
@@ -208,3 +226,73 @@
 def step_rule(context, rule):
     found = {finding.found[:2] for finding in context.findings}
     assert found == (set() if rule == "nothing" else {rule}), str(context.findings)
+
+
+@when("the next share writes of daemon {number:d} arrive late")
+def step_late(context, number):
+    store = context.world.daemons[f"vm-{number}"].store
+    store.fates = ["delayed"] * 10
+    store.lost_reads = 1
+    context.late_store = store
+
+
+@when("no VM is taken out by operators")
+def step_in(context):
+    context.late_store.fates = []
+    assert context.late_store.delayed
+    context.world.set_fleet()
+
+
+@then("the late share writes arrive and are refused")
+def step_arrive(context):
+    revision = context.world.platform.revision
+    context.late_store.deliver_delayed()
+    assert context.world.platform.revision == revision
+
+
+@when("share daemon {number:d} sleeps while its VM {fate}")
+def step_sleep(context, number, fate):
+    daemon = context.world.daemons[f"vm-{number}"]
+    if fate == "vanishes":
+        del context.world.platform.vms[daemon.vm]
+    else:
+        registration = context.world.platform.objects[f"vms/{daemon.vm}"]
+        context.world.platform.put(registration.key, registration.value)
+    daemon.clock.jump(1500)
+    daemon.pause.check()
+    daemon.clock.advance(3000)
+
+
+@when(
+    "{count:d} readings of share daemon {number:d} omit the VM of share daemon {of:d}"
+)
+def step_omit_readings(context, count, number, of):
+    daemon = context.world.daemons[f"vm-{number}"]
+    for _ in range(count):
+        daemon.clock.jump(1000)
+        daemon.read_list(without={f"vm-{of}"})
+
+
+@then("share daemon {number:d} counts the VM of share daemon {of:d} as {state}")
+def step_state(context, number, of, state):
+    daemon = context.world.daemons[f"vm-{number}"]
+    incarnation = context.world.daemons[f"vm-{of}"].incarnation
+    gone = daemon.membership.is_gone(f"vm-{of}", incarnation)
+    assert gone == (state == "gone")
+
+
+@then('share daemon {number:d} does not count the unlisted VM "{vm}" as gone')
+def step_unlisted(context, number, vm):
+    assert not context.world.daemons[f"vm-{number}"].membership.is_gone(vm, 1)
+
+
+@when("the next {count:d} writes of share daemon {number:d} are not applied")
+def step_not_applied(context, count, number):
+    store = context.world.daemons[f"vm-{number}"].store
+    store.fates = ["not_applied"] * count
+
+
+@then("share daemon {number:d} has not completed its release")
+def step_not_released(context, number):
+    assert context.released == []
+    assert context.world.daemons[f"vm-{number}"].use.shares
