--- a/hemlockspoke/query.py
+++ b/hemlockspoke/query.py
@@ -146,8 +146,21 @@
         if result is None:
             return
         self.metrics.timing("query.elapsed_ms", query.elapsed_ms())
+        self._count_outcome(result)
         query.deferred.callback(result)
 
+    def _count_outcome(self, result):
+        if result.is_error():
+            self.metrics.count("query.failed")
+            return
+        answer = result.ok
+        self.metrics.count(
+            "query.partial" if answer.missing_parts else "query.complete"
+        )
+        self.metrics.count("query.parts_missing", len(answer.missing_parts))
+        self.metrics.count("query.hedged", answer.hedged)
+        self.metrics.count("query.retried", answer.retried)
+
     def _admission(self, service):
         admission = self._admissions.get(service)
         if admission is None:
