Measure the hedge policies and correct the latency quantile

In a simulated run the p99 of policy quantile was 94 ms at load 0.1 where none has 150 ms: an overdue sub-query was observed with exactly the delay, which counted as within the quantile, so the estimate sank until hedges took all tokens. Overdue sub-queries are now counted as above the estimate at once. The hedges that are due leave in one batch per holder, routes with equal waits prefer the server with less outstanding work, and a hedge that a holder refuses goes through the other holder. Hedges leave 2 tokens to retries.

--- a/hemlockspoke/budget.py
+++ b/hemlockspoke/budget.py
@@ -4,7 +4,7 @@
 MAX_SAVED_TOKENS = 20.0
 # Hedges leave these tokens to retries, because a retry saves coverage while a
 # hedge saves only time.
-RESERVED_FOR_RETRIES = 4.0
+RESERVED_FOR_RETRIES = 2.0
 
 
 class ExtraLoadBudget:
--- a/hemlockspoke/dispatch.py
+++ b/hemlockspoke/dispatch.py
@@ -18,6 +18,7 @@
 
     __slots__ = (
         "_budget",
+        "_denied",
         "_engine",
         "_last_sub_id",
         "_query",
@@ -38,6 +39,7 @@
         self._query = query
         self._budget = engine.budget(query.request.service)
         self._salt = engine.rng.getrandbits(16)
+        self._denied = []
         self._last_sub_id = 0
         self.end_ms = end_ms
         self.plan = None
@@ -63,8 +65,13 @@
         self._send(groups, choose_route, self._budget.take_for_retry)
 
     def hedge(self, groups):
-        """Send the open parts of groups to a second replica."""
+        """Send the open parts of groups to a second replica.
+
+        Returns the groups for which the budget had no token.
+        """
+        self._denied = []
         self._send(groups, choose_hedge_route, self._budget.take_for_hedge)
+        return self._denied
 
     def lose(self, sub, status, retry):
         """Take a sub-query that has failed; groups to retry go into ``retry``."""
@@ -75,12 +82,15 @@
         elif sub.paid:
             self._budget.refund()
         for group in sub.groups:
-            group.end(reached)
+            group.end(sub, reached)
             if group.closed:
                 continue
             group.note_failure(sub.route.server, status)
-            if group.in_flight == 0:
+            if not group.running:
                 retry.append(group)
+            elif not reached and group.running[0].hedged:
+                # Its hedge has reached no upstream, so another one may.
+                self.unhedged.appendleft(group.running[0])
 
     def earn(self, sub):
         """Add what a sub-query that reached an upstream earns."""
@@ -90,7 +100,7 @@
     def remove(self, sub):
         """Forget a sub-query that has ended."""
         del self.subs[sub.sub_id]
-        sub.route.outstanding -= 1
+        sub.route.end()
 
     def cancel(self, subs):
         """Cancel sub-queries whose answers are no longer needed."""
@@ -98,7 +108,7 @@
         for sub in subs:
             self.remove(sub)
             for group in sub.groups:
-                group.end(reached=True)
+                group.end(sub, reached=True)
             by_holder.setdefault(sub.route.holder, []).append(sub.sub_id)
         for holder, sub_ids in by_holder.items():
             cancel = Cancel(request_id=self._query.request_id, sub_ids=sub_ids)
@@ -122,13 +132,14 @@
         if group.charged and not sub.paid:
             sub.paid = pay()
             if not sub.paid:
+                self._denied.append(group)
                 self._leave_stuck(group, self._engine.clock.now_ms() + TOKEN_WAIT_MS)
                 return
         if not sub.groups:
             assigned[route] = sub
-            route.outstanding += 1
+            route.begin()
         sub.add(group, self.merge.missing_of(group.group))
-        group.begin(route)
+        group.begin(sub)
 
     def _routes_now(self, server):
         router = self._engine.router
@@ -137,7 +148,7 @@
 
     def _leave_stuck(self, group, retry_at_ms=None):
         # A group with a sub-query under way only goes without its hedge.
-        if group.in_flight == 0:
+        if not group.running:
             group.retry_at_ms = retry_at_ms
             self.stuck.append(group)
 
--- a/hemlockspoke/fanout.py
+++ b/hemlockspoke/fanout.py
@@ -38,8 +38,9 @@
 class GroupState:
     """Progress of one part group within a query.
 
-    ``in_flight`` counts unanswered sub-queries, ``charged`` those that have reached
-    or may reach an upstream: a further one is extra load when it is above zero.
+    ``running`` holds the unanswered sub-queries, ``charged`` counts those that have
+    reached or may reach an upstream: a further one is extra load when it is above
+    zero.
     """
 
     __slots__ = (
@@ -47,10 +48,11 @@
         "closed",
         "excluded",
         "group",
-        "in_flight",
         "other_holder_of",
+        "reached",
         "retry_at_ms",
         "rounds",
+        "running",
         "sends",
         "shedding",
         "tried",
@@ -63,7 +65,8 @@
         self.excluded = set()
         self.shedding = set()
         self.sends = 0
-        self.in_flight = 0
+        self.running = []
+        self.reached = set()
         self.charged = 0
         self.closed = False
         self.version_gone = False
@@ -71,16 +74,18 @@
         self.retry_at_ms = None
         self.rounds = 0
 
-    def begin(self, route):
-        """Note that a sub-query for this group has been sent on a route."""
-        self.tried.append(route)
+    def begin(self, sub):
+        """Note that a sub-query for this group is sent."""
+        self.tried.append(sub.route)
+        self.running.append(sub)
         self.sends += 1
-        self.in_flight += 1
         self.charged += 1
 
-    def end(self, reached):
-        """Note that a sub-query has ended without all rows."""
-        self.in_flight -= 1
+    def end(self, sub, reached):
+        """Note that a sub-query is no longer unanswered."""
+        self.running.remove(sub)
+        if reached:
+            self.reached.add(sub.route.server)
         if not reached:
             self.charged -= 1
 
@@ -95,10 +100,14 @@
         if status == SubStatus.VERSION_GONE:
             self.version_gone = True
 
-    def servers_in_use(self):
-        """Return the servers that have been asked for this group."""
+    def servers_tried(self):
+        """Return the servers to which a route has been tried."""
         return {route.server for route in self.tried}
 
+    def servers_reached(self):
+        """Return the servers that have been asked or may still be asked."""
+        return self.reached.union(sub.route.server for sub in self.running)
+
     def forget_tries(self):
         """Permit all routes again, except to servers that cannot answer."""
         self.tried = []
@@ -160,21 +169,23 @@
         if route is not None:
             return route
     if state.tried:
-        route = choose_hedge_route(state, routes_of, salt)
+        fresh = _without(state.group.tiers, state.servers_tried())
+        route = _first_of_tiers(state, fresh, routes_of, salt)
         if route is not None:
             return route
     return _first_of_tiers(state, state.group.tiers, routes_of, salt)
 
 
 def choose_hedge_route(state, routes_of, salt):
-    """Return the best route to a server that has not been asked, or None."""
-    asked = state.servers_in_use()
-    fresh = [
-        [server for server in tier if server not in asked] for tier in state.group.tiers
-    ]
+    """Return the best untried route to a server not yet asked, or None."""
+    fresh = _without(state.group.tiers, state.servers_reached())
     return _first_of_tiers(state, fresh, routes_of, salt)
 
 
+def _without(tiers, servers):
+    return [[server for server in tier if server not in servers] for tier in tiers]
+
+
 def _first_of_tiers(state, tiers, routes_of, salt):
     for tier in tiers:
         route = _least_loaded(state, tier, routes_of, salt)
@@ -196,7 +207,6 @@
     start = salt % len(routes)
     best = routes[start]
     for step in range(1, len(routes)):
-        route = routes[start - step]
-        if route.outstanding < best.outstanding:
-            best = route
+        if best.busier_than(routes[start - step]):
+            best = routes[start - step]
     return best
--- a/hemlockspoke/hedging.py
+++ b/hemlockspoke/hedging.py
@@ -23,8 +23,7 @@
 
     Each value above the estimate raises it by ``quantile`` steps, each other one
     lowers it by the rest, so it settles where the stated fraction lies below. It
-    needs no window and takes a value that is known only to exceed the estimate,
-    such as the latency of a cancelled sub-query.
+    needs no window and can count a value that is known only to exceed it.
 
     >>> estimate = SlidingQuantile(0.5, 10.0)
     >>> estimate.observe(20.0)
@@ -46,6 +45,10 @@
         else:
             self.value *= self._down
 
+    def exceed(self):
+        """Count a value that lies above the estimate."""
+        self.value *= self._up
+
 
 @hedge_policies.register("none")
 class NoHedging:
@@ -56,6 +59,9 @@
     def observe(self, latency_ms):
         """Ignore a latency."""
 
+    def overdue(self):
+        """Ignore a sub-query that has not been answered within the delay."""
+
     def delay_ms(self):
         """Return None: no sub-query is hedged."""
 
@@ -70,9 +76,16 @@
         self._estimate = SlidingQuantile(HEDGE_QUANTILE, INITIAL_DELAY_MS)
 
     def observe(self, latency_ms):
-        """Take the latency of a sub-query, or a lower bound of it."""
+        """Take the latency of a sub-query that was answered within the delay."""
         self._estimate.observe(latency_ms)
 
+    def overdue(self):
+        """Count a sub-query that has not been answered within the delay.
+
+        It is counted at once, since a loser is cancelled and never has a latency.
+        """
+        self._estimate.exceed()
+
     def delay_ms(self):
         """Return the delay after which a sub-query is hedged."""
         return max(MIN_DELAY_MS, self._estimate.value)
--- a/hemlockspoke/query_task.py
+++ b/hemlockspoke/query_task.py
@@ -213,20 +213,20 @@
         if not sub.hedged:
             self._hedging.observe(self._engine.clock.now_ms() - sub.sent_ms)
         self._merge.take(sub.parts, parts)
-        hedged = False
+        losers = []
         for group in sub.groups:
-            group.end(reached=True)
+            group.end(sub, reached=True)
             if group.closed:
                 continue
-            hedged = hedged or group.in_flight > 0
+            losers += group.running
             if not self._merge.missing_of(group.group):
                 group.closed = True
                 self._groups_open -= 1
-            elif group.in_flight == 0:
+            elif not group.running:
                 retry.append(group)
-        if hedged:
-            subs = self._dispatch.subs.values()
-            self._dispatch.cancel([sub for sub in subs if not sub.needed()])
+        if losers:
+            losers = {sub.sub_id: sub for sub in losers if not sub.needed()}
+            self._dispatch.cancel(losers.values())
 
     def _settle(self):
         if self._finished:
@@ -285,22 +285,24 @@
         if delay_ms is None:
             return
         unhedged = self._dispatch.unhedged
-        denied = []
+        due = []
         while unhedged and unhedged[0].sent_ms + delay_ms <= now_ms:
             sub = unhedged.popleft()
-            if sub.sub_id in self._dispatch.subs and not self._hedge(sub, now_ms):
-                denied.append(sub)
-        unhedged.extendleft(reversed(denied))
-
-    def _hedge(self, sub, now_ms):
-        if not sub.hedged:
-            # Counted now, because a cancelled loser never reports a latency.
-            sub.hedged = True
-            self._hedging.observe(now_ms - sub.sent_ms)
-        before = self._dispatch.hedged
-        groups = [g for g in sub.groups if not g.closed and g.in_flight == 1]
-        self._dispatch.hedge(groups)
-        return self._dispatch.hedged > before
+            if sub.sub_id in self._dispatch.subs:
+                due.append(sub)
+        if due:
+            unhedged.extendleft(reversed(self._hedge(due)))
+
+    def _hedge(self, subs):
+        """Hedge sub-queries; return those for which there was no token."""
+        groups = []
+        for sub in subs:
+            if not sub.hedged:
+                sub.hedged = True
+                self._hedging.overdue()
+            groups += [g for g in sub.groups if not g.closed and len(g.running) == 1]
+        denied = self._dispatch.hedge(groups)
+        return [sub for sub in subs if any(group in denied for group in sub.groups)]
 
     def _schedule_tick(self):
         now_ms = self._engine.clock.now_ms()
--- a/hemlockspoke/routing.py
+++ b/hemlockspoke/routing.py
@@ -11,20 +11,47 @@
 SHARE_PREFIX = "shares/"
 
 
+class ServerLoad:
+    """Unanswered sub-queries of this daemon at one server."""
+
+    __slots__ = ("outstanding",)
+
+    def __init__(self):
+        self.outstanding = 0
+
+
 class Route:
     """One way to a server: through one of its holders.
 
     ``outstanding`` counts this daemon's unanswered sub-queries on the route, which
-    stands for the expected wait.
+    stands for the expected wait at the holder; ``load`` counts those at the server
+    over all its routes.
     """
 
-    __slots__ = ("holder", "outstanding", "server")
+    __slots__ = ("holder", "load", "outstanding", "server")
 
-    def __init__(self, server, holder):
+    def __init__(self, server, holder, load):
         self.server = server
         self.holder = holder
+        self.load = load
         self.outstanding = 0
 
+    def begin(self):
+        """Count a sub-query that is sent."""
+        self.outstanding += 1
+        self.load.outstanding += 1
+
+    def end(self):
+        """Count a sub-query that has ended."""
+        self.outstanding -= 1
+        self.load.outstanding -= 1
+
+    def busier_than(self, other):
+        """Tell whether the expected wait is longer than on another route."""
+        if self.outstanding != other.outstanding:
+            return self.outstanding > other.outstanding
+        return self.load.outstanding > other.load.outstanding
+
 
 class PartGroup:
     """Parts that the same servers have; ``tiers`` are servers, nearest first."""
@@ -73,6 +100,7 @@
         "_catalog",
         "_configuration",
         "_holders_of",
+        "_loads",
         "_plans",
         "_region",
         "_routes",
@@ -88,6 +116,7 @@
         self.vm = vm
         self._region = region
         self._plans = {}
+        self._loads = {}
         self._routes = {}
         self._routes_by_server = {}
         self._turn = itertools.count()
@@ -160,13 +189,19 @@
         """Return the ``Route`` of each holder of a server."""
         routes = self._routes_by_server.get(server)
         if routes is None:
-            routes = tuple(
-                self._routes.setdefault((server, holder), Route(server, holder))
-                for holder in self._ranked_holders(server)
-            )
+            ranked = self._ranked_holders(server)
+            routes = tuple(self._route(server, holder) for holder in ranked)
             self._routes_by_server[server] = routes
         return routes
 
+    def _route(self, server, holder):
+        # Kept when holders change, because sub-queries may still be under way.
+        route = self._routes.get((server, holder))
+        if route is None:
+            load = self._loads.setdefault(server, ServerLoad())
+            route = self._routes[(server, holder)] = Route(server, holder, load)
+        return route
+
     def _choices(self, servers):
         return [
             (route.server, route.holder)
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements."""
--- /dev/null
+++ b/tests/bench/hedging.py
@@ -0,0 +1,164 @@
+"""Simulated tail latency of the hedge policies, printed as a plain table.
+
+40 parts on 40 shards of two replicas; a server runs two sub-queries at a time and
+queues the rest. Each sub-query is 10 times slow with a probability of 1%, whichever
+replica it is sent to. Time is that of a manual clock; only the upstreams and the
+way to them are simulated.
+"""
+
+import random
+import sys
+from collections import deque
+
+from hemlockspoke.messages import Cancel, SubAnswerBatch
+from hemlockspoke.requests import QueryRequest
+from tests.fuzz.query_fakes import SERVICE, Tier, make_document
+
+PARTS = 40
+SLOTS = 2
+QUERIES = 5000
+WARM_UP = 500
+MEAN_MS = 10.0
+SLOW_RATIO = 0.01
+SLOW_FACTOR = 10.0
+LINK_MS = 1.0
+DEADLINE_MS = 5000
+
+
+class SimulatedServer:
+    """A server with two slots and a queue; cancelling frees a slot."""
+
+    def __init__(self, simulation):
+        self.simulation = simulation
+        self.running = {}
+        self.queue = deque()
+
+    def submit(self, job):
+        self.queue.append(job)
+        self.start()
+
+    def start(self):
+        while self.queue and len(self.running) < SLOTS:
+            job = self.queue.popleft()
+            duration_ms = self.simulation.service_time_ms()
+            clock = self.simulation.tier.clock
+            self.running[job.key] = clock.call_later(duration_ms, self.end, job)
+            self.simulation.started += 1
+
+    def end(self, job):
+        del self.running[job.key]
+        self.simulation.answer(job)
+        self.start()
+
+    def cancel(self, key):
+        timer = self.running.pop(key, None)
+        if timer is not None:
+            timer.cancel()
+        self.queue = deque(job for job in self.queue if job.key != key)
+        self.start()
+
+
+class Job:
+    """One sub-query at a server."""
+
+    def __init__(self, vm, batch, item):
+        self.vm, self.batch = vm, batch
+        self.sub_id, self.server, self.parts = item
+        self.key = (batch.request_id, self.sub_id)
+
+
+class Simulation:
+    """Queries at a fixed rate against simulated servers."""
+
+    def __init__(self, policy, load, seed):
+        document = make_document(
+            PARTS,
+            hedge_policy=policy,
+            max_concurrent_queries=10_000,
+            max_deadline_ms=DEADLINE_MS,
+        )
+        self.tier = Tier(document, seed=seed)
+        self.tier.engine.send = self.send
+        self.rng = random.Random(seed)
+        self.servers = {name: SimulatedServer(self) for name in document.servers}
+        self.jobs = {}
+        self.started = 0
+        self.latencies, self.partial = [], 0
+        # Each query brings one sub-query to one of the two replicas of a shard.
+        work_ms = MEAN_MS * (1 + SLOW_RATIO * (SLOW_FACTOR - 1))
+        self.interval_ms = work_ms / (2 * SLOTS * load)
+        for name in document.servers:
+            self.tier.report(name, {1: (PARTS, [int(name[1:3])])})
+
+    def service_time_ms(self):
+        duration_ms = self.rng.uniform(0.5, 1.5) * MEAN_MS
+        slow = self.rng.random() < SLOW_RATIO
+        return duration_ms * (SLOW_FACTOR if slow else 1.0)
+
+    def send(self, vm, message):
+        self.tier.clock.call_later(LINK_MS, self.arrive, vm, message)
+        return True
+
+    def arrive(self, vm, message):
+        if isinstance(message, Cancel):
+            for sub_id in message.sub_ids:
+                job = self.jobs.pop((message.request_id, sub_id), None)
+                if job is not None:
+                    self.servers[job.server].cancel(job.key)
+            return
+        for item in message.items:
+            job = Job(vm, message, item)
+            self.jobs[job.key] = job
+            self.servers[job.server].submit(job)
+
+    def answer(self, job):
+        del self.jobs[job.key]
+        rows = {str(part): [] for part in job.parts}
+        item = [job.sub_id, "ok", job.batch.version, rows]
+        message = SubAnswerBatch(request_id=job.batch.request_id, items=[item])
+        self.tier.clock.call_later(LINK_MS, self.tier.engine.receive, job.vm, message)
+
+    def run(self):
+        """Run all queries; return the extra load on upstreams as a ratio."""
+        for number in range(WARM_UP + QUERIES):
+            if number == WARM_UP:
+                self.latencies.clear()
+                self.started = 0
+            started_ms = self.tier.clock.now_ms()
+            self.ask(started_ms)
+            self.tier.clock.advance(self.rng.expovariate(1 / self.interval_ms))
+        started = self.started
+        self.tier.clock.advance(DEADLINE_MS)
+        self.latencies.sort()
+        return started / (QUERIES * PARTS) - 1
+
+    def ask(self, started_ms):
+        def note(result):
+            self.latencies.append(self.tier.clock.now_ms() - started_ms)
+            self.partial += bool(result.ok.missing_parts)
+
+        request = QueryRequest(SERVICE, "bins", {}, DEADLINE_MS)
+        self.tier.engine.run(request).addCallback(note)
+
+    def quantile(self, ratio):
+        return self.latencies[int(ratio * len(self.latencies))]
+
+
+def main(seeds):
+    """Print one line per load, policy and seed."""
+    print("load  policy    seed  p50_ms  p99_ms  p999_ms  extra_%  partial")
+    for load in (0.1, 0.3, 0.5):
+        for policy in ("none", "quantile"):
+            for seed in seeds:
+                simulation = Simulation(policy, load, seed)
+                extra = simulation.run()
+                print(
+                    f"{load:4.1f}  {policy:8}  {seed:4d}  "
+                    f"{simulation.quantile(0.5):6.1f}  {simulation.quantile(0.99):6.1f}"
+                    f"  {simulation.quantile(0.999):7.1f}  {100 * extra:7.2f}"
+                    f"  {simulation.partial:7d}"
+                )
+
+
+if __name__ == "__main__":
+    main([int(argument) for argument in sys.argv[1:]] or [1])
--- a/tests/features/query.feature
+++ b/tests/features/query.feature
@@ -41,6 +41,13 @@
     And the hedge is answered
     Then the fan-out result is complete with version 7
 
+  Scenario: a hedge that its holder refuses goes through the other holder
+    Given a query tier of 1 shards with 1 parts of version 7
+    When a fan-out query is started
+    And 60 ms pass and a hedge is sent
+    And the hedge is refused and 20 ms pass
+    Then the hedge is sent again to its server through the other holder
+
   Scenario: the answer is partial and truthful at the deadline
     Given a query tier of 2 shards with 4 parts of version 7
     When a fan-out query is started
@@ -79,3 +86,7 @@
     Then the replicas of part 0 name only server "s00-b"
     When the reports of holder "vm-1" are forgotten
     Then part 0 has no replica
+
+  Scenario: the hedge delay settles at the quantile although losers are cancelled
+    When the quantile policy sees 20000 latencies of which 1 % are cancelled as overdue
+    Then its hedge delay is within 10 % of the 95th percentile
--- a/tests/features/steps/query_steps.py
+++ b/tests/features/steps/query_steps.py
@@ -1,8 +1,11 @@
 """Steps on queries of one snapshot."""
 
+import random
+
 from behave import given, then, when
 
 from hemlockspoke.fleet import Fleet
+from hemlockspoke.hedging import hedge_policies
 from hemlockspoke.messages import Cancel
 from tests.fuzz.query_fakes import INDEX, SERVICE, Tier, make_document
 
@@ -119,6 +122,19 @@
     context.tier.answer(context.items[0], parts=[0])
 
 
+@when("the hedge is refused and {time_ms:d} ms pass")
+def step_hedge_refused(context, time_ms):
+    context.tier.answer(context.hedge, "refused")
+    context.tier.clock.advance(time_ms)
+
+
+@then("the hedge is sent again to its server through the other holder")
+def step_hedge_again(context):
+    (again,) = context.tier.items()
+    assert again[2][1] == context.hedge[2][1]
+    assert again[0] != context.hedge[0]
+
+
 @when("the hedge is answered")
 def step_answer_hedge(context):
     context.tier.answer(context.hedge)
@@ -203,3 +219,27 @@
 @then("part 0 has no replica")
 def step_no_replica(context):
     assert context.tier.router.replicas(SERVICE, INDEX, 7, 0) == []
+
+
+@when(
+    "the quantile policy sees {count:d} latencies of which {slow:d} % are cancelled "
+    "as overdue"
+)
+def step_latencies(context, count, slow):
+    context.policy = hedge_policies.get("quantile")()
+    rng = random.Random(1)
+    context.latencies = []
+    for _ in range(count):
+        latency_ms = 1000.0 if rng.random() < slow / 100 else rng.uniform(10, 30)
+        context.latencies.append(latency_ms)
+        if latency_ms >= context.policy.delay_ms():
+            context.policy.overdue()
+        else:
+            context.policy.observe(latency_ms)
+
+
+@then("its hedge delay is within {margin:d} % of the 95th percentile")
+def step_delay(context, margin):
+    exact = sorted(context.latencies)[int(0.95 * len(context.latencies))]
+    found = context.policy.delay_ms()
+    assert abs(found - exact) <= exact * margin / 100, (found, exact)
