Wait for a moment for parts whose share is moving

A second way to the same loss: routes that were all refused were tried again for 175 ms only. Ruled out: a share that both holders use during the move, which would break the limit. Change: a query whose plan was complete within the last 2 s pins again every 25 ms, for 250 ms or half of its time at the most; refused routes are tried for 775 ms. A part that stays lost delays queries only in its first 2 s. The scenario for the move failed before and passes now.

--- a/hemlockspoke/query.py
+++ b/hemlockspoke/query.py
@@ -1,6 +1,7 @@
 """Queries: admission, dispatch of answers, and the engine that owns them."""
 
 import itertools
+import math
 
 from expression import Error
 from twisted.internet.defer import Deferred
@@ -11,6 +12,10 @@
 from hemlockspoke.query_problems import deadline_too_short, overloaded, refusal
 from hemlockspoke.query_task import Answers, HolderLost, Query
 
+# A plan that was complete within this time has probably lost a part to a share on
+# its way to another holder; later, the part is taken for lost.
+RECENTLY_WHOLE_MS = 2000.0
+
 
 class QueryEngine:
     """Runs the queries of one daemon.
@@ -27,6 +32,7 @@
         "_policies",
         "_queries",
         "_waiting",
+        "_whole_ms",
         "catalog",
         "clock",
         "configuration",
@@ -67,6 +73,7 @@
         self._policies = {}
         self._queries = {}
         self._waiting = set()
+        self._whole_ms = {}
 
     def run(self, request):
         """Return a deferred ``Result[QueryAnswer, Problem]`` of one query.
@@ -149,6 +156,15 @@
         self._count_outcome(result)
         query.deferred.callback(result)
 
+    def recently_whole(self, request, plan):
+        """Tell whether an incomplete plan was complete until just now."""
+        key = (request.service, request.index)
+        now_ms = self.clock.now_ms()
+        if plan is not None and plan.complete():
+            self._whole_ms[key] = now_ms
+            return False
+        return now_ms - self._whole_ms.get(key, -math.inf) < RECENTLY_WHOLE_MS
+
     def _count_outcome(self, result):
         if result.is_error():
             self.metrics.count("query.failed")
--- a/hemlockspoke/query_task.py
+++ b/hemlockspoke/query_task.py
@@ -13,7 +13,12 @@
 # Wait before routes that were all refused are tried again. A share that is being
 # handed over is back within tens of ms.
 FIRST_ROUND_WAIT_MS = 25.0
-MAX_ROUNDS = 3
+MAX_ROUND_WAIT_MS = 200.0
+MAX_ROUNDS = 6
+# A query waits this long for parts that have had a server until just now. While a
+# share moves to another holder, nobody may use the server for a moment.
+WHOLE_PLAN_WAIT_MS = 250.0
+PIN_AGAIN_MS = 25.0
 # A restart on a newer version needs more than this part of the query's time.
 RESTART_TIME_RATIO = 0.5
 ITEM_FIELDS = 4
@@ -122,10 +127,22 @@
         """Return the time since the caller's request."""
         return self._engine.clock.now_ms() - self._started_ms
 
+    def _awaits_whole_plan(self, plan):
+        """Tell whether missing parts are likely to get a server in a moment."""
+        recently = self._engine.recently_whole(self.request, plan)
+        time_ms = self._end_ms - self._started_ms
+        limit_ms = min(WHOLE_PLAN_WAIT_MS, time_ms / 2)
+        return recently and self.elapsed_ms() < limit_ms
+
     @handles(Start)
     def _on_start(self, _):
+        if self._finished:
+            return
         engine, request = self._engine, self.request
         plan = engine.router.pin(request.service, request.index)
+        if self._awaits_whole_plan(plan):
+            engine.clock.call_later(PIN_AGAIN_MS, self.tell, Start())
+            return
         if plan is None:
             self._finish(Error(no_snapshot(request)))
             return
@@ -138,7 +155,7 @@
 
     @handles(Answers)
     def _on_answers(self, message):
-        if self._finished:
+        if self._finished or self._dispatch is None:
             return
         retry = []
         for item in message.items:
@@ -148,7 +165,7 @@
 
     @handles(HolderLost)
     def _on_holder_lost(self, message):
-        if self._finished:
+        if self._finished or self._dispatch is None:
             return
         retry = []
         for sub in list(self._dispatch.subs.values()):
@@ -260,7 +277,7 @@
                 group.closed = True
                 self._groups_open -= 1
                 return
-            wait_ms = FIRST_ROUND_WAIT_MS * 2**group.rounds
+            wait_ms = min(MAX_ROUND_WAIT_MS, FIRST_ROUND_WAIT_MS * 2**group.rounds)
             group.retry_at_ms = self._engine.clock.now_ms() + wait_ms
             group.forget_tries()
         self._waiting.append(group)
--- a/tests/features/query.feature
+++ b/tests/features/query.feature
@@ -67,6 +67,28 @@
     When a fan-out query is started
     Then the fan-out result is the problem "no-snapshot" with outcome "not_run"
 
+  Scenario: a part whose server changes its holder is awaited for a moment
+    Guards against partial answers while a share moves, with time left.
+    Given a query tier of 2 shards with 2 parts of version 7
+    When a fan-out query is started
+    And all sub-queries are answered
+    And no holder reports the servers of part 1 any more
+    And a fan-out query is started
+    Then no sub-query is sent within 60 ms
+    When another holder reports the servers of part 1
+    And all sub-queries are answered after 30 ms
+    Then the fan-out result is complete with version 7
+
+  Scenario: a part that stays without a server is not awaited for long
+    Guards against late answers when all replicas of a part are lost.
+    Given a query tier of 2 shards with 2 parts of version 7
+    When a fan-out query is started
+    And all sub-queries are answered
+    And no holder reports the servers of part 1 any more
+    And a fan-out query is started
+    And all sub-queries are answered after 250 ms
+    Then the fan-out result misses 1 of 2 parts
+
   Scenario: queries beyond concurrency and queue are refused as not run
     Given a query tier that admits 1 query and queues 1
     When 3 fan-out queries are started
--- a/tests/features/steps/query_steps.py
+++ b/tests/features/steps/query_steps.py
@@ -243,3 +243,28 @@
     exact = sorted(context.latencies)[int(0.95 * len(context.latencies))]
     found = context.policy.delay_ms()
     assert abs(found - exact) <= exact * margin / 100, (found, exact)
+
+
+@when("no holder reports the servers of part 1 any more")
+def step_unreport(context):
+    for server in ("s01-a", "s01-b"):
+        context.tier.report(server, {}, available=False)
+
+
+@when("another holder reports the servers of part 1")
+def step_other_reports(context):
+    for server in ("s01-a", "s01-b"):
+        context.tier.report(server, {7: (2, [1])}, holder="vm-2")
+
+
+@then("no sub-query is sent within {time_ms:d} ms")
+def step_nothing_sent(context, time_ms):
+    context.tier.clock.advance(time_ms)
+    assert not context.tier.items()
+
+
+@when("all sub-queries are answered after {time_ms:d} ms")
+def step_answer_all_later(context, time_ms):
+    context.tier.clock.advance(time_ms)
+    context.items = context.tier.items()
+    step_answer_all(context)
