Measure slopes: processor time, memory and bytes against sizes

Ruled out: a cluster simulator, which would measure itself, and wall time, which other load on the machine disturbs.

The stand-in for upstreams runs in a process of its own, so that both ends of a call are told apart.

--- /dev/null
+++ b/tests/bench/slope_memory.py
@@ -0,0 +1,93 @@
+"""Memory of what a daemon keeps: per document, share object, server, version."""
+
+from types import SimpleNamespace
+
+from hemlockspoke.catalog import Catalog
+from hemlockspoke.clock import ManualClock
+from hemlockspoke.configuration import Configuration
+from hemlockspoke.messages import CatalogUpdate
+from hemlockspoke.requests import Share
+from tests.bench.slope_fit import Measured, measurements, memory_bytes, over
+from tests.bench.slope_world import (
+    ControlWorld,
+    configuration_of,
+    document_value,
+    share_value,
+)
+from tests.fakes.holder_side import HolderBench
+
+SERVERS = (100, 300, 1000)
+GROUP_SERVERS = (10, 40, 130)
+VERSIONS = (1, 2, 4)
+VMS = (650, 1300, 2600)
+CATALOG_SERVERS = 1000
+
+
+def document_configuration(servers):
+    """Return a configuration with one document and its server index."""
+    configuration = Configuration(None)
+    value = document_value(servers)
+    assert configuration.adopt("services/laurentide", 1, value)
+    assert configuration.find_server("bins-00-a")
+    return configuration
+
+
+def share_configuration(servers):
+    """Return a configuration with one share object."""
+    configuration = Configuration(None)
+    configuration.adopt("shares/mtl-0a", 1, share_value(servers))
+    return configuration
+
+
+def catalog(servers, versions=1):
+    """Return a catalog that knows some versions of one part at each server."""
+    result = Catalog(ManualClock())
+    for number in range(servers):
+        indexes = {
+            str(version): {"parts_total": servers, "parts": [number]}
+            for version in range(versions)
+        }
+        update = CatalogUpdate(
+            server=f"rp-{number:05d}-a",
+            incarnation=f"{number:08x}",
+            sequence=1,
+            available=True,
+            indexes={"bins": indexes},
+        )
+        result.update("vm-a", update)
+    return result
+
+
+def held_servers(servers):
+    """Return a holder of some servers with fake clients."""
+    names = [f"s{number:05d}" for number in range(servers)]
+    bench = HolderBench(names)
+    for name in names:
+        bench.holder.set_share(name, Share(4, 8, 1))
+    return SimpleNamespace(bench=bench)
+
+
+def kilobytes(build):
+    """Return the memory of what ``build`` returns in KB."""
+    return memory_bytes(build) / 1024
+
+
+@measurements.register("memory")
+def memory():
+    """Measure the memory of each kind of state."""
+    document = over(SERVERS, lambda n: kilobytes(lambda: document_configuration(n)))
+    share = over(GROUP_SERVERS, lambda n: kilobytes(lambda: share_configuration(n)))
+    servers = over(SERVERS, lambda n: kilobytes(lambda: catalog(n)))
+    held = over(SERVERS, lambda n: kilobytes(lambda: held_servers(n)))
+    versions = over(VERSIONS, lambda n: kilobytes(lambda: catalog(CATALOG_SERVERS, n)))
+    registrations = over(VMS, lambda n: kilobytes(lambda: configuration_of(n)))
+    members = over(VMS, lambda n: kilobytes(lambda: ControlWorld(n)))
+    return [
+        Measured("memory: document", "KB", "server", document),
+        Measured("memory: share object", "KB", "server", share),
+        Measured("memory: catalog, one holder", "KB", "server", servers),
+        Measured("memory: catalog of 1,000 servers", "KB", "index version", versions),
+        Measured("memory: held server, fake client", "KB", "server", held),
+        Measured("memory: registrations", "KB", "VM", registrations),
+        Measured("memory: registrations, members, shares", "KB", "VM", members),
+    ]
--- /dev/null
+++ b/tests/bench/slope_upstream.py
@@ -0,0 +1,145 @@
+"""Cost of HTTP calls to an upstream: the real adapter and the stand-in.
+
+The stand-in runs in a process of its own, so that the processor time of both ends
+is told apart.
+"""
+
+import json
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from twisted.internet import reactor
+from twisted.internet.defer import gatherResults
+
+from hemlockspoke.adapters.http_upstream import HttpUpstreamClients
+from hemlockspoke.clock import ReactorClock
+from hemlockspoke.document import Server, UpstreamClass
+from hemlockspoke.ports import UpstreamRequest
+from tests.bench.slope_fit import Figure, Measured, measurements
+from tests.reactor_thread import in_reactor
+
+PARTS = (1, 10, 50, 200)
+CALLS = 300
+ROUNDS = 4
+CONNECTIONS = 8
+STALL_MS = 5000
+DEADLINE_MS = 5000
+# The first field of the file is the time on a processor in ns.
+SCHEDSTAT = "/proc/{}/schedstat"
+
+
+class StandIn:
+    """The stand-in for upstreams as a process on loopback."""
+
+    def __init__(self, service_ms=0):
+        server = {
+            "name": "s",
+            "slots": CONNECTIONS,
+            "connections": 2 * CONNECTIONS,
+            "service_ms": service_ms,
+            "rows_per_part": 1,
+            "indexes": {"bins": {"1": {"parts_total": 200, "parts": list(range(200))}}},
+        }
+        config = json.dumps({"servers": [server]})
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "tests.standins.upstream", "--config-json", config],
+            stdout=subprocess.PIPE,
+            stdin=subprocess.DEVNULL,
+            text=True,
+        )
+        ports = json.loads(self.process.stdout.readline())
+        self.address = f"127.0.0.1:{ports['servers']['s']}"
+
+    def cpu_ns(self):
+        """Return the processor time that the process has used."""
+        text = Path(SCHEDSTAT.format(self.process.pid)).read_text(encoding="ascii")
+        return int(text.split()[0])
+
+    def stop(self):
+        """End the process."""
+        self.process.terminate()
+        self.process.wait()
+        self.process.stdout.close()
+
+
+class Caller:
+    """The real adapter, with some requests under way at all times."""
+
+    def __init__(self, address, chains=CONNECTIONS):
+        upstream_class = UpstreamClass("c", CONNECTIONS, CONNECTIONS)
+        server = Server("s", upstream_class, address, "fd", "mtl")
+        clients = HttpUpstreamClients(reactor, ReactorClock(reactor), STALL_MS)
+        self.client = in_reactor(clients.connect, server)
+        in_reactor(self.client.set_limit, CONNECTIONS)
+        self.latencies_ms = []
+        self._chains = chains
+
+    def run(self, calls, parts):
+        """Make some calls for that many parts each."""
+        in_reactor(self._run, calls, parts)
+
+    def _run(self, calls, parts):
+        share = calls // self._chains
+        chains = [self._next(share, parts) for _ in range(self._chains)]
+        return gatherResults(chains)
+
+    def _next(self, left, parts):
+        body = {
+            "index": "bins",
+            "version": 1,
+            "parts": list(range(parts)),
+            "query": {"stop": "Sainte-Foy", "radius_m": 400},
+        }
+        request = UpstreamRequest(f"r-{left}", body, DEADLINE_MS)
+        start_s = time.monotonic()
+        done = self.client.query(request)
+        done.addCallback(self._done, left, parts, start_s)
+        return done
+
+    def _done(self, result, left, parts, start_s):
+        assert result.is_ok(), str(result.error)
+        self.latencies_ms.append((time.monotonic() - start_s) * 1000)
+        return self._next(left - 1, parts) if left > 1 else None
+
+    def close(self):
+        """Close all connections."""
+        in_reactor(self.client.close)
+
+
+def call_cost(stand_in, caller, parts):
+    """Return the processor time in us of one call, here and at the stand-in."""
+    here, there = [], []
+    caller.run(CONNECTIONS, parts)
+    calls = CALLS // CONNECTIONS * CONNECTIONS
+    for _ in range(ROUNDS):
+        own_ns, other_ns = time.process_time_ns(), stand_in.cpu_ns()
+        caller.run(calls, parts)
+        here.append((time.process_time_ns() - own_ns) / calls / 1000)
+        there.append((stand_in.cpu_ns() - other_ns) / calls / 1000)
+    return min(here), min(there)
+
+
+@measurements.register("upstream")
+def upstream():
+    """Measure one HTTP call against the parts that it carries."""
+    stand_in = StandIn()
+    try:
+        caller = Caller(stand_in.address)
+        costs = [(parts, call_cost(stand_in, caller, parts)) for parts in PARTS]
+        caller.close()
+    finally:
+        stand_in.stop()
+    here = [(parts, cost[0]) for parts, cost in costs]
+    there = [(parts, cost[1]) for parts, cost in costs]
+    return [
+        Measured("upstream: call, adapter", "us", "part", here),
+        Measured("upstream: call, stand-in", "us", "part", there),
+        Figure("upstream: one part in a call of its own, adapter", "us", here[0][1]),
+        Figure(
+            f"upstream: one part in a call of {PARTS[-1]}, adapter",
+            "us",
+            here[-1][1] / PARTS[-1],
+        ),
+    ]
