Ping only streams that have been quiet

Cause: each end of a stream pings every 500 ms and answers the other's pings, also while sub-queries pass in both directions: 44 B a second for each stream.

Ruled out: waiting for a whole interval without a byte; pings would then come up to 1,000 ms apart, and a peer that pauses for over 1,000 ms instead of 1,500 ms would lose its stream.

Change: a stream that carried a byte within the last 250 ms is not pinged.

--- a/hemlockspoke/adapters/peer_stream.py
+++ b/hemlockspoke/adapters/peer_stream.py
@@ -22,6 +22,9 @@
 CONNECT_TIMEOUT_S = 2
 REDIAL_MIN_MS = 200
 REDIAL_MAX_MS = 2000
+# A stream without a byte for this part of the heartbeat interval is pinged. With the
+# whole interval, a pause of the other end that is tolerated would be cut by 500 ms.
+QUIET_RATIO = 0.5
 
 
 class PeerProtocol(Int32StringReceiver):
@@ -353,16 +356,21 @@
         self.clock.call_later(self._timings.heartbeat_ms, self._heartbeat)
 
     def _heartbeat(self):
-        """Close silent streams and ping the others."""
+        """Close silent streams and ping the others.
+
+        A stream that has just carried a byte needs no ping: sub-queries and their
+        answers show as well that the other end lives.
+        """
         self._next_token += 1
         now_ms = self.clock.now_ms()
+        quiet_ms = self._timings.heartbeat_ms * QUIET_RATIO
         for stream in [*self._streams.values(), *self._unnamed]:
             silence_ms = now_ms - stream.last_received_ms
             if silence_ms > self._timings.stream_silence_ms:
                 self.metrics.count("peer.silent_stream")
                 self.stream_lost(stream)
                 stream.transport.abortConnection()
-            elif stream.vm is not None:
+            elif stream.vm is not None and silence_ms >= quiet_ms:
                 stream.send_message(Ping(token=self._next_token))
         self._schedule_heartbeat()
 
