Ask one peer at a time for a changed object

Cause: a change is announced by four peers of a daemon on average at about the same time, and the daemon asked each of them for the value.

Ruled out: announcing to fewer peers, which would leave more daemons to the digests.

Change: a version that a peer was asked for within 500 ms is not asked for again; a lost answer is asked for again at the next message that names the version.

--- a/hemlockspoke/config_exchange.py
+++ b/hemlockspoke/config_exchange.py
@@ -27,6 +27,9 @@
 # All versions are 31 KB at 1,000 keys in each direction, so one daemon starts a
 # full comparison at most this often; the bound of 12 s for a change allows for two.
 FULL_INTERVAL_MS = 4_000
+# Several peers announce a change at about the same time. After this long without
+# the object the next one that names it is asked as well.
+ASK_AGAIN_MS = 500
 # Digests sent again to peers whose digests differ, at each exchange.
 UNSETTLED_PEERS = 2
 
@@ -35,6 +38,7 @@
     """One daemon's side of the exchange."""
 
     __slots__ = (
+        "_asked",
         "_clock",
         "_configuration",
         "_full_ms",
@@ -62,6 +66,7 @@
         self._recent = deque(maxlen=RECENT_KEYS)
         self._unsettled = {}
         self._full_ms = None
+        self._asked = {}
         self.last_received_ms = None
         self._handlers = {
             Digest: self._receive_digest,
@@ -193,11 +198,22 @@
 
     def _want_newer(self, vm, theirs):
         known = self._configuration.known_version
-        wanted = {key: known(key) for key, version in theirs.items()}
-        wanted = {key: mine for key, mine in wanted.items() if theirs[key] > mine}
+        wanted = {
+            key: known(key)
+            for key, version in theirs.items()
+            if version > known(key) and not self._under_way(key, version)
+        }
         if wanted:
+            now_ms = self._clock.now_ms()
+            self._asked.update({key: (theirs[key], now_ms) for key in wanted})
             self._peers.send(vm, Versions(kind="wanted", versions=wanted))
 
+    def _under_way(self, key, version):
+        """Tell whether a peer was asked for this version a moment ago."""
+        asked_version, asked_ms = self._asked.get(key, (0, 0))
+        recently = self._clock.now_ms() - asked_ms < ASK_AGAIN_MS
+        return recently and asked_version >= version
+
     def _answer_state(self, vm):
         # A daemon that is itself starting does not know whether it has everything.
         if self._ready():
@@ -205,4 +221,5 @@
             self._peers.send(vm, message)
 
     def _receive_object(self, _vm, message):
+        self._asked.pop(message.key, None)
         self._configuration.adopt(message.key, message.version, message.value)
--- a/tests/features/exchange.feature
+++ b/tests/features/exchange.feature
@@ -27,3 +27,9 @@
     When objects change for 30 s while one message in three is lost
     And the exchange runs for 12 s
     Then the exchanging daemons have equal versions
+
+  Scenario: Each daemon gets a changed object about once
+    Given 40 exchanging daemons with 10 objects each
+    When 20 objects change one after the other at different daemons
+    Then the exchanging daemons have equal versions
+    And fewer than 1.2 copies of each change were sent to each daemon
--- a/tests/features/steps/exchange_steps.py
+++ b/tests/features/steps/exchange_steps.py
@@ -7,7 +7,7 @@
 from hemlockspoke.clock import ManualClock
 from hemlockspoke.config_exchange import ConfigExchange
 from hemlockspoke.configuration import Configuration
-from hemlockspoke.messages import decode, encode
+from hemlockspoke.messages import ObjectPush, decode, encode
 from hemlockspoke.ports import NullMetrics
 
 EXCHANGE_MS = 500
@@ -23,6 +23,7 @@
         self.loss_ratio = 0.0
         self.part_of = {}
         self.bytes = 0
+        self.copies = 0
         self.version = objects
         self.daemons = {
             f"vm-{number:02d}": Daemon(self, f"vm-{number:02d}")
@@ -42,6 +43,7 @@
         """Put a frame under way."""
         frame = encode(message)
         self.bytes += len(frame)
+        self.copies += isinstance(message, ObjectPush)
         if self.reaches(source, target) and self.rng.random() >= self.loss_ratio:
             receive = self.daemons[target].exchange.receive
             self.clock.call_later(TRANSIT_MS, receive, source, decode(frame))
@@ -159,3 +161,21 @@
 def few_bytes(context, limit):
     # Guards against sending all versions where one of them differs.
     assert context.network.bytes < limit, context.network.bytes
+
+
+@when("{changes:d} objects change one after the other at different daemons")
+def change_in_turn(context, changes):
+    network = context.network
+    network.copies = 0
+    vms = list(network.daemons)
+    for number in range(changes):
+        network.change(vms[number % len(vms)], number % 10)
+        network.run(2000)
+    context.expected = changes * (len(vms) - 1)
+
+
+@then("fewer than {limit:f} copies of each change were sent to each daemon")
+def few_copies(context, limit):
+    # Guards against asking every peer that announces an object for its value.
+    copies = context.network.copies / context.expected
+    assert copies < limit, copies
