--- a/hemlockspoke/audit.py
+++ b/hemlockspoke/audit.py
@@ -11,7 +11,9 @@
 from expression import Error, Ok
 
 from hemlockspoke.document_check import check_document
+from hemlockspoke.document_data import stored_data
 from hemlockspoke.fleet import FLEET_KEY, SERVICE_PREFIX
+from hemlockspoke.yaml_reader import read_yaml
 
 # Entries that always stay in the object, unless they are too large.
 KEPT_ENTRIES = 50
@@ -216,8 +218,9 @@
         return None
 
     def changed(self, value):
-        """Replace the text."""
-        return {"text": self._text}
+        """Replace the text and the data that daemons read."""
+        root = read_yaml(self._text).root
+        return {"text": self._text, "data": stored_data(self._text, root)}
 
     def diff(self, value):
         """Compare the texts line by line."""
--- a/hemlockspoke/configuration.py
+++ b/hemlockspoke/configuration.py
@@ -36,7 +36,7 @@
 
     if not isinstance(value, dict) or not isinstance(value.get("text"), str):
         return refused(key, type(value).__name__, "a map with the document's text")
-    result = check_document(value["text"], file=key)
+    result = check_document(value["text"], file=key, data=value.get("data"))
     if result.is_error():
         return result
     name = key.removeprefix(SERVICE_PREFIX)
--- a/hemlockspoke/document_check.py
+++ b/hemlockspoke/document_check.py
@@ -11,6 +11,7 @@
     Shard,
     UpstreamClass,
 )
+from hemlockspoke.document_data import data_root
 from hemlockspoke.fields import (
     INVALID,
     AddressCheck,
@@ -24,7 +25,7 @@
     Whole,
 )
 from hemlockspoke.registry import Registry
-from hemlockspoke.yaml_reader import read_yaml
+from hemlockspoke.yaml_reader import Reading, read_yaml
 
 HEDGE_POLICIES = ("none", "quantile")
 # Ten minutes: a caller that waits longer has lost its connection.
@@ -90,12 +91,24 @@
 document_checks = Registry("document check")
 
 
-def check_document(text, file="", others=()):
+def check_document(text, file="", others=(), data=None):
     """Return ``Result[ServiceDocument, Findings]``; never raises for any text.
 
     ``others`` are documents of other services; a server belongs to one document.
+    ``data`` is what is stored beside the text, as ``document_data`` describes it. It
+    saves reading the text of a document that has no mistakes.
     """
-    reading = read_yaml(text, file)
+    root = data_root(text, data)
+    if root is not None:
+        reading = Reading(file)
+        reading.root = root
+        result = _check_reading(reading, others)
+        if result.is_ok():
+            return result
+    return _check_reading(read_yaml(text, file), others)
+
+
+def _check_reading(reading, others):
     if reading.root is None:
         return Error(reading.findings)
     values = DOCUMENT.check(reading.root, reading)
