Replace shares that reach a daemon after it has exited

A daemon that has not yet read that another one leaves may hand it a share just after its exit. A daemon that has released everything now writes into its registration that it uses no share again, and its incarnation may then be replaced.

--- a/hemlockspoke/desired_holders.py
+++ b/hemlockspoke/desired_holders.py
@@ -13,6 +13,14 @@
     return group.rpartition("-")[0]
 
 
+def by_region(members):
+    """Return the names of members by region."""
+    names = {}
+    for member in members:
+        names.setdefault(member.region, set()).add(member.vm)
+    return names
+
+
 class HolderPool:
     """The best VMs of each group among some candidates.
 
--- a/hemlockspoke/membership.py
+++ b/hemlockspoke/membership.py
@@ -31,16 +31,27 @@
         "peer_address",
         "region",
         "state",
+        "stopped",
         "vm",
     )
 
-    def __init__(self, vm, incarnation, region, failure_domain, peer_address, state):
+    def __init__(
+        self,
+        vm,
+        incarnation,
+        region,
+        failure_domain,
+        peer_address,
+        state,
+        stopped=False,
+    ):
         self.vm = vm
         self.incarnation = incarnation
         self.region = region
         self.failure_domain = failure_domain
         self.peer_address = peer_address
         self.state = state
+        self.stopped = stopped
 
     def __repr__(self):
         return f"Member({self.vm!r}, {self.incarnation}, {self.state})"
@@ -160,6 +171,16 @@
         member = self._members.get(vm)
         return member is not None and member.incarnation > incarnation
 
+    def has_stopped(self, vm, incarnation):
+        """Tell whether this incarnation has written that it uses no share again.
+
+        It may still finish requests, so it is not gone as a peer.
+        """
+        member = self._members.get(vm)
+        return member is not None and (
+            member.stopped and member.incarnation >= incarnation
+        )
+
     def _note_present(self, listed_vms):
         changed = False
         for listed in listed_vms:
@@ -196,6 +217,7 @@
             failure_domain=value.get("failure_domain", ""),
             peer_address=value.get("peer_address", ""),
             state=self._state_of(vm),
+            stopped=bool(value.get("stopped")),
         )
 
     def _update_state(self, vm):
--- a/hemlockspoke/share_confirmation.py
+++ b/hemlockspoke/share_confirmation.py
@@ -130,20 +130,35 @@
         logger.error("confirmation failed", extra={"failure": str(failure)})
         return failure
 
-    @inlineCallbacks
     def mark_leaving(self):
         """Write into the registration that this process is about to exit.
 
         Tried until it succeeds: unmarked, the process would get shares back from
         others for which it still is a desired holder.
         """
-        while not self._stopped and not self.superseded:
-            if (yield self._try_to_mark()):
+        return self._mark("leaving")
+
+    def retire(self):
+        """Use no share ever again and write that into the registration.
+
+        A daemon that has not yet read the first mark may still hand shares over;
+        the second lets others replace them although the VM remains listed.
+        """
+        self._cancel()
+        self.superseded = True
+        self.confirmed = False
+        self._manager.reapply()
+        return self._mark("stopped")
+
+    @inlineCallbacks
+    def _mark(self, field):
+        while not self._stopped:
+            if (yield self._try_to_mark(field)):
                 return
             yield self._sleep(RETRY_MS)
 
     @inlineCallbacks
-    def _try_to_mark(self):
+    def _try_to_mark(self, field):
         vm, incarnation = self._manager.me
         if incarnation is None:
             return True
@@ -155,11 +170,11 @@
         if registration_incarnation(stored) != incarnation:
             self.supersede()
             return True
-        if stored.value.get("leaving"):
+        if stored.value.get(field):
             # An earlier write took effect although its reply was lost.
             self._manager.configuration.adopt(key, stored.version, stored.value)
             return True
-        value = {**stored.value, "incarnation": incarnation, "leaving": True}
+        value = {**stored.value, "incarnation": incarnation, field: True}
         value["writer"] = self._manager.next_writer()
         result = yield self._manager.store.put(key, value, if_version=stored.version)
         if result.is_ok():
--- a/hemlockspoke/share_manager.py
+++ b/hemlockspoke/share_manager.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.defer import Deferred
 
-from hemlockspoke.desired_holders import HolderPool
+from hemlockspoke.desired_holders import HolderPool, by_region
 from hemlockspoke.fleet import FLEET_KEY, SERVICE_PREFIX
 from hemlockspoke.membership import REGISTRATION_PREFIX, registration_incarnation
 from hemlockspoke.rendezvous import group_of
@@ -47,6 +47,7 @@
         "_pause",
         "_periodic",
         "_released",
+        "_retired",
         "_set_share",
         "_started",
         "_vm",
@@ -99,6 +100,7 @@
         self._periodic = None
         self._released = None
         self._marked = False
+        self._retired = False
         self._started = False
         self._writes = 0
 
@@ -230,10 +232,16 @@
 
     def rested(self):
         """Note that a keeper has nothing to do; completes a release."""
-        if not self._marked or self._released.called:
+        if not self._marked or self._retired:
             return
-        if self._confirmation.superseded or not self.keepers_with_shares():
+        if self._confirmation.superseded:
+            self._retired = True
             self._released.callback(True)
+        elif not self.keepers_with_shares():
+            self._retired = True
+            retiring = self._confirmation.retire()
+            retiring.addCallback(lambda _: self._released.callback(True))
+            retiring.addErrback(self._defect)
 
     def keepers_with_shares(self):
         """Return the keepers of the groups in which anything is held."""
@@ -380,12 +388,6 @@
     def _is_gone(self, vm, incarnation):
         if vm == self._vm:
             return incarnation < self.me[1]
+        if self._membership.has_stopped(vm, incarnation):
+            return True
         return self._membership.is_gone(vm, incarnation)
-
-
-def by_region(members):
-    """Return the names of members by region."""
-    names = {}
-    for member in members:
-        names.setdefault(member.region, set()).add(member.vm)
-    return names
--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -56,6 +56,16 @@
     Then the share release has completed
     And each share server has 2 slots at 2 live holders
 
+  # Guards against a lost share when a giver has not read that the taker leaves.
+  Scenario: a share handed to a daemon that has exited is replaced
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And share daemon 0 releases all shares
+    And 1000 ms of share time pass
+    And share daemon 0 exits and is handed a share
+    And 8000 ms of share time pass
+    Then each share server has 2 slots at 2 live holders
+
   # Guards against a write that comes before the work in use has ended.
   Scenario: work in use delays the handover of a share
     Given a share fleet of 3 daemons and 4 servers with 2 slots
--- a/tests/features/steps/shares_steps.py
+++ b/tests/features/steps/shares_steps.py
@@ -1,5 +1,7 @@
 """Steps on the shares of servers."""
 
+import copy
+
 from behave import given, then, when
 
 from hemlockspoke.requests import Share
@@ -296,3 +298,14 @@
 def step_not_released(context, number):
     assert context.released == []
     assert context.world.daemons[f"vm-{number}"].use.shares
+
+
+@when("share daemon {number:d} exits and is handed a share")
+def step_late_handover(context, number):
+    platform = context.world.platform
+    daemon = context.world.crash(f"vm-{number}")
+    key = next(key for key in platform.objects if key.startswith("shares/"))
+    value = copy.deepcopy(platform.objects[key].value)
+    for server in value["servers"].values():
+        server["holders"][0].update(vm=daemon.vm, incarnation=daemon.incarnation)
+    platform.put(key, value)
