--- a/hemlockspoke/messages.py
+++ b/hemlockspoke/messages.py
@@ -69,7 +69,8 @@
     """Return the message of a frame, or raise ``BadFrame``."""
     try:
         values = msgpack.unpackb(frame, raw=False, strict_map_key=False)
-    except (ValueError, msgpack.exceptions.UnpackException, RecursionError) as error:
+    except (ValueError, TypeError, RecursionError, msgpack.UnpackException) as error:
+        # A list as the key of a map is a TypeError.
         raise BadFrame(f"not msgpack: {error}") from error
     if not isinstance(values, list) or not values or not isinstance(values[0], str):
         raise BadFrame("a frame is an array that starts with a type name")
@@ -107,11 +108,12 @@
     """Summary of the configuration in force.
 
     ``store_contact_age_ms`` is the time since the sender, or a daemon that it has
-    heard of, last read the store. ``reply`` is true in the answer to a digest,
-    which tells the asker that it still reaches a peer.
+    heard of, last read the store. ``reply`` is true in the answer to a digest. The
+    answer repeats ``sent_ms``, the asker's own clock at its question, which tells
+    the asker at what time it certainly reached a peer.
     """
 
-    __slots__ = ("digest", "store_contact_age_ms", "reply")
+    __slots__ = ("digest", "store_contact_age_ms", "reply", "sent_ms")
 
 
 @message("versions")
--- a/hemlockspoke/query_task.py
+++ b/hemlockspoke/query_task.py
@@ -13,7 +13,12 @@
 # Wait before routes that were all refused are tried again. A share that is being
 # handed over is back within tens of ms.
 FIRST_ROUND_WAIT_MS = 25.0
-MAX_ROUNDS = 3
+MAX_ROUND_WAIT_MS = 200.0
+MAX_ROUNDS = 6
+# A query waits this long for parts that have had a server until just now. While a
+# share moves to another holder, nobody may use the server for a moment.
+WHOLE_PLAN_WAIT_MS = 250.0
+PIN_AGAIN_MS = 25.0
 # A restart on a newer version needs more than this part of the query's time.
 RESTART_TIME_RATIO = 0.5
 ITEM_FIELDS = 4
@@ -122,10 +127,22 @@
         """Return the time since the caller's request."""
         return self._engine.clock.now_ms() - self._started_ms
 
+    def _awaits_whole_plan(self, plan):
+        """Tell whether missing parts are likely to get a server in a moment."""
+        recently = self._engine.recently_whole(self.request, plan)
+        time_ms = self._end_ms - self._started_ms
+        limit_ms = min(WHOLE_PLAN_WAIT_MS, time_ms / 2)
+        return recently and self.elapsed_ms() < limit_ms
+
     @handles(Start)
     def _on_start(self, _):
+        if self._finished:
+            return
         engine, request = self._engine, self.request
         plan = engine.router.pin(request.service, request.index)
+        if self._awaits_whole_plan(plan):
+            engine.clock.call_later(PIN_AGAIN_MS, self.tell, Start())
+            return
         if plan is None:
             self._finish(Error(no_snapshot(request)))
             return
@@ -138,7 +155,7 @@
 
     @handles(Answers)
     def _on_answers(self, message):
-        if self._finished:
+        if self._finished or self._dispatch is None:
             return
         retry = []
         for item in message.items:
@@ -148,7 +165,7 @@
 
     @handles(HolderLost)
     def _on_holder_lost(self, message):
-        if self._finished:
+        if self._finished or self._dispatch is None:
             return
         retry = []
         for sub in list(self._dispatch.subs.values()):
@@ -191,7 +208,7 @@
         self._dispatch.send(groups)
 
     def _take_answer(self, vm, item, retry):
-        if not isinstance(item, list) or len(item) != ITEM_FIELDS:
+        if not _well_formed(item):
             self._engine.metrics.count("query.bad_answers")
             return
         sub_id, status, version, parts = item
@@ -213,20 +230,20 @@
         if not sub.hedged:
             self._hedging.observe(self._engine.clock.now_ms() - sub.sent_ms)
         self._merge.take(sub.parts, parts)
-        hedged = False
+        losers = []
         for group in sub.groups:
-            group.end(reached=True)
+            group.end(sub, reached=True)
             if group.closed:
                 continue
-            hedged = hedged or group.in_flight > 0
+            losers += group.running
             if not self._merge.missing_of(group.group):
                 group.closed = True
                 self._groups_open -= 1
-            elif group.in_flight == 0:
+            elif not group.running:
                 retry.append(group)
-        if hedged:
-            subs = self._dispatch.subs.values()
-            self._dispatch.cancel([sub for sub in subs if not sub.needed()])
+        if losers:
+            losers = {sub.sub_id: sub for sub in losers if not sub.needed()}
+            self._dispatch.cancel(losers.values())
 
     def _settle(self):
         if self._finished:
@@ -260,7 +277,7 @@
                 group.closed = True
                 self._groups_open -= 1
                 return
-            wait_ms = FIRST_ROUND_WAIT_MS * 2**group.rounds
+            wait_ms = min(MAX_ROUND_WAIT_MS, FIRST_ROUND_WAIT_MS * 2**group.rounds)
             group.retry_at_ms = self._engine.clock.now_ms() + wait_ms
             group.forget_tries()
         self._waiting.append(group)
@@ -285,22 +302,24 @@
         if delay_ms is None:
             return
         unhedged = self._dispatch.unhedged
-        denied = []
+        due = []
         while unhedged and unhedged[0].sent_ms + delay_ms <= now_ms:
             sub = unhedged.popleft()
-            if sub.sub_id in self._dispatch.subs and not self._hedge(sub, now_ms):
-                denied.append(sub)
-        unhedged.extendleft(reversed(denied))
-
-    def _hedge(self, sub, now_ms):
-        if not sub.hedged:
-            # Counted now, because a cancelled loser never reports a latency.
-            sub.hedged = True
-            self._hedging.observe(now_ms - sub.sent_ms)
-        before = self._dispatch.hedged
-        groups = [g for g in sub.groups if not g.closed and g.in_flight == 1]
-        self._dispatch.hedge(groups)
-        return self._dispatch.hedged > before
+            if sub.sub_id in self._dispatch.subs:
+                due.append(sub)
+        if due:
+            unhedged.extendleft(reversed(self._hedge(due)))
+
+    def _hedge(self, subs):
+        """Hedge sub-queries; return those for which there was no token."""
+        groups = []
+        for sub in subs:
+            if not sub.hedged:
+                sub.hedged = True
+                self._hedging.overdue()
+            groups += [g for g in sub.groups if not g.closed and len(g.running) == 1]
+        denied = self._dispatch.hedge(groups)
+        return [sub for sub in subs if any(group in denied for group in sub.groups)]
 
     def _schedule_tick(self):
         now_ms = self._engine.clock.now_ms()
@@ -354,3 +373,10 @@
         if self._dispatch is not None:
             self._dispatch.cancel(list(self._dispatch.subs.values()))
         self._engine.finished(self, result)
+
+
+def _well_formed(item):
+    # Peers check frames by their number of fields only.
+    if type(item) is not list or len(item) != ITEM_FIELDS:
+        return False
+    return type(item[0]) is int and type(item[1]) is str
--- a/tests/features/query.feature
+++ b/tests/features/query.feature
@@ -33,6 +33,21 @@
     Then the fan-out result is complete with version 7
     And the loser of the hedge is cancelled
 
+  Scenario: a part that two replicas answer is merged once
+    Given a query tier of 1 shards with 2 parts of version 7
+    When a fan-out query is started
+    And 60 ms pass and a hedge is sent
+    And the slow sub-query answers only part 0
+    And the hedge is answered
+    Then the fan-out result is complete with version 7
+
+  Scenario: a hedge that its holder refuses goes through the other holder
+    Given a query tier of 1 shards with 1 parts of version 7
+    When a fan-out query is started
+    And 60 ms pass and a hedge is sent
+    And the hedge is refused and 20 ms pass
+    Then the hedge is sent again to its server through the other holder
+
   Scenario: the answer is partial and truthful at the deadline
     Given a query tier of 2 shards with 4 parts of version 7
     When a fan-out query is started
@@ -52,6 +67,28 @@
     When a fan-out query is started
     Then the fan-out result is the problem "no-snapshot" with outcome "not_run"
 
+  Scenario: a part whose server changes its holder is awaited for a moment
+    Guards against partial answers while a share moves, with time left.
+    Given a query tier of 2 shards with 2 parts of version 7
+    When a fan-out query is started
+    And all sub-queries are answered
+    And no holder reports the servers of part 1 any more
+    And a fan-out query is started
+    Then no sub-query is sent within 60 ms
+    When another holder reports the servers of part 1
+    And all sub-queries are answered after 30 ms
+    Then the fan-out result is complete with version 7
+
+  Scenario: a part that stays without a server is not awaited for long
+    Guards against late answers when all replicas of a part are lost.
+    Given a query tier of 2 shards with 2 parts of version 7
+    When a fan-out query is started
+    And all sub-queries are answered
+    And no holder reports the servers of part 1 any more
+    And a fan-out query is started
+    And all sub-queries are answered after 250 ms
+    Then the fan-out result misses 1 of 2 parts
+
   Scenario: queries beyond concurrency and queue are refused as not run
     Given a query tier that admits 1 query and queues 1
     When 3 fan-out queries are started
@@ -71,3 +108,7 @@
     Then the replicas of part 0 name only server "s00-b"
     When the reports of holder "vm-1" are forgotten
     Then part 0 has no replica
+
+  Scenario: the hedge delay settles at the quantile although losers are cancelled
+    When the quantile policy sees 20000 latencies of which 1 % are cancelled as overdue
+    Then its hedge delay is within 10 % of the 95th percentile
--- a/tests/features/steps/query_steps.py
+++ b/tests/features/steps/query_steps.py
@@ -1,8 +1,11 @@
 """Steps on queries of one snapshot."""
 
+import random
+
 from behave import given, then, when
 
 from hemlockspoke.fleet import Fleet
+from hemlockspoke.hedging import hedge_policies
 from hemlockspoke.messages import Cancel
 from tests.fuzz.query_fakes import INDEX, SERVICE, Tier, make_document
 
@@ -108,6 +111,30 @@
     assert context.hedge[2][1] != slow[2][1]
 
 
+@when("{time_ms:d} ms pass and a hedge is sent")
+def step_hedge_sent(context, time_ms):
+    context.tier.clock.advance(time_ms)
+    (context.hedge,) = context.tier.items()
+
+
+@when("the slow sub-query answers only part 0")
+def step_partial_answer(context):
+    context.tier.answer(context.items[0], parts=[0])
+
+
+@when("the hedge is refused and {time_ms:d} ms pass")
+def step_hedge_refused(context, time_ms):
+    context.tier.answer(context.hedge, "refused")
+    context.tier.clock.advance(time_ms)
+
+
+@then("the hedge is sent again to its server through the other holder")
+def step_hedge_again(context):
+    (again,) = context.tier.items()
+    assert again[2][1] == context.hedge[2][1]
+    assert again[0] != context.hedge[0]
+
+
 @when("the hedge is answered")
 def step_answer_hedge(context):
     context.tier.answer(context.hedge)
@@ -192,3 +219,52 @@
 @then("part 0 has no replica")
 def step_no_replica(context):
     assert context.tier.router.replicas(SERVICE, INDEX, 7, 0) == []
+
+
+@when(
+    "the quantile policy sees {count:d} latencies of which {slow:d} % are cancelled "
+    "as overdue"
+)
+def step_latencies(context, count, slow):
+    context.policy = hedge_policies.get("quantile")()
+    rng = random.Random(1)
+    context.latencies = []
+    for _ in range(count):
+        latency_ms = 1000.0 if rng.random() < slow / 100 else rng.uniform(10, 30)
+        context.latencies.append(latency_ms)
+        if latency_ms >= context.policy.delay_ms():
+            context.policy.overdue()
+        else:
+            context.policy.observe(latency_ms)
+
+
+@then("its hedge delay is within {margin:d} % of the 95th percentile")
+def step_delay(context, margin):
+    exact = sorted(context.latencies)[int(0.95 * len(context.latencies))]
+    found = context.policy.delay_ms()
+    assert abs(found - exact) <= exact * margin / 100, (found, exact)
+
+
+@when("no holder reports the servers of part 1 any more")
+def step_unreport(context):
+    for server in ("s01-a", "s01-b"):
+        context.tier.report(server, {}, available=False)
+
+
+@when("another holder reports the servers of part 1")
+def step_other_reports(context):
+    for server in ("s01-a", "s01-b"):
+        context.tier.report(server, {7: (2, [1])}, holder="vm-2")
+
+
+@then("no sub-query is sent within {time_ms:d} ms")
+def step_nothing_sent(context, time_ms):
+    context.tier.clock.advance(time_ms)
+    assert not context.tier.items()
+
+
+@when("all sub-queries are answered after {time_ms:d} ms")
+def step_answer_all_later(context, time_ms):
+    context.tier.clock.advance(time_ms)
+    context.items = context.tier.items()
+    step_answer_all(context)
