--- a/hemlockspoke/share_confirmation.py
+++ b/hemlockspoke/share_confirmation.py
@@ -127,8 +127,8 @@
         self._timer = self._manager.clock.call_later(delay_ms, self._begin)
 
     def _defect(self, failure):
-        logger.error("confirmation failed", extra={"failure": str(failure)})
-        return failure
+        detail = failure.getTraceback()
+        self._manager.invariants.check("share-confirmation-handled", False, detail)
 
     def mark_leaving(self):
         """Write into the registration that this process is about to exit.
--- a/hemlockspoke/share_keeper.py
+++ b/hemlockspoke/share_keeper.py
@@ -1,15 +1,11 @@
 """One daemon's shares in one group: plan, lower, write, read back."""
 
-import logging
-
 from hemlockspoke.errors import StoreErrorKind
 from hemlockspoke.requests import Share
 from hemlockspoke.share_plan import GroupPlan, plan_group
 from hemlockspoke.share_rules import check_proposal
 from hemlockspoke.shares import SHARE_PREFIX, GroupShares, fits, lower_of
 
-logger = logging.getLogger(__name__)
-
 # Spreads the writes of daemons that react to the same change.
 WAKE_JITTER_MS = 100
 # The same for the first share object of a group, which the two desired holders want
@@ -377,6 +373,6 @@
 
     def _defect(self, failure):
         self._phase = IDLE
-        logger.error("share write failed", extra={"failure": str(failure)})
         self._backoff()
-        return failure
+        detail = f"{self.group}: {failure.getTraceback()}"
+        self._manager.invariants.check("share-write-handled", False, detail)
--- a/hemlockspoke/share_manager.py
+++ b/hemlockspoke/share_manager.py
@@ -160,8 +160,8 @@
         self.rested()
 
     def _defect(self, failure):
-        logger.error("release failed", extra={"failure": str(failure)})
-        return failure
+        detail = failure.getTraceback()
+        self.invariants.check("share-release-handled", False, detail)
 
     # What the keepers of groups ask for.
 
--- a/tests/fuzz/share_fuzz_world.py
+++ b/tests/fuzz/share_fuzz_world.py
@@ -207,6 +207,9 @@
 
     def check(self):
         """Assert that no server can get more than it handles."""
+        for daemon in self.processes():
+            # Those raised inside a deferred do not reach the machine otherwise.
+            assert not daemon.invariants.violations, daemon.invariants.violations
         for server in SERVER_NAMES:
             self._check_beliefs(server)
             self._check_load(server)
--- a/tests/fuzz/share_world.py
+++ b/tests/fuzz/share_world.py
@@ -37,6 +37,7 @@
         self.read_objects()
         self.membership = Membership(self.clock, self.configuration, GONE_MARGIN_MS)
         self.pause = Pause(self.clock, PAUSE_LIMIT_MS)
+        self.invariants = Invariants()
         self.shares = ShareManager(
             clock=self.clock,
             store=self.store,
@@ -47,7 +48,7 @@
             pause=self.pause,
             rng=random.Random(seed),
             metrics=NullMetrics(),
-            invariants=Invariants(),
+            invariants=self.invariants,
             set_share=self.use.set_share,
             in_use=self.use.in_use,
         )
