Test that a replaced share is not released during its wait

The fuzzing reaches a release during a wait in some runs only. A scenario now lets two daemons release while they wait for the work of a gone holder to end.

Result: it passes, and fails with the wait left out of the plans.

--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -29,6 +29,20 @@
     When 6000 ms of share time pass
     Then each share server has 2 slots at 2 live holders
 
+  # Guards against a release that sets a replaced share free while work of the gone
+  # holder may still run.
+  Scenario: a replaced share is not released before the wait has passed
+    Given a share fleet of 3 daemons and 4 servers with 2 slots
+    When 3000 ms of share time pass
+    And the VM of share daemon 1 vanishes
+    And 4500 ms of share time pass
+    And share daemon 0 releases all shares
+    And share daemon 2 releases all shares
+    And 1000 ms of share time pass
+    Then the shares that wait still stand in the store
+    When 6000 ms of share time pass
+    Then no share stands in the store
+
   # Guards against a share that stays with a VM that no running daemon has seen.
   Scenario: a VM that vanished before any daemon started is replaced
     Given a share fleet of 3 daemons and 4 servers with 2 slots
--- a/tests/features/steps/shares_steps.py
+++ b/tests/features/steps/shares_steps.py
@@ -309,3 +309,23 @@
     for server in value["servers"].values():
         server["holders"][0].update(vm=daemon.vm, incarnation=daemon.incarnation)
     platform.put(key, value)
+
+
+def slots_in_store(context):
+    """Return the sum of all slots that share objects name."""
+    return sum(
+        holder["slots"]
+        for value in group_values(context)
+        for server in value["servers"].values()
+        for holder in server["holders"]
+    )
+
+
+@then("the shares that wait still stand in the store")
+def step_waiting_stay(context):
+    assert slots_in_store(context) > 0
+
+
+@then("no share stands in the store")
+def step_none_in_store(context):
+    assert slots_in_store(context) == 0
