--- a/tests/features/steps/shares_steps.py
+++ b/tests/features/steps/shares_steps.py
@@ -1,5 +1,7 @@
 """Steps on the shares of servers."""
 
+import copy
+
 from behave import given, then, when
 
 from hemlockspoke.requests import Share
@@ -296,3 +298,34 @@
 def step_not_released(context, number):
     assert context.released == []
     assert context.world.daemons[f"vm-{number}"].use.shares
+
+
+@when("share daemon {number:d} exits and is handed a share")
+def step_late_handover(context, number):
+    platform = context.world.platform
+    daemon = context.world.crash(f"vm-{number}")
+    key = next(key for key in platform.objects if key.startswith("shares/"))
+    value = copy.deepcopy(platform.objects[key].value)
+    for server in value["servers"].values():
+        server["holders"][0].update(vm=daemon.vm, incarnation=daemon.incarnation)
+    platform.put(key, value)
+
+
+def slots_in_store(context):
+    """Return the sum of all slots that share objects name."""
+    return sum(
+        holder["slots"]
+        for value in group_values(context)
+        for server in value["servers"].values()
+        for holder in server["holders"]
+    )
+
+
+@then("the shares that wait still stand in the store")
+def step_waiting_stay(context):
+    assert slots_in_store(context) > 0
+
+
+@then("no share stands in the store")
+def step_none_in_store(context):
+    assert slots_in_store(context) == 0
