Test two holders of one server over HTTP

Each holder alone keeps its cold-start slots, but only their messages keep the sum within what a cold server bears. Two holders now load one server through a restart, a silent turn to cold and a drain. Seen failing when the holder without a cold-start slot keeps one slot while cold (cold overruns), and when it ignores that the other one is warm (full share not reached).

--- a/tests/features/steps/holder_http_steps.py
+++ b/tests/features/steps/holder_http_steps.py
@@ -22,6 +22,7 @@
 TIMINGS = SimpleNamespace(status_poll_ms=100, proof_ttl_ms=5000)
 STALL_MS = 100
 RAMP_LIMIT_S = 10
+FULL_SHARE = Share(3, 4, 1)
 SERVER = {
     "name": "up",
     "slots": 3,
@@ -41,11 +42,29 @@
     ports = in_reactor(context.stand_in.start)
     context.add_cleanup(in_reactor, context.stand_in.stop)
     context.server = context.stand_in.servers["up"]
-    in_reactor(make_holder, context, ports["servers"]["up"])
+    context.port = ports["servers"]["up"]
+    in_reactor(make_holder, context, context.port)
     context.add_cleanup(in_reactor, context.holder.stop)
+    context.holders = [context.holder]
 
 
-def make_holder(context, port):
+@given("another holder over HTTP takes 1 of the slots and no cold-start slot")
+def step_other_holder(context):
+    first = context.holder
+    in_reactor(first.set_share, "up", Share(2, 2, 1))
+    in_reactor(make_holder, context, context.port, Share(1, 2, 0))
+    second, context.holder = context.holder, first
+    context.add_cleanup(in_reactor, second.stop)
+    context.holders = [first, second]
+    first.set_listeners(ignore, lambda m: second.note_server_state("first", m))
+    second.set_listeners(ignore, lambda m: first.note_server_state("second", m))
+
+
+def ignore(_message):
+    pass
+
+
+def make_holder(context, port, share=FULL_SHARE):
     clock = ReactorClock(reactor)
     configuration = FakeConfiguration(["up"], ramp_successes=8)
     server_class = configuration.shop.servers["up"].upstream_class
@@ -60,7 +79,7 @@
         FakePause(),
         TIMINGS,
     )
-    context.holder.set_share("up", Share(3, 4, 1))
+    context.holder.set_share("up", share)
 
 
 async def ask(holder, number, cancel_ms=None):
@@ -92,9 +111,13 @@
         await deferLater(reactor, 0.001, lambda: None)
 
 
-def start_load(holder, goes_on, cancels=False):
+def start_load(holders, goes_on, cancels=False):
     names = [f"{id(goes_on)}-{number}" for number in range(5)]
-    return [ensureDeferred(load(holder, goes_on, name, cancels)) for name in names]
+    return [
+        ensureDeferred(load(holder, goes_on, name, cancels))
+        for holder in holders
+        for name in names
+    ]
 
 
 @when("the server over HTTP is loaded through a fault: {fault}")
@@ -106,7 +129,7 @@
         return reactor.seconds() < end
 
     async def run():
-        workers = start_load(context.holder, goes_on, cancels)
+        workers = start_load(context.holders, goes_on, cancels)
         await deferLater(reactor, 0.5, lambda: None)
         if fault == "drain":
             context.server.admin("config", {"draining": True, "drain_grace_ms": 200})
@@ -129,17 +152,20 @@
 @then("the server over HTTP has its full share again")
 def step_full_share(context):
     """Loads on until the gate is open, as a busy machine may slow the ramp."""
-    gate = in_reactor(context.holder.gates)["up"]
+    gates = [holder.gates()["up"] for holder in context.holders]
     end = in_reactor(reactor.seconds) + RAMP_LIMIT_S
 
     def goes_on():
-        return gate.permitted() < 3 and reactor.seconds() < end
+        return permitted() < 3 and reactor.seconds() < end
+
+    def permitted():
+        return sum(gate.permitted() for gate in gates)
 
     async def run():
-        for worker in start_load(context.holder, goes_on):
+        for worker in start_load(context.holders, goes_on):
             await worker
 
     in_reactor(lambda: ensureDeferred(run()))
-    assert in_reactor(gate.permitted) == 3, gate.cold_start.state
+    assert in_reactor(permitted) == 3, [gate.cold_start.state for gate in gates]
     counters = in_reactor(context.server.counters)
     assert counters["max_running"] == 3, counters
