--- a/tests/bench/slope_wire.py
+++ b/tests/bench/slope_wire.py
@@ -87,7 +87,12 @@
         available=True,
         indexes={"bins": {"7": {"parts_total": 1700, "parts": [104]}}},
     )
-    digest = Digest(digest="9f86d081884c7d65", store_contact_age_ms=12.5, reply=False)
+    digest = Digest(
+        digest="9f86d081884c7d65",
+        store_contact_age_ms=12.5,
+        reply=False,
+        sent_ms=1234567.8,
+    )
     hello = Hello(
         vm="mtl-a-0042", incarnation=0, epoch=1, protocol_version=1, region="mtl"
     )
--- a/tests/fakes/configuration_world.py
+++ b/tests/fakes/configuration_world.py
@@ -37,7 +37,7 @@
 )
 
 
-def fake_check_document(text, file=""):
+def fake_check_document(text, file="", data=None):
     """Accept any text but ``BAD_TEXT``; the service is the file's last part."""
     if text == BAD_TEXT:
         return Error(Findings([Finding("service", text, "another text", file=file)]))
--- a/tests/features/steps/exchange_steps.py
+++ b/tests/features/steps/exchange_steps.py
@@ -85,7 +85,13 @@
 
     def adopt(self, number, version):
         """Take a registration in force."""
-        value = {"peer_address": "10.0.0.1:1", "operator_address": "10.0.0.1:2"}
+        value = {
+            "vm": f"vm-{number}",
+            "region": "mtl",
+            "failure_domain": "mtl-a",
+            "peer_address": "10.0.0.1:1",
+            "operator_address": "10.0.0.1:2",
+        }
         assert self.configuration.adopt(f"vms/vm-{number}", version, value)
 
     def connected(self):
--- a/tests/features/steps/peer_choice_steps.py
+++ b/tests/features/steps/peer_choice_steps.py
@@ -22,8 +22,12 @@
         self.choices = {}
         for name in self.names:
             self.join(name)
+        amounts = {"slots": 1, "connections": 1, "cold_start_slots": 1}
         servers = {
-            f"s-{name}": {"document_version": 1, "holders": [{"vm": name}]}
+            f"s-{name}": {
+                "document_version": 1,
+                "holders": [{"vm": name, "incarnation": 1, **amounts}],
+            }
             for name in self.holders
         }
         value = {"writer": "w", "servers": servers}
@@ -32,6 +36,7 @@
     def join(self, name):
         """Register a VM and let it choose peers from now on."""
         value = {
+            "vm": name,
             "region": "mtl",
             "failure_domain": "mtl-a",
             "peer_address": "10.0.0.1:1",
--- a/tests/features/steps/version_check_steps.py
+++ b/tests/features/steps/version_check_steps.py
@@ -60,6 +60,7 @@
         self.clock = ManualClock()
         self.store = SilentStore()
         registration = {
+            "vm": VM,
             "region": "mtl",
             "failure_domain": "mtl-a",
             "peer_address": "10.0.0.1:1",
@@ -90,7 +91,12 @@
         for _ in range(int(duration_ms) // STEP_MS):
             self.clock.advance(STEP_MS)
             digest = self.configuration.digest()
-            message = Digest(digest=digest, store_contact_age_ms=0.0, reply=True)
+            message = Digest(
+                digest=digest,
+                store_contact_age_ms=0.0,
+                reply=True,
+                sent_ms=self.clock.now_ms(),
+            )
             self.sync.receive("vm-1", message)
 
 
