Cancel a pending choice of peers when the daemon stops

Cause: a change within 100 ms before the stop would have set addresses anew and dialed after all streams had been closed.

Change: the timer is cancelled.

--- a/hemlockspoke/node.py
+++ b/hemlockspoke/node.py
@@ -41,7 +41,7 @@
     """One daemon without its HTTP interfaces."""
 
     __slots__ = (
-        "_choosing_peers",
+        "_peer_timer",
         "catalog",
         "claims",
         "clock",
@@ -78,7 +78,7 @@
         self.invariants = Invariants(strict=False)
         self.leaving = False
         self.draining = False
-        self._choosing_peers = False
+        self._peer_timer = None
         self.out_since_ms = None
         timings = settings.timings
         self.pause = Pause(clock, timings.pause_limit_ms)
@@ -229,12 +229,13 @@
 
     def _update_peer_addresses(self):
         """Choose the peers soon; changes that come together are taken as one."""
-        if not self._choosing_peers:
-            self._choosing_peers = True
-            self.clock.call_later(PEER_CHOICE_DELAY_MS, self._choose_peers)
+        if self._peer_timer is None:
+            self._peer_timer = self.clock.call_later(
+                PEER_CHOICE_DELAY_MS, self._choose_peers
+            )
 
     def _choose_peers(self):
-        self._choosing_peers = False
+        self._peer_timer = None
         chosen = self.peer_choice.choose()
         addresses = {m.vm: Address.parse(m.peer_address) for m in chosen.members}
         self.peers.set_addresses(addresses, one_sided=chosen.bounded)
@@ -317,6 +318,8 @@
 
     def stop(self):
         """Close everything; nothing may be in progress."""
+        if self._peer_timer is not None:
+            self._peer_timer.cancel()
         self.registration.stop()
         self.share_manager.stop()
         self.sync.stop()
