--- a/hemlockspoke/document_check.py
+++ b/hemlockspoke/document_check.py
@@ -24,10 +24,10 @@
     Text,
     Whole,
 )
+from hemlockspoke.hedging import hedge_policies
 from hemlockspoke.registry import Registry
 from hemlockspoke.yaml_reader import Reading, read_yaml
 
-HEDGE_POLICIES = ("none", "quantile")
 # Ten minutes: a caller that waits longer has lost its connection.
 MAX_DEADLINE_MS = 600_000
 MAX_SLOTS = 10_000
@@ -43,7 +43,7 @@
         "max_deadline_ms": Whole(1, MAX_DEADLINE_MS, "ms"),
         "min_coverage_ratio": Ratio(),
         "extra_load_ratio": Ratio(),
-        "hedge_policy": Choice(HEDGE_POLICIES),
+        "hedge_policy": Choice(tuple(hedge_policies.names())),
         "max_concurrent_queries": Whole(1, MAX_QUERIES, "queries"),
         "max_queued_queries": Whole(0, MAX_QUERIES, "queries"),
     },
--- a/hemlockspoke/hedging.py
+++ b/hemlockspoke/hedging.py
@@ -4,6 +4,8 @@
 unanswered sub-query is hedged, or None to never hedge.
 """
 
+import math
+
 from hemlockspoke.registry import Registry
 
 hedge_policies = Registry("hedge policy")
@@ -13,11 +15,43 @@
 # Used until enough latencies have been seen to estimate a quantile.
 INITIAL_DELAY_MS = 50.0
 HEDGE_QUANTILE = 0.95
+# A sub-query that takes this many times as long as nearly all others of its query
+# is taken for a straggler.
+RELATIVE_FACTOR = 1.2
+FALLBACK_FACTOR = 2.0
 # Relative size of one correction. Smaller steps follow a latency change too
 # slowly, larger ones make the estimate itself noisy.
 STEP_RATIO = 0.02
 
 
+class Progress:
+    """When the first sub-queries of one query were answered.
+
+    >>> progress = Progress(2)
+    >>> progress.note_answer(7.0)
+    >>> progress.most_answered_ms()
+    7.0
+    """
+
+    __slots__ = ("_answer_times_ms", "_most")
+
+    def __init__(self, sub_queries):
+        self._answer_times_ms = []
+        most = math.ceil(HEDGE_QUANTILE * sub_queries)
+        self._most = min(most, sub_queries - 1)
+
+    def note_answer(self, elapsed_ms):
+        """Note that one more sub-query was answered."""
+        if len(self._answer_times_ms) < self._most:
+            self._answer_times_ms.append(elapsed_ms)
+
+    def most_answered_ms(self):
+        """Return when nearly all were answered, None before or with one alone."""
+        if self._most < 1 or len(self._answer_times_ms) < self._most:
+            return None
+        return self._answer_times_ms[-1]
+
+
 class SlidingQuantile:
     """Estimate of a quantile that moves a small step with each value.
 
@@ -62,7 +96,7 @@
     def overdue(self):
         """Ignore a sub-query that has not been answered within the delay."""
 
-    def delay_ms(self):
+    def delay_ms(self, progress):
         """Return None: no sub-query is hedged."""
 
 
@@ -86,6 +120,27 @@
         """
         self._estimate.exceed()
 
-    def delay_ms(self):
+    def delay_ms(self, progress):
         """Return the delay after which a sub-query is hedged."""
         return max(MIN_DELAY_MS, self._estimate.value)
+
+
+@hedge_policies.register("relative")
+class RelativeHedging(QuantileHedging):
+    """Hedges the last sub-queries of a query relative to its others.
+
+    A moment in which everything is slow raises a quantile over all queries, and
+    then stragglers are hedged late. The other sub-queries of the same query are
+    slow in the same moment, so what they took is the better measure. Until most of
+    them have been answered, as when a holder stands still, twice the quantile over
+    all queries counts.
+    """
+
+    __slots__ = ()
+
+    def delay_ms(self, progress):
+        """Return the delay after which a sub-query of this query is hedged."""
+        most_ms = progress.most_answered_ms()
+        if most_ms is None:
+            return FALLBACK_FACTOR * super().delay_ms(progress)
+        return max(MIN_DELAY_MS, RELATIVE_FACTOR * most_ms)
--- a/hemlockspoke/query_task.py
+++ b/hemlockspoke/query_task.py
@@ -5,6 +5,7 @@
 
 from hemlockspoke.dispatch import TOKEN_WAIT_MS, Dispatch
 from hemlockspoke.fanout import HOLDER_LOST, GroupState, Merge
+from hemlockspoke.hedging import Progress
 from hemlockspoke.messages import SubStatus
 from hemlockspoke.query_problems import coverage_too_low, no_snapshot, overloaded
 from hemlockspoke.requests import QueryAnswer
@@ -71,6 +72,7 @@
     """Owner of the state of one query, from admission to its one result."""
 
     __slots__ = (
+        "_begun_ms",
         "_deadline_timer",
         "_dispatch",
         "_end_ms",
@@ -80,6 +82,7 @@
         "_hedging",
         "_merge",
         "_plan",
+        "_progress",
         "_restarted",
         "_started_ms",
         "_tick_at_ms",
@@ -100,6 +103,7 @@
         self._plan = None
         self._dispatch = None
         self._hedging = None
+        self._progress = None
         self._merge = None
         self._waiting = []
         self._groups_open = 0
@@ -206,6 +210,8 @@
         self._groups_open = len(groups)
         self._dispatch.begin(plan, self._merge)
         self._dispatch.send(groups)
+        self._progress = Progress(len(self._dispatch.subs))
+        self._begun_ms = self._engine.clock.now_ms()
 
     def _take_answer(self, vm, item, retry):
         if not _well_formed(item):
@@ -227,6 +233,7 @@
     def _merge_answer(self, sub, parts, retry):
         self._dispatch.remove(sub)
         self._dispatch.earn(sub)
+        self._progress.note_answer(self._engine.clock.now_ms() - self._begun_ms)
         if not sub.hedged:
             self._hedging.observe(self._engine.clock.now_ms() - sub.sent_ms)
         whole = self._merge.take(sub.parts, parts)
@@ -298,7 +305,7 @@
         return due
 
     def _hedge_due(self, now_ms):
-        delay_ms = self._hedging.delay_ms()
+        delay_ms = self._hedging.delay_ms(self._progress)
         if delay_ms is None:
             return
         unhedged = self._dispatch.unhedged
@@ -324,7 +331,7 @@
     def _schedule_tick(self):
         now_ms = self._engine.clock.now_ms()
         due = [group.retry_at_ms for group in self._waiting]
-        delay_ms = self._hedging.delay_ms()
+        delay_ms = self._hedging.delay_ms(self._progress)
         unhedged = self._dispatch.unhedged
         if unhedged and delay_ms is not None:
             hedge_ms = unhedged[0].sent_ms + delay_ms
--- a/tests/bench/hedging.py
+++ b/tests/bench/hedging.py
@@ -10,6 +10,7 @@
 import sys
 from collections import deque
 
+from hemlockspoke.hedging import hedge_policies
 from hemlockspoke.messages import Cancel, SubAnswerBatch
 from hemlockspoke.requests import QueryRequest
 from tests.fuzz.query_fakes import SERVICE, Tier, make_document
@@ -148,7 +149,7 @@
     """Print one line per load, policy and seed."""
     print("load  policy    seed  p50_ms  p99_ms  p999_ms  extra_%  partial")
     for load in (0.1, 0.3, 0.5):
-        for policy in ("none", "quantile"):
+        for policy in hedge_policies.names():
             for seed in seeds:
                 simulation = Simulation(policy, load, seed)
                 extra = simulation.run()
--- a/tests/bench/scenarios.py
+++ b/tests/bench/scenarios.py
@@ -14,6 +14,13 @@
 # One way, as the brief gives it for Laurentide, between client and VM and upstream.
 ONE_WAY_MS = 1
 SERVICE_MS = 5
+LONG_SERVICE_MS = 20
+# Upstream stand-ins share the machine; in few processes they would queue requests
+# that the servers of the brief handle side by side.
+UPSTREAM_PROCESSES = 6
+TAIL_PARTS = 40
+TAIL_RATE_PER_S = 8
+TAIL_S = 25
 RATE_PER_S = 20
 STEADY_S = 10
 # The gates of all servers open within this time at the rates used here.
@@ -61,7 +68,9 @@
 def started_cluster(deployment, daemons=9, stand_in=None, **policy):
     """Return a running cluster with the document in force."""
     settings = {"service_ms": SERVICE_MS, "delay_ms": ONE_WAY_MS, **(stand_in or {})}
-    cluster = Cluster(deployment.layout, daemons, stand_in=settings, processes=2)
+    cluster = Cluster(
+        deployment.layout, daemons, stand_in=settings, processes=UPSTREAM_PROCESSES
+    )
     cluster.start_stand_ins()
     cluster.put_document(**policy)
     cluster.start_daemons()
@@ -79,41 +88,60 @@
 
 @scenarios.register("tail")
 def tail(deployment):
-    """p99 with 1% of sub-queries 10 times slow, for each hedge policy."""
+    """p99 with 1% of sub-queries 10 times slow, for each hedge policy.
+
+    Measured at two service times, because the fan-out itself costs about 20 ms of
+    latency on one machine, which hides most of what hedging saves at the shorter.
+    """
+    for service_ms in (SERVICE_MS, LONG_SERVICE_MS):
+        samples = {
+            policy: tail_sample(deployment, policy, service_ms)
+            for policy in ("none", "quantile")
+        }
+        yield from tail_rows(deployment, service_ms, samples)
+
+
+def tail_sample(deployment, policy, service_ms):
+    """Measure one hedge policy; returns the sample and sub-queries per query."""
 
     def layout(hosts):
-        return deployment.layout(hosts, shards=40)
+        return deployment.layout(hosts, shards=TAIL_PARTS)
 
     wide = Deployment(
         deployment.name, layout, deployment.index, deployment.order, deployment.domain
     )
-    straggling = {"straggler_ratio": 0.01, "straggler_factor": 10}
-    figures = {}
-    for policy in ("none", "quantile"):
-        with started_cluster(wide, stand_in=straggling, hedge_policy=policy) as cluster:
-            before = cluster.total("queries")
-            sample = steady(cluster, wide, 20, rate_per_s=8)
-            # The counters also hold the warm-up; its requests are in the ratio.
-            figures[policy] = (sample, cluster.total("queries") - before)
-    base_ms = figures["none"][0].percentile_ms(99)
-    hedged = figures["quantile"][0]
-    hedged_ms = hedged.percentile_ms(99)
+    settings = {"straggler_ratio": 0.01, "straggler_factor": 10}
+    settings["service_ms"] = service_ms
+    with started_cluster(wide, stand_in=settings, hedge_policy=policy) as cluster:
+        load = Load(cluster, wide.index, TAIL_RATE_PER_S).start()
+        time.sleep(WARM_UP_S)
+        load.take_sample()
+        before = cluster.total("queries")
+        time.sleep(TAIL_S)
+        after = cluster.total("queries")
+        sample = load.stop()
+        return sample, (after - before) / sample.total()
+
+
+def tail_rows(deployment, service_ms, samples):
+    """Return the rows of one service time."""
+    base, base_load = samples["none"]
+    hedged, hedged_load = samples["quantile"]
+    base_ms, hedged_ms = base.percentile_ms(99), hedged.percentile_ms(99)
+    figure = f"p99 of quantile against none, {service_ms} ms a sub-query"
+    medians = f"p50 {hedged.percentile_ms(50):.0f} and {base.percentile_ms(50):.0f}"
     yield Row(
         "tail",
         deployment.name,
-        "p99 of quantile against none",
+        figure,
         "at most 1/3",
-        f"{hedged_ms:.0f} ms against {base_ms:.0f} ms",
+        f"{hedged_ms:.0f} ms against {base_ms:.0f} ms ({medians})",
         hedged_ms <= base_ms / 3,
     )
-    extra = figures["quantile"][1] / figures["none"][1] - 1
+    extra = hedged_load / base_load - 1
+    name = f"extra load, {service_ms} ms a sub-query"
     yield Row(
-        "tail",
-        deployment.name,
-        "extra load",
-        "at most 5%",
-        f"{extra:.1%}",
-        extra <= 0.05,
+        "tail", deployment.name, name, "at most 5%", f"{extra:.1%}", extra <= 0.05
     )
     yield answers_row("tail", deployment, hedged)
 
--- a/tests/features/steps/query_steps.py
+++ b/tests/features/steps/query_steps.py
@@ -232,7 +232,7 @@
     for _ in range(count):
         latency_ms = 1000.0 if rng.random() < slow / 100 else rng.uniform(10, 30)
         context.latencies.append(latency_ms)
-        if latency_ms >= context.policy.delay_ms():
+        if latency_ms >= context.policy.delay_ms(None):
             context.policy.overdue()
         else:
             context.policy.observe(latency_ms)
@@ -241,7 +241,7 @@
 @then("its hedge delay is within {margin:d} % of the 95th percentile")
 def step_delay(context, margin):
     exact = sorted(context.latencies)[int(0.95 * len(context.latencies))]
-    found = context.policy.delay_ms()
+    found = context.policy.delay_ms(None)
     assert abs(found - exact) <= exact * margin / 100, (found, exact)
 
 
