Announce servers without indexes when a share is gained

Cause: a holder announced a server when its indexes or its reachability changed. An order server has no indexes, so nothing was announced after a share had moved, and the entries kept the last word of the former holder, 'not available'. Change: the first status after a share is gained is announced.

--- a/hemlockspoke/held_server.py
+++ b/hemlockspoke/held_server.py
@@ -47,6 +47,7 @@
         "_timings",
         "_peer_sequences",
         "_announced",
+        "_unannounced",
         "client",
         "cold_start",
         "draining",
@@ -85,6 +86,8 @@
         self._poll_timer = None
         self._polling = False
         self._stopped = False
+        # The status has not yet been announced since the share was gained.
+        self._unannounced = True
         client.set_loss_listener(self._connection_lost)
 
     # Share
@@ -101,6 +104,7 @@
         if not had_slots:
             # Without connections a restart would have gone unseen.
             self.cold_start.suspect()
+            self._unannounced = True
             self._schedule_poll(0)
         self.gate.pump()
 
@@ -333,7 +337,11 @@
             self._begin_drain()
         elif self.draining and (restarted or self._drain_is_over()):
             self._end_drain()
-        if self._served.note_status(status.indexes, self._clock.now_ms()) or restarted:
+        changed = self._served.note_status(status.indexes, self._clock.now_ms())
+        # An order server has no indexes whose change would announce it; without
+        # this the last word on it would be that of its former holder.
+        if changed or restarted or self._unannounced:
+            self._unannounced = False
             self._publish()
 
     def _begin_drain(self):
--- a/tests/features/holder.feature
+++ b/tests/features/holder.feature
@@ -137,6 +137,18 @@
     And the status of s lists parts 0 and 1
     Then the last catalog update of s lists part 1
 
+  Scenario: a server without indexes is announced by the holder that takes it over
+    Guards against an order server that stays unavailable to the entries since its
+    former holder has announced the end of its share.
+    Given a holder of cold server s with 1 slots and 1 for cold starts
+    When the status of the new holder's server s arrives
+    Then the last catalog update of s says that it is available
+    When the holder loses its share of s
+    Then the last catalog update of s says that it is not available
+    When the holder of s gets its share back
+    And the status of the new holder's server s arrives
+    Then the last catalog update of s says that it is available
+
   Scenario: a server at a new address is held anew and cold
     Given a holder of servers s and t, each warm with 4 slots
     When s moves to another address
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -332,6 +332,29 @@
     assert update.indexes["bins"]["1"]["parts"] == [1], update
 
 
+@when("the status of the new holder's server s arrives")
+def step_first_status(context):
+    context.indexes = {}
+    poll(context, "s")
+
+
+@when("the holder loses its share of s")
+def step_share_lost(context):
+    context.holder.set_share("s", None)
+
+
+@when("the holder of s gets its share back")
+def step_share_back(context):
+    context.holder.set_share("s", Share(1, 8, 1))
+
+
+@then("the last catalog update of s says that it is {text}")
+def step_announced(context, text):
+    updates = [u for u in context.bench.updates if u.server == "s"]
+    assert updates, "no update"
+    assert updates[-1].available == (text == "available"), updates[-1]
+
+
 @then("the holder is idle")
 def step_idle(context):
     assert context.holder.idle()
