--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -11,3 +11,8 @@
     suppress_health_check=list(HealthCheck),
 )
 settings.load_profile("ci")
+
+
+def before_feature(context, feature):
+    """Give the scenarios of a feature a place for what they share."""
+    context.shared = {}
--- a/tests/standins/upstream_model.py
+++ b/tests/standins/upstream_model.py
@@ -1,5 +1,6 @@
 """Behaviour of one upstream server of the stand-in, without sockets."""
 
+import itertools
 import random
 import zlib
 from collections import deque
@@ -27,6 +28,8 @@
     "status_lag_ms": 0,
     "status_lie": {},
     "rows_per_part": 3,
+    # Version that queries are answered from, whichever they ask for; None: theirs.
+    "answer_version": None,
     "indexes": {"bins": {"1": {"parts_total": 1, "parts": [0]}}},
 }
 
@@ -299,8 +302,12 @@
             return {"result": {"key": call.key, "server": self.name}}
         body = call.body
         count = self.settings["rows_per_part"]
-        index, version = body["index"], body["version"]
+        index = body["index"]
+        version = self.settings["answer_version"] or body["version"]
         parts = {str(p): part_rows(index, version, p, count) for p in body["parts"]}
+        if "echo" in body["query"]:
+            for row in itertools.chain.from_iterable(parts.values()):
+                row["echo"] = body["query"]["echo"]
         return {"index": index, "version": version, "parts": parts}
 
     def _answer(self, call, code, body):
