--- /dev/null
+++ b/tests/features/steps/promise_soak_steps.py
@@ -0,0 +1,15 @@
+"""Steps of the short soak."""
+
+from behave import then, when
+
+from tests import soak
+
+
+@when("the soak runs for {duration_s:d} s with seed {seed:d}")
+def step_soak_runs(context, duration_s, seed):
+    context.soak_failures = soak.run(seed, duration_s)
+
+
+@then("the soak has found nothing")
+def step_soak_clean(context):
+    assert not context.soak_failures, context.soak_failures
