--- a/tests/features/promise_01_snapshot.feature
+++ b/tests/features/promise_01_snapshot.feature
@@ -5,7 +5,8 @@
 
   Scenario: the index is repartitioned under queries while a holder is killed
     Guards against an answer merged from two versions when the pinned one vanishes.
-    Given promise queries run all the time
+    Given promise shard 5 takes 250 ms, so that its requests queue
+    And promise queries run all the time
     When promise daemon 3 is killed
     And the promise index is repartitioned
     And the promise index is repartitioned
--- a/tests/features/steps/promise_query_steps.py
+++ b/tests/features/steps/promise_query_steps.py
@@ -91,6 +91,15 @@
         )
 
 
+@given("promise shard {shard:d} takes {service_ms:d} ms, so that its requests queue")
+def step_slow_shard(context, shard, service_ms):
+    for replica in "ab":
+        server = f"bins-{shard:02d}-{replica}"
+        context.cluster.upstream(server, "config", {"service_ms": service_ms})
+        undo = {"service_ms": 5}
+        context.add_cleanup(context.cluster.upstream, server, "config", undo)
+
+
 @given("all promise servers are stragglers now and then")
 def step_stragglers(context):
     for server in context.cluster.layout.servers:
