--- a/hemlockspoke/adapters/blocking_store.py
+++ b/hemlockspoke/adapters/blocking_store.py
@@ -4,22 +4,23 @@
 of errors are those of the port.
 """
 
-from urllib.parse import quote, urlencode
+from urllib.parse import urlencode
 
 from expression import Error, Ok
 
 from hemlockspoke.adapters.blocking_http import NoReply, exchange
+from hemlockspoke.adapters.store_replies import (
+    HTTP_NOT_FOUND,
+    HTTP_OK,
+    WATCH_GRACE_MS,
+    object_path,
+    parse_object,
+    parse_objects,
+    parse_vms,
+    put_result,
+)
 from hemlockspoke.errors import StoreError, StoreErrorKind
-from hemlockspoke.ports import ListedVm, ObjectList, Store, StoredObject, VmList
-
-HTTP_OK = 200
-HTTP_NOT_FOUND = 404
-HTTP_PRECONDITION_FAILED = 412
-HTTP_SERVICE_UNAVAILABLE = 503
-# Replies that say that the platform did not accept the request at all.
-NOT_ACCEPTED = frozenset({400, 401, 403, 405, 411, 413, 414, 415, 428, 429, 431})
-# A watch gets this much longer than its own wait before it counts as silent.
-WATCH_GRACE_MS = 1000
+from hemlockspoke.ports import Store
 
 
 class BlockingStore(Store):
@@ -85,44 +86,3 @@
 def unavailable(detail):
     """Return the result of a call that was not applied."""
     return Error(StoreError(StoreErrorKind.UNAVAILABLE, detail))
-
-
-def object_path(key):
-    """Return the path of an object."""
-    return f"/v1/objects/{quote(key, safe='/')}"
-
-
-def put_result(reply):
-    """Return the result that a reply to a write proves."""
-    version = reply.fields().get("version")
-    detail = f"status {reply.status}"
-    if reply.status == HTTP_OK and isinstance(version, int):
-        return Ok(version)
-    if reply.status == HTTP_PRECONDITION_FAILED:
-        return Error(StoreError(StoreErrorKind.CONFLICT, detail, version))
-    applied = reply.fields().get("applied")
-    refused = reply.status == HTTP_SERVICE_UNAVAILABLE and applied is False
-    if refused or reply.status in NOT_ACCEPTED:
-        return unavailable(detail)
-    return Error(StoreError(StoreErrorKind.UNKNOWN, detail))
-
-
-def parse_object(body):
-    """Return the ``StoredObject`` of a reply."""
-    return StoredObject(body["key"], body["version"], body.get("value"))
-
-
-def parse_objects(body):
-    """Return the ``ObjectList`` of a reply."""
-    return ObjectList(body["revision"], [parse_object(o) for o in body["objects"]])
-
-
-def parse_vms(body):
-    """Return the ``VmList`` of a reply."""
-    return VmList(body["lag_ms"], [parse_vm(entry) for entry in body["vms"]])
-
-
-def parse_vm(entry):
-    """Return the ``ListedVm`` of an entry of the list."""
-    fields = ("vm", "address", "region", "failure_domain", "state")
-    return ListedVm(*(entry[name] for name in fields))
--- a/hemlockspoke/adapters/http_store.py
+++ b/hemlockspoke/adapters/http_store.py
@@ -1,7 +1,7 @@
 """The platform's object API over HTTP."""
 
 import json
-from urllib.parse import quote, urlencode
+from urllib.parse import urlencode
 
 from expression import Error, Ok
 from twisted.internet.abstract import isIPv6Address
@@ -12,24 +12,25 @@
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
+from hemlockspoke.adapters.store_replies import (
+    HTTP_NOT_FOUND,
+    HTTP_OK,
+    WATCH_GRACE_MS,
+    object_path,
+    parse_object,
+    parse_objects,
+    parse_vms,
+    put_result,
+)
 from hemlockspoke.errors import StoreError, StoreErrorKind
-from hemlockspoke.ports import ListedVm, ObjectList, Store, StoredObject, VmList
+from hemlockspoke.ports import Store
 
-# A watch gets this much longer than its own wait before it counts as silent.
-WATCH_GRACE_MS = 1000
 # Idle connections kept: one for a watch and some for concurrent calls.
 IDLE_CONNECTIONS = 4
 # Shorter than the usual idle timeout of a server (60 s), so that a write seldom
 # meets a connection that the server is closing.
 IDLE_CONNECTION_S = 20
 
-HTTP_OK = 200
-HTTP_NOT_FOUND = 404
-HTTP_PRECONDITION_FAILED = 412
-HTTP_SERVICE_UNAVAILABLE = 503
-# Replies that say that the platform did not accept the request at all.
-NOT_ACCEPTED = frozenset({400, 401, 403, 405, 411, 413, 414, 415, 428, 429, 431})
-
 
 @implementer(IBodyProducer)
 class RecordingBody:
@@ -199,11 +200,6 @@
         return Reply(response.code, decode_body(content))
 
 
-def object_path(key):
-    """Return the path of an object."""
-    return f"/v1/objects/{quote(key, safe='/')}"
-
-
 def describe(error):
     """Return a short text on a failed call."""
     return f"{type(error).__name__}: {error}"
@@ -215,44 +211,3 @@
         return json.loads(content)
     except ValueError:
         return None
-
-
-def put_result(reply):
-    """Return the result that a reply to a write proves."""
-    body = reply.body if isinstance(reply.body, dict) else {}
-    version = body.get("version")
-    detail = f"status {reply.status}"
-    if reply.status == HTTP_OK and isinstance(version, int):
-        return Ok(version)
-    if reply.status == HTTP_PRECONDITION_FAILED:
-        return Error(StoreError(StoreErrorKind.CONFLICT, detail, version))
-    refused = reply.status == HTTP_SERVICE_UNAVAILABLE and body.get("applied") is False
-    if refused or reply.status in NOT_ACCEPTED:
-        return Error(StoreError(StoreErrorKind.UNAVAILABLE, detail))
-    return Error(StoreError(StoreErrorKind.UNKNOWN, detail))
-
-
-def parse_object(body):
-    """Return the ``StoredObject`` of a reply."""
-    return StoredObject(body["key"], body["version"], body.get("value"))
-
-
-def parse_objects(body):
-    """Return the ``ObjectList`` of a reply."""
-    return ObjectList(body["revision"], [parse_object(o) for o in body["objects"]])
-
-
-def parse_vms(body):
-    """Return the ``VmList`` of a reply."""
-    return VmList(body["lag_ms"], [parse_vm(entry) for entry in body["vms"]])
-
-
-def parse_vm(entry):
-    """Return the ``ListedVm`` of an entry of the list."""
-    return ListedVm(
-        entry["vm"],
-        entry["address"],
-        entry["region"],
-        entry["failure_domain"],
-        entry["state"],
-    )
