End callers' connections while leaving, and wait for requests that still arrive

Cause not traced; two ways to it were found by reading: a kept connection was used again at the moment of the exit, and a request whose body was still arriving did not count as work. While leaving, each answer now ends its connection, and the exit waits for requests that have begun.

--- a/hemlockspoke/adapters/caller_http.py
+++ b/hemlockspoke/adapters/caller_http.py
@@ -47,8 +47,9 @@
         """Start the query or the order of this request."""
         site = self.channel.factory
         reason = site.readiness()
-        if reason is not None:
-            # The balancer learns sooner that this daemon takes no new work.
+        if reason is not None or site.leaving:
+            # The caller's next request goes elsewhere, so none is on its way when
+            # this daemon exits.
             self.setHeader(b"Connection", b"close")
             self.channel.persistent = False
         result = self._parse(reason)
@@ -141,6 +142,15 @@
         self._refused = False
         self._linger = None
 
+    def connectionMade(self):
+        """Count the connection among the open ones."""
+        super().connectionMade()
+        self.factory.channels.add(self)
+
+    def busy(self):
+        """Tell whether a request has begun to arrive or is not yet answered."""
+        return self._receiving or bool(self.requests)
+
     def dataReceived(self, data):
         """Take bytes; the time limit restarts only with a new request."""
         if self._refused:
@@ -199,6 +209,7 @@
         """Forget the connection and tell its requests."""
         if self._linger is not None and self._linger.active():
             self._linger.cancel()
+        self.factory.channels.discard(self)
         super().connectionLost(reason)
 
     def _respondToBadRequestAndDisconnect(self):
@@ -215,7 +226,8 @@
     """Factory of callers' connections.
 
     ``queries`` and ``orders`` have ``run(request)``. ``readiness()`` returns None,
-    or the reason why this daemon takes no new work.
+    or the reason why this daemon takes no new work. With ``leaving`` set, each answer
+    ends its connection.
     """
 
     protocol = CallerChannel
@@ -225,6 +237,12 @@
         self.queries = queries
         self.orders = orders
         self.readiness = readiness
+        self.leaving = False
+        self.channels = set()
+
+    def busy(self):
+        """Tell whether any caller waits for an answer."""
+        return any(channel.busy() for channel in self.channels)
 
     def startFactory(self):
         """Start without the access log of the base class, and without its timer."""
--- a/hemlockspoke/daemon.py
+++ b/hemlockspoke/daemon.py
@@ -16,18 +16,20 @@
 logger = logging.getLogger(__name__)
 
 EXIT_BAD_SETTINGS = 2
+DRAIN_POLL_MS = 20
 
 
 class Daemon:
     """One process: a node, its HTTP interfaces and its signals."""
 
-    __slots__ = ("_caller_ports", "_node", "_reactor", "_settings", "_stopping")
+    __slots__ = ("_caller_port", "_node", "_reactor", "_settings", "_site", "_stopping")
 
     def __init__(self, settings, reactor, node):
         self._settings = settings
         self._reactor = reactor
         self._node = node
-        self._caller_ports = []
+        self._caller_port = None
+        self._site = None
         self._stopping = False
 
     @classmethod
@@ -60,14 +62,14 @@
 
         self._node.peers.listen(self._settings.peer_address)
         self._listen(self._settings.operator_address, operator_site(self._node))
-        site = CallerSite(
+        self._site = CallerSite(
             queries=self._node.queries,
             orders=self._node.orders,
             readiness=self._node.refusal,
             caller_idle_timeout_ms=self._settings.timings.caller_idle_timeout_ms,
             reactor=self._reactor,
         )
-        self._caller_ports.append(self._listen(self._settings.caller_address, site))
+        self._caller_port = self._listen(self._settings.caller_address, self._site)
         self._node.start()
         logger.info("started", extra={"failure_domain": self._settings.failure_domain})
 
@@ -86,20 +88,22 @@
         timings = self._settings.timings
         logger.info("shutting down")
         self._node.leaving = True
+        self._site.leaving = True
         ensureDeferred(self._finish()).addErrback(self._finish_failed)
         clock = self._node.clock
-        clock.call_later(timings.drain_lag_ms, self._close_caller_ports)
+        clock.call_later(timings.drain_lag_ms, self._close_caller_port)
         clock.call_later(timings.drain_limit_ms, self._exit, "drain limit")
 
-    def _close_caller_ports(self):
+    def _close_caller_port(self):
         """Refuse new callers once the balancer has seen the lost readiness."""
         self._node.draining = True
-        for port in self._caller_ports:
-            port.stopListening()
+        self._caller_port.stopListening()
 
     async def _finish(self):
         await self._node.sleep(self._settings.timings.drain_lag_ms)
         await self._node.finish_work()
+        while self._site.busy():
+            await self._node.sleep(DRAIN_POLL_MS)
         self._exit("drained")
 
     def _finish_failed(self, failure):
