--- a/hemlockspoke/adapters/operator_http.py
+++ b/hemlockspoke/adapters/operator_http.py
@@ -111,6 +111,7 @@
         "peers": sorted(node.peers.connected()),
         "members": members,
         "shares": {name: list(share.amounts()) for name, share in shares.items()},
+        "servers": node.holder.server_states(),
         "violations": dict(node.invariants.violations),
     }
 
--- a/hemlockspoke/held_server.py
+++ b/hemlockspoke/held_server.py
@@ -39,6 +39,7 @@
         "_hooks",
         "_invariants",
         "_poll_timer",
+        "_poll_number",
         "_polling",
         "_reachable",
         "_refused_draining_ms",
@@ -49,8 +50,10 @@
         "_state_sequence",
         "_stopped",
         "_timings",
+        "_verified_by",
         "_peer_sequences",
         "_announced",
+        "_answered_poll",
         "_unannounced",
         "client",
         "cold_start",
@@ -89,6 +92,9 @@
         self._peer_sequences = {}
         self._poll_timer = None
         self._polling = False
+        self._poll_number = 0
+        self._answered_poll = 0
+        self._verified_by = 0
         self._stopped = False
         # The status has not yet been announced since the share was gained.
         self._unannounced = True
@@ -112,6 +118,27 @@
             self._schedule_poll(0)
         self.gate.pump()
 
+    def demand_status(self):
+        """Refuse new work until a status that is asked for from now on.
+
+        After a pause of this process the server may have begun to drain unseen,
+        and work that arrived during the pause must not reach it.
+        """
+        self._verified_by = self._poll_number + 1
+        if (self.gate.share or NO_SHARE).slots:
+            self._schedule_poll(0)
+
+    def describe(self):
+        """Return the state for operators."""
+        return {
+            "gate": self.cold_start.state,
+            "out": self.out,
+            "draining": self.draining,
+            "reachable": self._reachable,
+            "in_use": self.gate.in_use,
+            "queued": self.gate.queued(),
+        }
+
     def in_use(self):
         """Return the ``Share`` that is in use."""
         cold = self.gate.in_use if self._restricted() else 0
@@ -164,7 +191,9 @@
         self.gate.pump()
 
     def _closed(self):
-        return self.out or self.draining or not self._hooks.permits(self.name)
+        unverified = self._answered_poll < self._verified_by
+        closed = self.out or self.draining or unverified
+        return closed or not self._hooks.permits(self.name)
 
     def _restricted(self):
         return self.cold_start.restricted(self._clock.now_ms())
@@ -309,12 +338,14 @@
         self._repeat_state()
         if not self._polling:
             self._polling = True
+            self._poll_number += 1
             polled = self.client.status()
             polled.addCallback(self._note_status)
             polled.addErrback(log_defect)
 
     def _note_status(self, result):
         self._polling = False
+        self._answered_poll = self._poll_number
         if self._stopped or not (self.gate.share or NO_SHARE).slots:
             return
         if result.is_ok():
@@ -323,6 +354,9 @@
             self.note_refused_connection()
         elif result.error.sent:
             self._note_failed_poll(result.error)
+        if self._answered_poll < self._verified_by:
+            # This answer is to a question from before the pause.
+            self._schedule_poll(0)
         self.gate.pump()
 
     def _note_failed_poll(self, error):
--- a/hemlockspoke/holder.py
+++ b/hemlockspoke/holder.py
@@ -65,6 +65,7 @@
         self._gauge_timer = None
         self._set_gauges()
         configuration.subscribe(self._configuration_changed)
+        pause.subscribe(self._process_paused)
 
     # Shares
 
@@ -90,6 +91,10 @@
         """Return a ``CatalogUpdate`` of each held server, for a new peer."""
         return [held.catalog_update() for held in self._held.values()]
 
+    def server_states(self):
+        """Return the state of each held server, for operators."""
+        return {name: held.describe() for name, held in self._held.items()}
+
     def gates(self):
         """Return the ``Gate`` of each held server, to be read only."""
         return {name: held.gate for name, held in self._held.items()}
@@ -238,6 +243,10 @@
             return False
         return configuration.fleet().permits(server)
 
+    def _process_paused(self, _length_ms):
+        for held in self._held.values():
+            held.demand_status()
+
     def paused(self):
         """Tell whether the process has just been paused."""
         return self._pause.check() > 0
--- a/hemlockspoke/settings.py
+++ b/hemlockspoke/settings.py
@@ -158,6 +158,9 @@
     # A daemon that stops at its limit while it still serves through the
     # balancer's lag would interrupt requests.
     ("drain_lag_ms", "drain_limit_ms"),
+    # Otherwise a paused daemon could wake up without noticing that its shares were
+    # given to others.
+    ("pause_limit_ms", "gone_margin_ms"),
 )
 
 
--- a/tests/fakes/holder_side.py
+++ b/tests/fakes/holder_side.py
@@ -61,9 +61,16 @@
 
     def __init__(self):
         self.pause_ms = 0
+        self.listeners = []
+
+    def subscribe(self, listener):
+        self.listeners.append(listener)
 
     def check(self):
         found, self.pause_ms = self.pause_ms, 0
+        if found:
+            for listener in self.listeners:
+                listener(found)
         return found
 
 
--- a/tests/features/holder.feature
+++ b/tests/features/holder.feature
@@ -110,6 +110,18 @@
     Then the holder has 1 request at s
     And the gate of s is cold
 
+  Scenario: work that arrived during a pause waits for a new status
+    Guards against work for a server that began to drain while the process stood
+    still.
+    Given a holder of servers s and t, each warm with 4 slots
+    And the process of the holder was paused
+    When the holder gets a batch with parts 0 and 1 of s and part 2 of t
+    Then the holder has 0 requests at s
+    And the holder has 0 requests at t
+    When the status of s says live for 1000 ms
+    And 1 sub-query for s reaches the holder
+    Then the holder has 1 request at s
+
   Scenario: work that cannot start before its deadline is refused early
     Given a holder of servers s and t, each warm with 4 slots
     When s answers 40 sub-queries after 100 ms
