--- a/hemlockspoke/hedging.py
+++ b/hemlockspoke/hedging.py
@@ -15,8 +15,10 @@
 # Used until enough latencies have been seen to estimate a quantile.
 INITIAL_DELAY_MS = 50.0
 HEDGE_QUANTILE = 0.95
-# A sub-query that takes this many times as long as nearly all others of its query
-# is taken for a straggler.
+# A sub-query that takes this many times as long as most others of its query is taken
+# for a straggler. At 95% instead of 80%, three stragglers in a query of 40 would keep
+# the comparison from ever being made.
+MOST_RATIO = 0.8
 RELATIVE_FACTOR = 1.2
 FALLBACK_FACTOR = 2.0
 # Relative size of one correction. Smaller steps follow a latency change too
@@ -37,7 +39,7 @@
 
     def __init__(self, sub_queries):
         self._answer_times_ms = []
-        most = math.ceil(HEDGE_QUANTILE * sub_queries)
+        most = math.ceil(MOST_RATIO * sub_queries)
         self._most = min(most, sub_queries - 1)
 
     def note_answer(self, elapsed_ms):
@@ -46,7 +48,7 @@
             self._answer_times_ms.append(elapsed_ms)
 
     def most_answered_ms(self):
-        """Return when nearly all were answered, None before or with one alone."""
+        """Return when most were answered, None before or with one alone."""
         if self._most < 1 or len(self._answer_times_ms) < self._most:
             return None
         return self._answer_times_ms[-1]
@@ -127,7 +129,7 @@
 
 @hedge_policies.register("relative")
 class RelativeHedging(QuantileHedging):
-    """Hedges the last sub-queries of a query relative to its others.
+    """Hedges the slow sub-queries of a query relative to its others.
 
     A moment in which everything is slow raises a quantile over all queries, and
     then stragglers are hedged late. The other sub-queries of the same query are
