--- a/hemlockspoke/ui/application.py
+++ b/hemlockspoke/ui/application.py
@@ -18,7 +18,6 @@
     help="Operates hemlockspoke, a query tier over sharded upstreams.",
     epilog=EXIT_CODE_HELP,
     no_args_is_help=True,
-    add_completion=False,
     # A traceback with local values could print what callers sent.
     pretty_exceptions_enable=False,
 )
