--- a/hemlockspoke/membership.py
+++ b/hemlockspoke/membership.py
@@ -145,13 +145,6 @@
         if vm not in self._listings and vm not in self._gone:
             self._listings[vm] = Listing(UNLISTED)
 
-    def is_listed(self, vm):
-        """Tell whether the newest reading listed ``vm``."""
-        listing = self._listings.get(vm)
-        if listing is None or listing.state == UNLISTED:
-            return False
-        return listing.missing_readings == 0
-
     def members(self):
         """Return all registered VMs."""
         return list(self._members.values())
--- a/hemlockspoke/orders.py
+++ b/hemlockspoke/orders.py
@@ -159,11 +159,14 @@
             self._incarnation(),
             self._clock.wall_ms(),
         )
+        time_ms = self._remaining_ms(attempt)
+        return await self._within(time_ms, self._claims.claim(record, supersedes))
+
+    async def _within(self, time_ms, deferred):
+        """Return what a deferred fires with, or None if it takes longer."""
         waiting = Deferred()
-        timer = self._clock.call_later(self._remaining_ms(attempt), _fire, waiting)
-        self._claims.claim(record, supersedes).addCallback(
-            lambda result: _fire(waiting, result)
-        )
+        timer = self._clock.call_later(time_ms, _fire, waiting)
+        deferred.addCallback(lambda result: _fire(waiting, result))
         result = await waiting
         timer.cancel()
         return result
@@ -275,12 +278,8 @@
         return result
 
     async def _settle_in_time(self, attempt, recorded):
-        waiting = Deferred()
         wait_ms = max(0.0, min(RECORD_WAIT_MS, self._remaining_ms(attempt)))
-        timer = self._clock.call_later(wait_ms, _fire, waiting)
-        recorded.addCallback(lambda result: _fire(waiting, result))
-        await waiting
-        timer.cancel()
+        await self._within(wait_ms, recorded)
 
     async def _answer_from_record(self, attempt, record):
         """Answer a repeated key from the record of the earlier attempt."""
