Relay the store's news within a failure domain; gather parts near their servers

Change: one daemon of each failure domain reads the store and passes its news on; parts whose best servers stand in another region are gathered by a daemon there, which returns only the greatest records with their proofs.

--- a/hemlockspoke/http1/channel.py
+++ b/hemlockspoke/http1/channel.py
@@ -153,9 +153,11 @@
             lower = name.lower()
             if lower == b"expect" and value.lower() == b"100-continue":
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            elif lower == b"content-length" and value.isdigit():
-                if int(value) > self._site.limits.max_body_bytes:
-                    self._reject(413)
+            elif lower == b"content-length" and self._too_long(value):
+                self._reject(413)
+
+    def _too_long(self, length):
+        return length.isdigit() and int(length) > self._site.limits.max_body_bytes
 
     def on_body(self, data):
         """Collect a part of the body."""
--- a/hemlockspoke/http1/connection.py
+++ b/hemlockspoke/http1/connection.py
@@ -265,9 +265,9 @@
 
     def _open_for_waiting(self):
         """Open a connection if requests wait and none is on its way."""
-        if self._waiting and not self._connecting and not self._closed:
-            if len(self._open) < self.limit:
-                self._connect()
+        wanted = self._waiting and not self._connecting and not self._closed
+        if wanted and len(self._open) < self.limit:
+            self._connect()
 
     def released(self, connection):
         """Use a connection for the next request, or keep it."""
--- a/hemlockspoke/messages.py
+++ b/hemlockspoke/messages.py
@@ -251,3 +251,74 @@
     VERSION_GONE = "version_gone"
     FAILED = "failed"
     UNREACHABLE = "unreachable"
+
+
+@message("store_news")
+class StoreNews(Message):
+    """Changes of one kind of store objects that the sender has read itself.
+
+    They lead from revision ``since`` to ``revision``. ``changes`` is a list of
+    ``[name, removed, spec]``. With ``complete`` set it lists every object.
+    """
+
+    __slots__ = ("kind", "since", "revision", "changes", "complete", "age_ms")
+
+
+@message("store_contact")
+class StoreContact(Message):
+    """Heartbeat with what the sender knows of the store.
+
+    ``kinds`` is a list of ``[kind, revision, age_ms, following]``: how long ago the
+    store confirmed that revision, and whether the sender reads the kind itself and
+    reaches the store. ``leaving`` tells that the sender is about to stop.
+    """
+
+    __slots__ = ("kinds", "leaving")
+
+
+@message("store_news_wanted")
+class StoreNewsWanted(Message):
+    """Asks for a complete list of one kind."""
+
+    __slots__ = ("kind",)
+
+
+@message("gather_request")
+class GatherRequest(Message):
+    """Asks a daemon near the servers to gather parts of a query.
+
+    ``services`` are the shards wanted; ``aim_in_ms`` and ``remaining_ms`` count
+    from the sending. ``headers`` are those of the caller.
+    """
+
+    __slots__ = (
+        "query_id",
+        "host",
+        "path_prefix",
+        "method",
+        "target",
+        "headers",
+        "services",
+        "top_k",
+        "aim_in_ms",
+        "remaining_ms",
+    )
+
+
+@message("gather_parts")
+class GatherParts(Message):
+    """Parts of a query: one proof for each service that answered.
+
+    ``records`` holds the greatest records of these parts. ``failed`` lists
+    ``[service, may_have_run]`` for services without an answer. ``last`` is set on
+    the final message of a query.
+    """
+
+    __slots__ = ("query_id", "services", "proofs", "records", "failed", "last")
+
+
+@message("gather_cancel")
+class GatherCancel(Message):
+    """Tells that nobody waits for a query any more."""
+
+    __slots__ = ("query_id",)
--- a/hemlockspoke/platform/edge.py
+++ b/hemlockspoke/platform/edge.py
@@ -6,28 +6,33 @@
 import sys
 
 from hemlockspoke.adapters.json_logs import configure_logs
+from hemlockspoke.adapters.peer_stream import TcpPeerNetwork
+from hemlockspoke.address import Address
 from hemlockspoke.clock import ReactorClock
 from hemlockspoke.errors import HumanReadableError
 from hemlockspoke.http1.channel import CallerSite
 from hemlockspoke.platform import feeds, objects
 from hemlockspoke.platform.headers import PlatformCodec
+from hemlockspoke.platform.members import Members
 from hemlockspoke.platform.settings import PlatformSettings
 from hemlockspoke.platform.store import StoreCalls
+from hemlockspoke.tier.delegation import DelegationDesk
 from hemlockspoke.tier.directory import Directory
 from hemlockspoke.tier.extra_load import ExtraLoad
-from hemlockspoke.tier.feed import Feed
+from hemlockspoke.tier.feed import WATCH_GRACE_MS, Feed
+from hemlockspoke.tier.fellows import Fellows
 from hemlockspoke.tier.front import Front, Tier
 from hemlockspoke.tier.metrics import MetricsRegistry
+from hemlockspoke.tier.relay import FollowedKind, Relay
+from hemlockspoke.tier.timing import Timings
 
 logger = logging.getLogger(__name__)
 
 SETTINGS_VARIABLE = "HEMLOCKSPOKE_SETTINGS"
 EXIT_BAD_SETTINGS = 2
-# A silent watch is found out by its end, so its wait is a small part of the
-# tightest bound on following a change.
-WATCH_PART = 4.0
-MEMBER_WATCH_MS = 20000.0
-REGISTER_RETRY_MS = 1000.0
+# A silent watch is found out by its end, so its wait is a part of the time after
+# which the platform expects a machine to be in touch again.
+WATCH_PART = 2.5
 # Two missed ready calls, a second apart, take a daemon out of rotation.
 ROTATION_LAG_MS = 2600.0
 # Left of the platform's time for a stop, so that answers leave the buffers.
@@ -35,6 +40,19 @@
 STOP_POLL_MS = 50.0
 
 
+class PeerTimings:
+    """Heartbeats between daemons, of which the relay sends its own."""
+
+    __slots__ = ()
+
+    heartbeat_ms = 500.0
+    # Two heartbeats and a pause of the other end by a busy moment.
+    stream_silence_ms = 1500.0
+
+
+PEER_TIMINGS = PeerTimings()
+
+
 class EdgeDaemon:
     """One process on an entry machine."""
 
@@ -61,46 +79,86 @@
         tier = Tier(
             self.clock, PlatformCodec(), self.directory, extra_load, self.metrics
         )
-        self.front = Front(tier)
+        timings = Timings()
+        self.front = Front(tier, timings)
         self._site = CallerSite(self.clock, self.front.handle)
         self._ready_site = CallerSite(self.clock, self._answer_ready)
         self._calls = StoreCalls(
             reactor, self.clock, settings.store_address, self.metrics
         )
         self._leaving_ms = None
+        self._connect_peers(tier, timings)
+
+    def _connect_peers(self, tier, timings):
+        """Build what talks to the other daemons."""
+        settings = self._settings
+        self._peer_address = Address(
+            settings.caller_address.host, settings.internal_ports[0]
+        )
+        self.network = TcpPeerNetwork(
+            self._reactor,
+            self.clock,
+            settings.vm,
+            settings.region,
+            f"{self.clock.wall_ms()}",
+            PEER_TIMINGS,
+            self.metrics,
+        )
+        self._fellows = Fellows(
+            settings.vm, settings.failure_domain, settings.region, self.network
+        )
+        self._wait_ms = settings.bounds.stable_window_ms / WATCH_PART
+        self.relay = Relay(
+            self.clock,
+            settings.vm,
+            self.network.send,
+            self._fellows.domain_peers,
+            max_age_ms=self._wait_ms + 2 * WATCH_GRACE_MS,
+        )
+        self.desk = DelegationDesk(
+            tier, timings, self._fellows, self.network, self.relay.peer_leaving
+        )
+        tier.desk = self.desk
+        self.network.set_receiver(self._peer_message)
+        self.network.set_loss_listener(self._peer_lost)
+
+    def _peer_message(self, vm, message):
+        self.relay.receive(vm, message)
+        self.desk.receive(vm, message)
+
+    def _peer_lost(self, vm):
+        logger.info("peer lost", extra={"peer": vm})
+        self.relay.peer_lost(vm)
+        self.desk.peer_lost(vm)
 
     def start(self):
         """Listen, then follow the store."""
         settings = self._settings
         self._listen(settings.caller_address, self._site)
         self._listen(settings.ready_address, self._ready_site)
-        bounds = settings.bounds
-        tightest_ms = min(bounds.config_apply_ms, bounds.drain_ms, bounds.evacuate_ms)
-        wait_ms = tightest_ms / WATCH_PART
-        self._follow(objects.CONFIG_KIND, feeds.ConfigSink, wait_ms)
-        self._follow(objects.SERVER_KIND, feeds.ServerSink, wait_ms)
-        self._follow(objects.EVACUATION_KIND, feeds.EvacuationSink, wait_ms)
-        self._follow(objects.DAEMON_KIND, feeds.DaemonSink, MEMBER_WATCH_MS)
-        self._register()
+        self.network.listen(self._peer_address)
+        self._follow(objects.CONFIG_KIND, feeds.ConfigSink)
+        self._follow(objects.SERVER_KIND, feeds.ServerSink)
+        self._follow(objects.EVACUATION_KIND, feeds.EvacuationSink)
+        self.relay.start()
+        Members(
+            self._calls, self.clock, settings, self._peer_address, self._found
+        ).start()
         logger.info("started", extra={"failure_domain": settings.failure_domain})
 
+    def _found(self, fellows):
+        """Take the list of registered daemons, without this one."""
+        self.directory.set_member_count(len(fellows) + 1)
+        self._fellows.set_all(fellows)
+
     def _listen(self, address, site):
         self._reactor.listenTCP(address.port, site, interface=address.host, backlog=512)
 
-    def _follow(self, kind, make_sink, wait_ms):
+    def _follow(self, kind, make_sink):
+        followed = FollowedKind(kind, self.clock, make_sink(self.directory))
+        sink = feeds.RelayedSink(followed, self.relay)
         source = feeds.KindSource(self._calls, kind)
-        Feed(kind, self.clock, source, make_sink(self.directory), wait_ms).start()
-
-    def _register(self):
-        """Tell the other daemons that this one shares the servers' limits."""
-        settings = self._settings
-        spec = {"failure_domain": settings.failure_domain}
-        self._calls.put(objects.DAEMON_KIND, settings.vm, spec, None, self._registered)
-
-    def _registered(self, reply):
-        if reply.status in (200, 201, 409):
-            return
-        self.clock.call_later(REGISTER_RETRY_MS, self._register)
+        self.relay.follow(followed, Feed(kind, self.clock, source, sink, self._wait_ms))
 
     def _configured(self, table):
         if table.caller_limits is not None:
@@ -131,6 +189,7 @@
             return
         self._leaving_ms = self.clock.now_ms()
         self._site.leaving = True
+        self.relay.leaving = True
         logger.info("leaving", extra={"active": self.front.active()})
         self.clock.call_later(ROTATION_LAG_MS, self._stop_when_idle)
 
@@ -139,7 +198,8 @@
         self._site.close_idle()
         elapsed_ms = self.clock.now_ms() - self._leaving_ms
         limit_ms = self._settings.bounds.shutdown_ms - STOP_RESERVE_MS
-        if self._site.channels and elapsed_ms < limit_ms:
+        busy = self._site.channels or self.desk.active()
+        if busy and elapsed_ms < limit_ms:
             self.clock.call_later(STOP_POLL_MS, self._stop_when_idle)
             return
         logger.info("stopped", extra={"active": self.front.active()})
--- a/hemlockspoke/platform/feeds.py
+++ b/hemlockspoke/platform/feeds.py
@@ -144,18 +144,25 @@
         self._directory.set_domains_out(self._names)
 
 
-class DaemonSink:
-    """Takes which daemons are registered."""
+class RelayedSink:
+    """Takes what a feed reads, and passes it on to the daemons of the domain."""
 
-    __slots__ = ("_directory",)
+    __slots__ = ("_followed", "_relay")
 
-    def __init__(self, directory):
-        self._directory = directory
+    def __init__(self, followed, relay):
+        self._followed = followed
+        self._relay = relay
 
-    def replace(self, changes):
-        """Take the complete list of daemons."""
-        self._directory.set_members({change.name for change in changes})
+    def replace(self, changes, revision):
+        """Take a complete list."""
+        if self._followed.replace(changes, revision):
+            self._relay.read(self._followed, changes, 0, revision, complete=True)
 
-    def apply(self, change):
-        """Take a new or removed daemon."""
-        self._directory.set_member(change.name, not change.removed)
+    def apply(self, changes, since, revision):
+        """Take changes that a watch reports."""
+        followed = self._followed
+        if revision <= followed.revision:
+            followed.confirm(revision, 0.0)
+            return
+        followed.apply(changes, revision)
+        self._relay.read(followed, changes, since, revision, complete=False)
--- a/hemlockspoke/platform/settings.py
+++ b/hemlockspoke/platform/settings.py
@@ -14,6 +14,7 @@
         "extra_load_ratio",
         "extra_load_slack",
         "shutdown_ms",
+        "stable_window_ms",
     )
 
     def __init__(
@@ -24,6 +25,7 @@
         shutdown_ms=6000,
         extra_load_ratio=0.0,
         extra_load_slack=0.0,
+        stable_window_ms=4000,
     ):
         self.config_apply_ms = config_apply_ms
         self.drain_ms = drain_ms
@@ -31,6 +33,7 @@
         self.shutdown_ms = shutdown_ms
         self.extra_load_ratio = extra_load_ratio
         self.extra_load_slack = extra_load_slack
+        self.stable_window_ms = stable_window_ms
 
 
 class PlatformSettings:
@@ -115,6 +118,7 @@
                 shutdown_ms=1000 * reader.number("bounds.grace_s", 6),
                 extra_load_ratio=reader.number("bounds.retry_budget_ratio", 0.0),
                 extra_load_slack=reader.number("bounds.retry_slack", 0.0),
+                stable_window_ms=reader.number("bounds.stable_window_ms", 4000),
             ),
         )
         if reader.mistakes:
--- a/hemlockspoke/platform/store.py
+++ b/hemlockspoke/platform/store.py
@@ -1,7 +1,7 @@
 """Calls to the platform's object API."""
 
 import json
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 from hemlockspoke.http1.connection import ConnectionPool, Exchange
 from hemlockspoke.http1.messages import encode_request
@@ -71,9 +71,15 @@
             headers.append((b"Content-Type", b"application/json"))
         return encode_request(method.encode(), path.encode(), headers, data)
 
-    def list(self, kind, after, on_reply):
-        """Read a page of the objects of a kind."""
-        query = f"?after={quote(after, safe='')}" if after else ""
+    def list(self, kind, after, on_reply, stale=False):
+        """Read a page of the objects of a kind.
+
+        A stale list costs a tenth of the price and may be some seconds old.
+        """
+        fields = {"after": after} if after else {}
+        if stale:
+            fields["stale_ok"] = "1"
+        query = f"?{urlencode(fields)}" if fields else ""
         self.call("GET", f"/api/objects/{kind}{query}", on_reply)
 
     def watch(self, kind, revision, wait_ms, grace_ms, on_reply):
--- /dev/null
+++ b/hemlockspoke/tier/delegation.py
@@ -0,0 +1,309 @@
+"""Has parts of a query gathered by a daemon near their servers.
+
+The parts of a query are many times larger than the answer made from them. A daemon
+in the servers' region merges them and sends back only the greatest records and the
+proofs, so that little crosses between regions.
+"""
+
+import itertools
+
+from hemlockspoke.messages import GatherCancel, GatherParts, GatherRequest
+from hemlockspoke.tier.attempt import Work
+from hemlockspoke.tier.delivery import Delivery
+from hemlockspoke.tier.merge import greatest_records
+
+# Fewer parts save less than the extra way costs.
+MIN_PARTS = 3
+# Part of the gathering daemon's time after which it sends what it has, so that the
+# asking one knows that it lives.
+FIRST_REPORT_PART = 0.55
+
+
+class DelegatedParts:
+    """Parts of one query that another daemon gathers.
+
+    ``on_parts(proofs, records, services, failed)`` is called for each report, and
+    ``on_lost(services)`` with the services that nothing was heard of if the other
+    daemon does not answer.
+    """
+
+    __slots__ = (
+        "_desk",
+        "_fallback_timer",
+        "_on_lost",
+        "_on_parts",
+        "done",
+        "peer",
+        "query_id",
+        "waiting",
+    )
+
+    def __init__(self, desk, query_id, peer, services, on_parts, on_lost):
+        self._desk = desk
+        self.query_id = query_id
+        self.peer = peer
+        self.waiting = set(services)
+        self._on_parts = on_parts
+        self._on_lost = on_lost
+        self._fallback_timer = None
+        self.done = False
+
+    def start(self, fallback_ms):
+        """Give the other daemon some time for its first report."""
+        self._fallback_timer = self._desk.clock.call_later(fallback_ms, self.lose)
+
+    def report(self, message):
+        """Take a report of the gathering daemon."""
+        self._fallback_timer.cancel()
+        failed = [(service, ran) for service, ran in message.failed]
+        self.waiting.difference_update(message.services)
+        self.waiting.difference_update(service for service, _ in failed)
+        if message.last:
+            self._close()
+        self._on_parts(message.proofs, message.records, message.services, failed)
+
+    def lose(self):
+        """Give up on the other daemon."""
+        if not self.done:
+            services = sorted(self.waiting)
+            self.cancel()
+            self._on_lost(services)
+
+    def cancel(self):
+        """Tell the other daemon to stop."""
+        if not self.done:
+            self._close()
+            self._desk.send(self.peer, GatherCancel(query_id=self.query_id))
+
+    def _close(self):
+        self.done = True
+        self._fallback_timer.cancel()
+        self._desk.forget(self)
+
+
+class _GatheredHere:
+    """Parts that this daemon gathers for another one."""
+
+    __slots__ = (
+        "_attempts",
+        "_deliveries",
+        "_desk",
+        "_failed",
+        "_finished",
+        "_peer",
+        "_query_id",
+        "_reported",
+        "_resolved",
+        "_timers",
+        "_top_k",
+    )
+
+    def __init__(self, desk, peer, message):
+        self._desk = desk
+        self._peer = peer
+        self._query_id = message.query_id
+        self._top_k = message.top_k
+        self._attempts = []
+        self._failed = []
+        self._reported = False
+        self._resolved = 0
+        self._finished = False
+        self._timers = []
+        self._deliveries = []
+
+    def start(self, tier, route, timing, message):
+        """Send the sub-queries."""
+        now_ms = tier.clock.now_ms()
+        headers = [(bytes(name), bytes(value)) for name, value in message.headers]
+        work = Work(
+            message.method,
+            message.target,
+            headers,
+            b"",
+            tier.codec.read_caller(headers).attempt_id,
+            now_ms + message.remaining_ms,
+            True,
+        )
+        aim_ms = now_ms + message.aim_in_ms
+        self._deliveries = [
+            Delivery(tier, service, route, work, timing, aim_ms, self._delivered)
+            for service in message.services
+        ]
+        first_ms = FIRST_REPORT_PART * message.aim_in_ms
+        call_later = tier.clock.call_later
+        self._timers = [
+            call_later(first_ms, self._report, False),
+            call_later(max(first_ms, message.aim_in_ms), self._at_aim),
+            call_later(message.remaining_ms, self._report, True),
+        ]
+        for delivery in self._deliveries:
+            if not self._finished:
+                delivery.start()
+
+    def _delivered(self, delivery, result):
+        if self._finished:
+            return
+        self._resolved += 1
+        if result.answered:
+            self._attempts.append((delivery.service, result.attempt))
+        else:
+            self._failed.append([delivery.service, result.may_have_run])
+        if self._resolved == len(self._deliveries):
+            self._report(last=True)
+
+    def _at_aim(self):
+        """Report what came since the first report; late parts still count later."""
+        if not self._finished and (self._attempts or self._failed):
+            self._report(last=False)
+
+    def _report(self, last):
+        if self._finished:
+            return
+        attempts, self._attempts = self._attempts, []
+        failed, self._failed = self._failed, []
+        bodies = [attempt.response.body for _, attempt in attempts]
+        report = GatherParts(
+            query_id=self._query_id,
+            services=[service for service, _ in attempts],
+            proofs=[attempt.marks.proof for _, attempt in attempts],
+            records=greatest_records(bodies, self._top_k),
+            failed=failed,
+            last=last,
+        )
+        self._desk.send(self._peer, report)
+        if last:
+            self._end()
+            for delivery in self._deliveries:
+                delivery.abandon()
+
+    def cancel(self):
+        """Stop: nobody waits for the parts."""
+        if not self._finished:
+            self._end()
+            for delivery in self._deliveries:
+                delivery.cancel()
+
+    def _end(self):
+        self._finished = True
+        for timer in self._timers:
+            timer.cancel()
+        self._desk.gathered(self._peer, self._query_id)
+
+
+class DelegationDesk:
+    """Sends parts of queries to other daemons, and gathers parts for them."""
+
+    __slots__ = (
+        "_asked",
+        "_fellows",
+        "_here",
+        "_ids",
+        "_leaving",
+        "_network",
+        "_tier",
+        "_timings",
+        "clock",
+    )
+
+    def __init__(self, tier, timings, fellows, network, leaving):
+        self._tier = tier
+        self._timings = timings
+        self._fellows = fellows
+        self._network = network
+        self._leaving = leaving
+        self._ids = itertools.count(1)
+        self._asked = {}
+        self._here = {}
+        self.clock = tier.clock
+
+    def send(self, peer, message):
+        """Send a message; False if the daemon is not reached."""
+        return self._network.send(peer, message)
+
+    def active(self):
+        """Return how many queries are gathered here for other daemons."""
+        return len(self._here)
+
+    def delegate_for(self, region):
+        """Return the daemon that gathers in a region, or None."""
+        for vm in self._fellows.in_region(region):
+            if not self._leaving(vm):
+                return vm
+        return None
+
+    def ask(self, request, services, peer, rtt_ms, on_parts, on_lost):
+        """Hand parts of a query to another daemon."""
+        now_ms = self.clock.now_ms()
+        query_id = next(self._ids)
+        route = request.route
+        aim_in_ms = max(1.0, request.aim_ms - now_ms - rtt_ms)
+        message = GatherRequest(
+            query_id=query_id,
+            host=route.host,
+            path_prefix=route.path_prefix,
+            method=request.http.method,
+            target=request.http.target,
+            headers=[list(header) for header in request.http.headers],
+            services=list(services),
+            top_k=route.top_k,
+            aim_in_ms=aim_in_ms,
+            remaining_ms=max(1.0, request.caller_deadline_ms - now_ms - rtt_ms),
+        )
+        if not self.send(peer, message):
+            return None
+        parts = DelegatedParts(self, query_id, peer, services, on_parts, on_lost)
+        self._asked[query_id] = parts
+        # The other daemon reports after a part of its time; twice the way there
+        # covers a busy moment of either.
+        parts.start(FIRST_REPORT_PART * aim_in_ms + 1.3 * rtt_ms)
+        return parts
+
+    def forget(self, parts):
+        """Forget parts that are complete or not wanted any more."""
+        self._asked.pop(parts.query_id, None)
+
+    def gathered(self, peer, query_id):
+        """Forget parts gathered here."""
+        self._here.pop((peer, query_id), None)
+
+    def receive(self, vm, message):
+        """Take a message of another daemon."""
+        if isinstance(message, GatherParts):
+            parts = self._asked.get(message.query_id)
+            if parts is not None and parts.peer == vm:
+                parts.report(message)
+        elif isinstance(message, GatherRequest):
+            self._gather(vm, message)
+        elif isinstance(message, GatherCancel):
+            gathering = self._here.get((vm, message.query_id))
+            if gathering is not None:
+                gathering.cancel()
+
+    def _gather(self, vm, message):
+        table = self._tier.directory.routing
+        route = None
+        if table is not None:
+            route = table.find(message.host, message.path_prefix)
+        if route is None:
+            failed = [[service, False] for service in message.services]
+            report = GatherParts(
+                query_id=message.query_id,
+                services=[],
+                proofs=[],
+                records=b"",
+                failed=failed,
+                last=True,
+            )
+            self.send(vm, report)
+            return
+        gathering = _GatheredHere(self, vm, message)
+        self._here[vm, message.query_id] = gathering
+        gathering.start(self._tier, route, self._timings.of(route), message)
+
+    def peer_lost(self, vm):
+        """Take that nothing more will be heard of a daemon."""
+        for parts in [p for p in self._asked.values() if p.peer == vm]:
+            parts.lose()
+        for (peer, _), gathering in list(self._here.items()):
+            if peer == vm:
+                gathering.cancel()
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -49,6 +49,7 @@
         "_max_attempts",
         "_on_done",
         "_regions",
+        "_sent_before",
         "_servers",
         "_tier",
         "_timer",
@@ -61,7 +62,17 @@
         "service",
     )
 
-    def __init__(self, tier, service, route, work, timing, aim_ms, on_done):
+    def __init__(
+        self,
+        tier,
+        service,
+        route,
+        work,
+        timing,
+        aim_ms,
+        on_done,
+        sent_before=False,
+    ):
         self._tier = tier
         self._work = work
         self._timing = timing
@@ -69,6 +80,8 @@
         self._on_done = on_done
         self._max_attempts = route.max_attempts
         self._regions = route.regions
+        # Another daemon may have sent the request to a server of the service.
+        self._sent_before = sent_before
         self._servers = set()
         self._timer = None
         self._unsent = 0
@@ -79,7 +92,8 @@
 
     def start(self):
         """Send the first attempt."""
-        self._tier.extra_load.earn(self.service)
+        if not self._sent_before:
+            self._tier.extra_load.earn(self.service)
         if not self._attempt():
             self._finish(None)
 
@@ -114,7 +128,8 @@
             self._timer = None
 
     def _arrivals(self):
-        return sum(1 for a in self.attempts if a.verdict is not Verdict.UNSENT)
+        sent = sum(1 for a in self.attempts if a.verdict is not Verdict.UNSENT)
+        return sent + int(self._sent_before)
 
     def _pick(self):
         """Return the server for the next attempt, or None."""
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -48,7 +48,7 @@
         self._region = region
         self._failure_domains = failure_domains
         self._drain_ms = drain_ms
-        self._members = {}
+        self._members = 1
         self.routing = None
         self.routing_ms = None
         self.servers_known = False
@@ -85,25 +85,17 @@
             logger.info("failure domains out", extra={"domains": sorted(names)})
             self.domains_out = names
 
-    def set_member(self, vm, present):
-        """Take that a daemon is registered, or not any more."""
-        if present:
-            self._members[vm] = True
-        else:
-            self._members.pop(vm, None)
-        for upstream in self.upstreams.values():
-            upstream.pool.limit = self.connection_limit(upstream.entry.service)
-
-    def set_members(self, vms):
-        """Take the whole list of registered daemons."""
-        for vm in set(self._members) - set(vms):
-            self.set_member(vm, False)
-        for vm in vms:
-            self.set_member(vm, True)
+    def set_member_count(self, count):
+        """Take how many daemons share the limits of the servers."""
+        if count != self._members:
+            logger.info("members", extra={"count": count, "previous": self._members})
+            self._members = count
+            for upstream in self.upstreams.values():
+                upstream.pool.limit = self.connection_limit(upstream.entry.service)
 
     def member_count(self):
         """Return how many daemons share the limits of the servers."""
-        return max(1, len(self._members))
+        return max(1, self._members)
 
     def connection_limit(self, service):
         """Return how many connections this daemon may have to one server."""
@@ -179,6 +171,15 @@
             and (not regions or upstream.region in regions)
         ]
 
+    def best(self, service, regions, work_ms):
+        """Return the server that is expected to answer first, or None."""
+        now_ms = self._clock.now_ms()
+        return min(
+            self.candidates(service, regions),
+            key=lambda upstream: upstream.expected_ms(now_ms, work_ms),
+            default=None,
+        )
+
     def _add(self, entry):
         region = self._failure_domains.get(entry.failure_domain, "")
         pool = ConnectionPool(
--- a/hemlockspoke/tier/feed.py
+++ b/hemlockspoke/tier/feed.py
@@ -50,14 +50,17 @@
 
     The source has ``list_page(after, done)`` and ``watch(revision, wait_ms,
     grace_ms, done)``, where ``done`` takes a ``Page`` or a ``FeedError``. The sink
-    has ``replace(changes)`` for a complete list and ``apply(change)``.
+    has ``replace(changes, revision)`` for a complete list and
+    ``apply(changes, since, revision)``.
 
     A watch is never trusted for longer than ``wait_ms`` and a grace: a connection
-    may have gone silent, and then a new one is used.
+    may have gone silent, and then a new one is used. A paused feed ignores what its
+    last call still brings.
     """
 
     __slots__ = (
         "_clock",
+        "_epoch",
         "_failures",
         "_name",
         "_pages",
@@ -65,9 +68,8 @@
         "_rng",
         "_sink",
         "_source",
-        "_stopped",
         "_wait_ms",
-        "heard_ms",
+        "active",
         "lost",
     )
 
@@ -81,59 +83,76 @@
         self._revision = None
         self._pages = []
         self._failures = 0
-        self._stopped = False
-        self.heard_ms = None
+        # Tells answers to calls made before a pause from those made after it.
+        self._epoch = 0
+        self.active = False
         self.lost = False
 
-    def start(self):
-        """Begin with a list."""
-        self._list(None)
+    def resume(self, revision=None):
+        """Read from a known revision on, or begin with a list."""
+        self._epoch += 1
+        self.active = True
+        self.lost = False
+        self._failures = 0
+        self._pages = []
+        if revision is None:
+            self._list(self._epoch, None)
+        else:
+            self._revision = revision
+            self._watch(self._epoch)
 
-    def stop(self):
+    def pause(self):
         """Make no more calls."""
-        self._stopped = True
+        self._epoch += 1
+        self.active = False
 
-    def _list(self, after):
-        if not self._stopped:
-            self._source.list_page(after, self._listed)
+    def _list(self, epoch, after):
+        if epoch == self._epoch:
+            self._source.list_page(after, lambda page: self._listed(epoch, page))
 
-    def _listed(self, page):
+    def _listed(self, epoch, page):
+        if epoch != self._epoch:
+            return
         if isinstance(page, FeedError):
             self._pages = []
-            self._retry(page, self._list, None)
+            self._retry(page, self._list, epoch, None)
             return
         self._heard()
         self._pages.extend(page.changes)
         if page.continue_after is not None:
-            self._list(page.continue_after)
+            self._list(epoch, page.continue_after)
             return
         changes, self._pages = self._pages, []
         self._revision = page.revision
-        self._sink.replace(changes)
-        self._watch()
+        self._sink.replace(changes, page.revision)
+        self._watch(epoch)
 
-    def _watch(self):
-        if not self._stopped:
+    def _watch(self, epoch):
+        if epoch == self._epoch:
             self._source.watch(
-                self._revision, self._wait_ms, WATCH_GRACE_MS, self._watched
+                self._revision,
+                self._wait_ms,
+                WATCH_GRACE_MS,
+                lambda page: self._watched(epoch, page),
             )
 
-    def _watched(self, page):
+    def _watched(self, epoch, page):
+        if epoch != self._epoch:
+            return
         if isinstance(page, FeedError):
             if page.history_gone:
                 logger.info("history gone", extra={"feed": self._name})
-                self._list(None)
+                self._list(epoch, None)
             else:
-                self._retry(page, self._watch)
+                self._retry(page, self._watch, epoch)
             return
         self._heard()
-        for change in page.changes:
-            self._sink.apply(change)
-        self._revision = max(self._revision, page.revision)
-        self._watch()
+        since = self._revision
+        self._revision = max(since, page.revision)
+        self._sink.apply(page.changes, since, self._revision)
+        self._watch(epoch)
 
     def _heard(self):
-        self.heard_ms = self._clock.now_ms()
         self._failures = 0
         if self.lost:
             self.lost = False
@@ -147,6 +166,4 @@
                 "store lost", extra={"feed": self._name, "reason": error.detail}
             )
         delay_ms = min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (self._failures - 1))
-        self._clock.call_later(
-            delay_ms * self._rng.uniform(0.7, 1.0), function, *args
-        )
+        self._clock.call_later(delay_ms * self._rng.uniform(0.7, 1.0), function, *args)
--- a/hemlockspoke/tier/forward.py
+++ b/hemlockspoke/tier/forward.py
@@ -56,6 +56,10 @@
         """Return the deliveries, for the log."""
         return [self._delivery]
 
+    def delegated(self):
+        """Return no daemon: a request to one server is sent from here."""
+        return []
+
     def cancel(self):
         """Stop everything: the caller has gone."""
         self._timer.cancel()
@@ -76,10 +80,7 @@
         self._refuse(result.may_have_run, result.reason)
 
     def _refuse(self, may_have_run, reason):
-        if may_have_run:
-            refusal = Refusal.lost(reason)
-        else:
-            refusal = Refusal.not_run(reason)
+        refusal = Refusal.lost(reason) if may_have_run else Refusal.not_run(reason)
         refusal.send(self._on_answer)
 
     def _timed_out(self):
--- a/hemlockspoke/tier/front.py
+++ b/hemlockspoke/tier/front.py
@@ -21,9 +21,12 @@
 
 
 class Tier:
-    """What the requests in progress share."""
+    """What the requests in progress share.
 
-    __slots__ = ("clock", "codec", "directory", "extra_load", "metrics")
+    ``desk`` hands parts of queries to daemons of other regions, if it is set.
+    """
+
+    __slots__ = ("clock", "codec", "desk", "directory", "extra_load", "metrics")
 
     def __init__(self, clock, codec, directory, extra_load, metrics):
         self.clock = clock
@@ -31,6 +34,7 @@
         self.directory = directory
         self.extra_load = extra_load
         self.metrics = metrics
+        self.desk = None
 
 
 class TierRequest:
@@ -78,9 +82,9 @@
 
     __slots__ = ("_active", "_rng", "_tier", "_timings")
 
-    def __init__(self, tier, rng=None):
+    def __init__(self, tier, timings=None, rng=None):
         self._tier = tier
-        self._timings = Timings()
+        self._timings = timings or Timings()
         self._rng = rng or random.Random()
         self._active = set()
 
@@ -102,7 +106,9 @@
         if route is None:
             self._answer_now(http, marks, Refusal.no_route())
             return
-        request = TierRequest(http, route, table.version, marks, self._timings.of(route))
+        request = TierRequest(
+            http, route, table.version, marks, self._timings.of(route)
+        )
         self._start(request)
 
     def _answer_now(self, http, marks, refusal):
@@ -176,6 +182,7 @@
                 ),
                 "target": text(request.http.target),
                 "version": request.version,
+                "gathered_by": job.delegated(),
                 "sends": describe_sends(job.deliveries()),
             },
         )
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -3,6 +3,7 @@
 import math
 
 from hemlockspoke.tier.attempt import Work
+from hemlockspoke.tier.delegation import MIN_PARTS
 from hemlockspoke.tier.delivery import Delivery
 from hemlockspoke.tier.merge import greatest_records
 from hemlockspoke.tier.replies import Refusal
@@ -10,27 +11,33 @@
 # After the aim an answer is worth little; callers of a late one rather wait this
 # part of the aim for the missing parts.
 LATE_PATIENCE = 0.5
+NO_ANSWER_IN_TIME = "no answer in time"
 
 
 class Gather:
     """One query over the shards of one version of the configuration.
 
     The answer is sent when every shard has answered, or at the aim if enough have,
-    or later as soon as enough have. It names the parts that it holds.
+    or later as soon as enough have. It names the parts that it holds. Shards whose
+    best servers stand in another region are gathered by a daemon there.
     """
 
     __slots__ = (
         "_aim_timer",
         "_deadline_timer",
+        "_delegated",
         "_deliveries",
         "_failed",
         "_finished",
         "_needed",
         "_on_answer",
-        "_parts",
-        "_request",
+        "_proofs",
         "_ran",
+        "_records",
+        "_request",
+        "_shards",
         "_tier",
+        "_work",
     )
 
     def __init__(self, tier, request, on_answer):
@@ -38,21 +45,20 @@
         self._request = request
         self._on_answer = on_answer
         self._deliveries = []
-        self._parts = []
+        self._delegated = []
+        self._proofs = []
+        self._records = []
         self._failed = 0
         self._ran = False
         self._finished = False
         self._aim_timer = None
         self._deadline_timer = None
-        shards = len(request.route.shards)
+        self._shards = len(request.route.shards)
         # The tolerance keeps 0.9 of 10 shards from becoming 10 by rounding.
-        self._needed = max(1, math.ceil(request.route.min_coverage * shards - 1e-9))
-
-    def start(self):
-        """Send a sub-query to each shard, and watch the time."""
-        tier, request = self._tier, self._request
+        needed = request.route.min_coverage * self._shards - 1e-9
+        self._needed = max(1, math.ceil(needed))
         http = request.http
-        work = Work(
+        self._work = Work(
             http.method,
             http.target,
             http.headers,
@@ -61,26 +67,70 @@
             request.caller_deadline_ms,
             True,
         )
-        clock = tier.clock
+
+    def start(self):
+        """Send a sub-query for each shard, and watch the time."""
+        request = self._request
+        clock = self._tier.clock
         now_ms = clock.now_ms()
         self._deadline_timer = clock.call_later(
             request.give_up_ms - now_ms, self._timed_out
         )
         if request.aim_ms > now_ms:
             self._aim_timer = clock.call_later(request.aim_ms - now_ms, self._at_aim)
-        self._deliveries = [
+        self._send_here(self._delegate(request.route.shards))
+
+    def _delegate(self, services):
+        """Hand over what other regions gather best; return the rest."""
+        request, desk = self._request, self._tier.desk
+        if desk is None or request.http.body:
+            return services
+        groups, here = self._by_region(services)
+        for region, group in groups.items():
+            names = [service for service, _ in group]
+            peer = desk.delegate_for(region) if len(group) >= MIN_PARTS else None
+            parts = None
+            if peer is not None:
+                rtt_ms = max(upstream.rtt_ms for _, upstream in group)
+                parts = desk.ask(
+                    request, names, peer, rtt_ms, self._reported, self._delegate_lost
+                )
+            if parts is None:
+                here.extend(names)
+            else:
+                self._delegated.append(parts)
+        return here
+
+    def _by_region(self, services):
+        """Return services by the region of their best server, and those near."""
+        request, directory = self._request, self._tier.directory
+        work_ms = request.timing.mean_work_ms
+        groups, here = {}, []
+        for service in services:
+            best = directory.best(service, request.route.regions, work_ms)
+            if best is None or best.near:
+                here.append(service)
+            else:
+                groups.setdefault(best.region, []).append((service, best))
+        return groups, here
+
+    def _send_here(self, services, sent_before=False):
+        request = self._request
+        deliveries = [
             Delivery(
-                tier,
+                self._tier,
                 service,
                 request.route,
-                work,
+                self._work,
                 request.timing,
                 request.aim_ms,
                 self._delivered,
+                sent_before,
             )
-            for service in request.route.shards
+            for service in services
         ]
-        for delivery in self._deliveries:
+        self._deliveries.extend(deliveries)
+        for delivery in deliveries:
             if not self._finished:
                 delivery.start()
 
@@ -88,36 +138,56 @@
         """Return the deliveries, for the log."""
         return self._deliveries
 
+    def delegated(self):
+        """Return the daemons that gather parts, for the log."""
+        return [parts.peer for parts in self._delegated]
+
     def cancel(self):
         """Stop everything: the caller has gone."""
-        self._finished = True
-        self._stop_timers()
-        for delivery in self._deliveries:
-            delivery.cancel()
-
-    def _stop_timers(self):
-        for timer in (self._aim_timer, self._deadline_timer):
-            if timer is not None:
-                timer.cancel()
+        self._end(keep=False)
 
     def _delivered(self, delivery, result):
         if self._finished:
             return
         self._ran = self._ran or result.may_have_run
         if result.answered:
-            self._parts.append(result.attempt)
+            self._proofs.append(result.attempt.marks.proof)
+            self._records.append(result.attempt.response.body)
         else:
             self._failed += 1
-        shards = len(self._deliveries)
-        if len(self._parts) + self._failed == shards:
+        self._check()
+
+    def _reported(self, proofs, records, services, failed):
+        """Take what a daemon near the servers has gathered."""
+        if self._finished:
+            return
+        self._proofs.extend(proofs)
+        self._records.append(records)
+        self._ran = True
+        # What has not been sent there may be sent from here.
+        unsent = [service for service, may_have_run in failed if not may_have_run]
+        self._failed += len(failed) - len(unsent)
+        if unsent:
+            self._send_here(unsent)
+        if not self._finished:
+            self._check()
+
+    def _delegate_lost(self, services):
+        if not self._finished:
+            self._tier.metrics.count("delegation.lost")
+            self._ran = True
+            self._send_here(services, sent_before=True)
+
+    def _check(self):
+        if len(self._proofs) + self._failed == self._shards:
             self._settle()
-        elif shards - self._failed < self._needed:
+        elif self._shards - self._failed < self._needed:
             self._refuse("too few shards can answer")
         elif self._enough() and self._late():
             self._settle()
 
     def _enough(self):
-        return len(self._parts) >= self._needed
+        return len(self._proofs) >= self._needed
 
     def _late(self):
         """Return whether the time for missing parts is over."""
@@ -139,9 +209,8 @@
             self._settle()
 
     def _timed_out(self):
-        if self._finished:
-            return
-        self._settle("no answer in time")
+        if not self._finished:
+            self._settle(NO_ANSWER_IN_TIME)
 
     def _settle(self, reason="too few parts"):
         """Answer with the parts that are in, or give up."""
@@ -149,32 +218,33 @@
             self._refuse(reason)
             return
         self._end()
-        missing = len(self._deliveries) - len(self._parts)
-        proofs = [attempt.marks.proof for attempt in self._parts]
-        headers = self._tier.codec.gathered_headers(proofs, missing)
-        body = greatest_records(
-            [attempt.response.body for attempt in self._parts],
-            self._request.route.top_k,
-        )
+        missing = self._shards - len(self._proofs)
+        headers = self._tier.codec.gathered_headers(self._proofs, missing)
+        body = greatest_records(self._records, self._request.route.top_k)
         outcome = "partial" if missing else "answered"
         self._on_answer(200, headers, body, outcome, f"{missing} parts missing")
 
     def _refuse(self, reason):
         ran = self._ran or any(d.may_have_run() for d in self._deliveries)
+        ran = ran or bool(self._delegated)
         self._end(keep=False)
         if not ran:
             Refusal.not_run("no shard could be reached").send(self._on_answer)
-        elif reason == "no answer in time":
+        elif reason == NO_ANSWER_IN_TIME:
             Refusal.timeout(reason).send(self._on_answer)
         else:
             Refusal.lost(reason).send(self._on_answer)
 
     def _end(self, keep=True):
+        """Stop the timers, and what nobody waits for any longer."""
         self._finished = True
-        self._stop_timers()
+        for timer in (self._aim_timer, self._deadline_timer):
+            if timer is not None:
+                timer.cancel()
+        for parts in self._delegated:
+            parts.cancel()
         for delivery in self._deliveries:
-            if not delivery.done:
-                if keep:
-                    delivery.abandon()
-                else:
-                    delivery.cancel()
+            if keep and not delivery.done:
+                delivery.abandon()
+            elif not keep:
+                delivery.cancel()
--- a/hemlockspoke/tier/routes.py
+++ b/hemlockspoke/tier/routes.py
@@ -97,6 +97,13 @@
         for host_routes in self._by_host.values():
             host_routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
 
+    def find(self, host, path_prefix):
+        """Return the route of exactly this host and prefix, or None."""
+        for route in self._by_host.get(host, ()):
+            if route.path_prefix == path_prefix:
+                return route
+        return None
+
     def match(self, host, path):
         """Return the route with the longest prefix of the path, or None."""
         for route in self._by_host.get(host, ()):
