Keep a silent delegate's parts; hedge at the 9th decile of recent requests

A delegate's report that was 5 ms over its time was thrown away, and the parts asked for again within the budget of extra arrivals, which was then used up. Change: a late report still counts; the quantile comes from a sample instead of an estimate that needs a thousand requests to settle.

--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -6,68 +6,86 @@
 """
 
 import itertools
+import logging
 
 from hemlockspoke.messages import GatherCancel, GatherParts, GatherRequest
 from hemlockspoke.tier.attempt import Work
 from hemlockspoke.tier.delivery import Delivery
 from hemlockspoke.tier.merge import greatest_records
 
+logger = logging.getLogger(__name__)
+
 # Fewer parts save less than the extra way costs.
 MIN_PARTS = 3
 # Part of the gathering daemon's time after which it sends what it has, so that the
 # asking one knows that it lives.
-FIRST_REPORT_PART = 0.55
+FIRST_REPORT_PART = 0.45
 
 
 class DelegatedParts:
     """Parts of one query that another daemon gathers.
 
-    ``on_parts(proofs, records, services, failed)`` is called for each report, and
-    ``on_lost(services)`` with the services that nothing was heard of if the other
-    daemon does not answer.
+    ``on_parts(message)`` is called for each report. ``on_silent(services)`` is
+    called with the services that nothing was heard of when the first report is
+    overdue, and ``on_lost(services)`` when there will be none.
     """
 
     __slots__ = (
+        "_asked_ms",
         "_desk",
-        "_fallback_timer",
-        "_on_lost",
-        "_on_parts",
+        "_gather",
+        "_timer",
         "done",
         "peer",
         "query_id",
+        "silent",
         "waiting",
     )
 
-    def __init__(self, desk, query_id, peer, services, on_parts, on_lost):
+    def __init__(self, desk, query_id, peer, services, gather):
         self._desk = desk
+        self._gather = gather
+        self._asked_ms = desk.clock.now_ms()
+        self._timer = None
         self.query_id = query_id
         self.peer = peer
         self.waiting = set(services)
-        self._on_parts = on_parts
-        self._on_lost = on_lost
-        self._fallback_timer = None
+        self.silent = False
         self.done = False
 
-    def start(self, fallback_ms):
+    def start(self, patience_ms):
         """Give the other daemon some time for its first report."""
-        self._fallback_timer = self._desk.clock.call_later(fallback_ms, self.lose)
+        self._timer = self._desk.clock.call_later(patience_ms, self._overdue)
+
+    def _overdue(self):
+        self.silent = True
+        logger.info(
+            "delegated parts overdue",
+            extra={"peer": self.peer, "parts": len(self.waiting)},
+        )
+        self._gather.delegate_silent(self.waiting)
 
     def report(self, message):
         """Take a report of the gathering daemon."""
-        self._fallback_timer.cancel()
-        failed = [(service, ran) for service, ran in message.failed]
+        self._timer.cancel()
+        if self.silent:
+            self.silent = False
+            elapsed_ms = self._desk.clock.now_ms() - self._asked_ms
+            logger.info(
+                "delegated parts late",
+                extra={"peer": self.peer, "elapsed_ms": round(elapsed_ms)},
+            )
         self.waiting.difference_update(message.services)
-        self.waiting.difference_update(service for service, _ in failed)
+        self.waiting.difference_update(service for service, _ in message.failed)
         if message.last:
             self._close()
-        self._on_parts(message.proofs, message.records, message.services, failed)
+        self._gather.delegate_reported(message)
 
     def lose(self):
-        """Give up on the other daemon."""
+        """Take that the other daemon is not reached any more."""
         if not self.done:
-            services = sorted(self.waiting)
-            self.cancel()
-            self._on_lost(services)
+            self._close()
+            self._gather.delegate_lost(self.waiting)
 
     def cancel(self):
         """Tell the other daemon to stop."""
@@ -77,7 +95,7 @@
 
     def _close(self):
         self.done = True
-        self._fallback_timer.cancel()
+        self._timer.cancel()
         self._desk.forget(self)
 
 
@@ -231,7 +249,7 @@
                 return vm
         return None
 
-    def ask(self, request, services, peer, rtt_ms, on_parts, on_lost):
+    def ask(self, request, services, peer, rtt_ms, gather):
         """Hand parts of a query to another daemon."""
         now_ms = self.clock.now_ms()
         query_id = next(self._ids)
@@ -251,7 +269,7 @@
         )
         if not self.send(peer, message):
             return None
-        parts = DelegatedParts(self, query_id, peer, services, on_parts, on_lost)
+        parts = DelegatedParts(self, query_id, peer, services, gather)
         self._asked[query_id] = parts
         # The other daemon reports after a part of its time; twice the way there
         # covers a busy moment of either.
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -11,8 +11,7 @@
 # Connections that could not be opened, for one request.
 MAX_UNSENT = 3
 # Noise of the daemon and of the network over the usual time of a request.
-HEDGE_ALLOWANCE_MS = 5.0
-HEDGE_FACTOR = 1.2
+HEDGE_ALLOWANCE_MS = 3.0
 
 
 class DeliveryResult:
@@ -187,7 +186,7 @@
         clock = self._tier.clock
         upstream = attempt.upstream
         timing = self._timing
-        usual_ms = upstream.rtt_ms + timing.slow_work_ms() * HEDGE_FACTOR
+        usual_ms = upstream.rtt_ms + timing.slow_work_ms()
         delay_ms = usual_ms + HEDGE_ALLOWANCE_MS
         other = self._pick()
         if other is not None:
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -14,12 +14,24 @@
 NO_ANSWER_IN_TIME = "no answer in time"
 
 
+class _Parts:
+    """Answers of some services: one proof each, and their records together."""
+
+    __slots__ = ("proofs", "records", "services")
+
+    def __init__(self, services, proofs, records):
+        self.services = frozenset(services)
+        self.proofs = proofs
+        self.records = records
+
+
 class Gather:
     """One query over the shards of one version of the configuration.
 
     The answer is sent when every shard has answered, or at the aim if enough have,
     or later as soon as enough have. It names the parts that it holds. Shards whose
-    best servers stand in another region are gathered by a daemon there.
+    best servers stand in another region are gathered by a daemon there; if it is
+    silent, they are asked from here as well.
     """
 
     __slots__ = (
@@ -27,15 +39,14 @@
         "_deadline_timer",
         "_delegated",
         "_deliveries",
-        "_failed",
         "_finished",
         "_needed",
         "_on_answer",
-        "_proofs",
+        "_parts",
         "_ran",
-        "_records",
         "_request",
         "_shards",
+        "_sources",
         "_tier",
         "_work",
     )
@@ -46,9 +57,9 @@
         self._on_answer = on_answer
         self._deliveries = []
         self._delegated = []
-        self._proofs = []
-        self._records = []
-        self._failed = 0
+        self._parts = []
+        # How many deliveries or daemons may still answer for each service.
+        self._sources = dict.fromkeys(request.route.shards, 0)
         self._ran = False
         self._finished = False
         self._aim_timer = None
@@ -92,13 +103,13 @@
             parts = None
             if peer is not None:
                 rtt_ms = max(upstream.rtt_ms for _, upstream in group)
-                parts = desk.ask(
-                    request, names, peer, rtt_ms, self._reported, self._delegate_lost
-                )
+                parts = desk.ask(request, names, peer, rtt_ms, self)
             if parts is None:
                 here.extend(names)
-            else:
-                self._delegated.append(parts)
+                continue
+            self._delegated.append(parts)
+            for service in names:
+                self._sources[service] += 1
         return here
 
     def _by_region(self, services):
@@ -130,6 +141,8 @@
             for service in services
         ]
         self._deliveries.extend(deliveries)
+        for delivery in deliveries:
+            self._sources[delivery.service] += 1
         for delivery in deliveries:
             if not self._finished:
                 delivery.start()
@@ -140,7 +153,7 @@
 
     def delegated(self):
         """Return the daemons that gather parts, for the log."""
-        return [parts.peer for parts in self._delegated]
+        return [f"{parts.peer} owes {len(parts.waiting)}" for parts in self._delegated]
 
     def cancel(self):
         """Stop everything: the caller has gone."""
@@ -150,44 +163,75 @@
         if self._finished:
             return
         self._ran = self._ran or result.may_have_run
-        if result.answered:
-            self._proofs.append(result.attempt.marks.proof)
-            self._records.append(result.attempt.response.body)
-        else:
-            self._failed += 1
+        self._sources[delivery.service] -= 1
+        if result.answered and delivery.service not in self._answered():
+            attempt = result.attempt
+            self._parts.append(
+                _Parts([delivery.service], [attempt.marks.proof], attempt.response.body)
+            )
         self._check()
 
-    def _reported(self, proofs, records, services, failed):
+    def delegate_reported(self, message):
         """Take what a daemon near the servers has gathered."""
         if self._finished:
             return
-        self._proofs.extend(proofs)
-        self._records.append(records)
         self._ran = True
+        if message.services:
+            # Its records are merged, so they replace single parts of its services.
+            covered = frozenset(message.services)
+            self._parts = [p for p in self._parts if not p.services & covered]
+            self._parts.append(_Parts(covered, message.proofs, message.records))
+        unsent = []
+        for service, may_have_run in message.failed:
+            self._sources[service] -= 1
+            if not may_have_run and not self._sources[service]:
+                unsent.append(service)
+        for service in message.services:
+            self._sources[service] -= 1
         # What has not been sent there may be sent from here.
-        unsent = [service for service, may_have_run in failed if not may_have_run]
-        self._failed += len(failed) - len(unsent)
-        if unsent:
-            self._send_here(unsent)
+        self._send_here(unsent)
         if not self._finished:
             self._check()
 
-    def _delegate_lost(self, services):
+    def delegate_silent(self, services):
+        """Ask for parts from here as well."""
         if not self._finished:
-            self._tier.metrics.count("delegation.lost")
+            self._tier.metrics.count("delegation.silent")
             self._ran = True
-            self._send_here(services, sent_before=True)
+            self._send_here(sorted(services), sent_before=True)
+
+    def delegate_lost(self, services):
+        """Take that a daemon will not report."""
+        if self._finished:
+            return
+        self._tier.metrics.count("delegation.lost")
+        self._ran = True
+        for service in services:
+            self._sources[service] -= 1
+        unasked = [s for s in sorted(services) if not self._sources[s]]
+        self._send_here(unasked, sent_before=True)
+        if not self._finished:
+            self._check()
+
+    def _answered(self):
+        return frozenset().union(*(parts.services for parts in self._parts))
 
     def _check(self):
-        if len(self._proofs) + self._failed == self._shards:
+        answered = self._answered()
+        waiting = sum(
+            1
+            for service, sources in self._sources.items()
+            if sources and service not in answered
+        )
+        if not waiting:
             self._settle()
-        elif self._shards - self._failed < self._needed:
+        elif len(answered) + waiting < self._needed:
             self._refuse("too few shards can answer")
         elif self._enough() and self._late():
             self._settle()
 
     def _enough(self):
-        return len(self._proofs) >= self._needed
+        return len(self._answered()) >= self._needed
 
     def _late(self):
         """Return whether the time for missing parts is over."""
@@ -218,9 +262,11 @@
             self._refuse(reason)
             return
         self._end()
-        missing = self._shards - len(self._proofs)
-        headers = self._tier.codec.gathered_headers(self._proofs, missing)
-        body = greatest_records(self._records, self._request.route.top_k)
+        proofs = [proof for parts in self._parts for proof in parts.proofs]
+        missing = self._shards - len(proofs)
+        headers = self._tier.codec.gathered_headers(proofs, missing)
+        records = [parts.records for parts in self._parts]
+        body = greatest_records(records, self._request.route.top_k)
         outcome = "partial" if missing else "answered"
         self._on_answer(200, headers, body, outcome, f"{missing} parts missing")
 
--- a/hemlockspoke/tier/timing.py
+++ b/hemlockspoke/tier/timing.py
@@ -2,12 +2,13 @@
 
 from collections import Counter, deque
 
-from hemlockspoke.hedging import SlidingQuantile
-
 # Until requests have been measured.
 INITIAL_WORK_MS = 20.0
-MEAN_SMOOTHING = 0.05
 SLOW_QUANTILE = 0.9
+# Enough for the quantile, and soon replaced when the work of the route changes.
+WORK_SAMPLE = 120
+# Sorting the sample for each request would cost more than it tells.
+REFRESH_EVERY = 10
 # Callers' first attempts are most of the requests, so the most usual budget among
 # this many is theirs.
 BUDGET_SAMPLE = 64
@@ -16,23 +17,34 @@
 class RouteTiming:
     """Usual times of one route at its servers, without the round trip."""
 
-    __slots__ = ("_budgets", "_slow", "mean_work_ms")
+    __slots__ = ("_budgets", "_sample", "_slow_ms", "_unsorted", "mean_work_ms")
 
     def __init__(self):
         self.mean_work_ms = INITIAL_WORK_MS
-        self._slow = SlidingQuantile(SLOW_QUANTILE, 2.0 * INITIAL_WORK_MS)
+        self._slow_ms = 2.0 * INITIAL_WORK_MS
+        self._sample = deque(maxlen=WORK_SAMPLE)
+        self._unsorted = 0
         self._budgets = deque(maxlen=BUDGET_SAMPLE)
 
     def note_work(self, work_ms):
         """Take the time of one answered request."""
-        # A straggler must not move the mean, by which stragglers are recognised.
-        bounded_ms = min(max(0.2, work_ms), 4.0 * self.mean_work_ms)
-        self.mean_work_ms += MEAN_SMOOTHING * (bounded_ms - self.mean_work_ms)
-        self._slow.observe(max(0.2, work_ms))
+        work_ms = max(0.2, work_ms)
+        self._sample.append(work_ms)
+        self._unsorted += 1
+        if self._unsorted >= min(REFRESH_EVERY, len(self._sample)):
+            self._refresh()
+
+    def _refresh(self):
+        self._unsorted = 0
+        ordered = sorted(self._sample)
+        self._slow_ms = ordered[int(SLOW_QUANTILE * (len(ordered) - 1))]
+        # Stragglers must not move the mean, by which stragglers are recognised.
+        middle = ordered[: max(1, int(SLOW_QUANTILE * len(ordered)))]
+        self.mean_work_ms = sum(middle) / len(middle)
 
     def slow_work_ms(self):
         """Return the time that 9 in 10 requests stay under."""
-        return max(self._slow.value, self.mean_work_ms)
+        return max(self._slow_ms, self.mean_work_ms)
 
     def note_budget(self, budget_ms):
         """Take how long a caller says it will wait."""
