--- a/hemlockspoke/http1/channel.py
+++ b/hemlockspoke/http1/channel.py
@@ -66,6 +66,15 @@
         """Write the response; nothing happens if the caller has gone."""
         self._channel.respond(self, status, headers, body, close)
 
+    @property
+    def peer_host(self):
+        """Return the address that the request came from."""
+        return self._channel.transport.getPeer().host
+
+    def abort(self):
+        """Reset the connection instead of answering."""
+        self._channel.transport.abortConnection()
+
 
 class CallerChannel(Protocol):
     """One connection of a caller. Requests on it are handled one after another."""
--- a/hemlockspoke/platform/feeds.py
+++ b/hemlockspoke/platform/feeds.py
@@ -20,7 +20,7 @@
         self._calls = calls
         self._kind = kind
 
-    def list_page(self, after, done):
+    def list_page(self, after, done, stale=False):
         """Read a page of the list."""
 
         def decode(reply):
@@ -33,7 +33,7 @@
             after_name = changes[-1].name if more else None
             done(Page(changes, body["current_rev"], after_name))
 
-        self._calls.list(self._kind, after, decode)
+        self._calls.list(self._kind, after, decode, stale=stale)
 
     def watch(self, revision, wait_ms, grace_ms, done):
         """Wait for changes after a revision."""
@@ -144,25 +144,10 @@
         self._directory.set_domains_out(self._names)
 
 
-class RelayedSink:
-    """Takes what a feed reads, and passes it on to the daemons of the domain."""
-
-    __slots__ = ("_followed", "_relay")
-
-    def __init__(self, followed, relay):
-        self._followed = followed
-        self._relay = relay
-
-    def replace(self, changes, revision):
-        """Take a complete list."""
-        if self._followed.replace(changes, revision):
-            self._relay.read(self._followed, changes, 0, revision, complete=True)
-
-    def apply(self, changes, since, revision):
-        """Take changes that a watch reports."""
-        followed = self._followed
-        if revision <= followed.revision:
-            followed.confirm(revision, 0.0)
-            return
-        followed.apply(changes, revision)
-        self._relay.read(followed, changes, since, revision, complete=False)
+def sinks_by_kind(directory):
+    """Return what decodes each kind that a daemon follows."""
+    return {
+        objects.CONFIG_KIND: ConfigSink(directory),
+        objects.SERVER_KIND: ServerSink(directory),
+        objects.EVACUATION_KIND: EvacuationSink(directory),
+    }
--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -11,6 +11,7 @@
 from hemlockspoke.messages import GatherCancel, GatherParts, GatherRequest
 from hemlockspoke.tier.attempt import Work
 from hemlockspoke.tier.delivery import Delivery
+from hemlockspoke.tier.journal import describe_sends, printable
 from hemlockspoke.tier.merge import greatest_records
 
 logger = logging.getLogger(__name__)
@@ -108,17 +109,20 @@
         "_desk",
         "_failed",
         "_finished",
+        "_message",
         "_peer",
         "_query_id",
         "_reported",
         "_resolved",
         "_timers",
         "_top_k",
+        "attempt_id",
     )
 
     def __init__(self, desk, peer, message):
         self._desk = desk
         self._peer = peer
+        self._message = message
         self._query_id = message.query_id
         self._top_k = message.top_k
         self._attempts = []
@@ -128,17 +132,20 @@
         self._finished = False
         self._timers = []
         self._deliveries = []
+        self.attempt_id = None
 
-    def start(self, tier, route, timing, message):
+    def start(self, tier, route, timing):
         """Send the sub-queries."""
+        message = self._message
         now_ms = tier.clock.now_ms()
         headers = [(bytes(name), bytes(value)) for name, value in message.headers]
+        self.attempt_id = tier.codec.read_caller(headers).attempt_id
         work = Work(
             message.method,
             message.target,
             headers,
             b"",
-            tier.codec.read_caller(headers).attempt_id,
+            self.attempt_id,
             now_ms + message.remaining_ms,
             True,
         )
@@ -190,19 +197,30 @@
         )
         self._desk.send(self._peer, report)
         if last:
-            self._end()
+            self._end("reported")
             for delivery in self._deliveries:
                 delivery.abandon()
 
     def cancel(self):
         """Stop: nobody waits for the parts."""
         if not self._finished:
-            self._end()
+            self._end("cancelled")
             for delivery in self._deliveries:
                 delivery.cancel()
 
-    def _end(self):
+    def _end(self, outcome):
         self._finished = True
+        sends = describe_sends(self._deliveries)
+        if sends:
+            logger.info(
+                "gathered for a peer",
+                extra={
+                    "request": printable(self.attempt_id),
+                    "for_peer": self._peer,
+                    "outcome": outcome,
+                    "sends": sends,
+                },
+            )
         for timer in self._timers:
             timer.cancel()
         self._desk.gathered(self._peer, self._query_id)
@@ -316,7 +334,7 @@
             return
         gathering = _GatheredHere(self, vm, message)
         self._here[vm, message.query_id] = gathering
-        gathering.start(self._tier, route, self._timings.of(route), message)
+        gathering.start(self._tier, route, self._timings.of(route))
 
     def peer_lost(self, vm):
         """Take that nothing more will be heard of a daemon."""
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -33,6 +33,7 @@
         "_members",
         "_reactor",
         "_region",
+        "age_ms",
         "domains_out",
         "on_configuration",
         "routing",
@@ -56,6 +57,8 @@
         self.services = {}
         self.domains_out = frozenset()
         self.on_configuration = None
+        # How long ago the store confirmed what is known; the relay sets it.
+        self.age_ms = lambda: 0.0
 
     def ready(self):
         """Return whether requests can be routed."""
@@ -219,6 +222,11 @@
             del self.services[upstream.entry.service]
         upstream.pool.close_when_done()
 
+    def close(self):
+        """Close the connections to all servers."""
+        for upstream in self.upstreams.values():
+            upstream.pool.close_when_done()
+
     def _log_server(self, entry, change):
         logger.info(
             "server",
--- /dev/null
+++ b/hemlockspoke/tier/edge_settings.py
@@ -0,0 +1,86 @@
+"""What a daemon on an entry VM is told by its surroundings."""
+
+
+class Bounds:
+    """Times and ratios within which the surroundings expect changes to be followed.
+
+    ``stable_window_ms`` is how long a daemon must have been undisturbed before the
+    others hold for it.
+    """
+
+    __slots__ = (
+        "config_apply_ms",
+        "drain_ms",
+        "evacuate_ms",
+        "extra_load_ratio",
+        "extra_load_slack",
+        "shutdown_ms",
+        "stable_window_ms",
+    )
+
+    def __init__(
+        self,
+        config_apply_ms=4000.0,
+        drain_ms=4000.0,
+        evacuate_ms=5000.0,
+        shutdown_ms=6000.0,
+        extra_load_ratio=0.0,
+        extra_load_slack=0.0,
+        stable_window_ms=4000.0,
+    ):
+        self.config_apply_ms = config_apply_ms
+        self.drain_ms = drain_ms
+        self.evacuate_ms = evacuate_ms
+        self.shutdown_ms = shutdown_ms
+        self.extra_load_ratio = extra_load_ratio
+        self.extra_load_slack = extra_load_slack
+        self.stable_window_ms = stable_window_ms
+
+
+class EdgeSettings:
+    """Addresses and place of one daemon.
+
+    ``failure_domains`` maps each failure domain to its region. ``first_start``
+    tells that the whole system starts for the first time.
+    """
+
+    __slots__ = (
+        "bounds",
+        "caller_address",
+        "failure_domain",
+        "failure_domains",
+        "first_start",
+        "metrics_address",
+        "peer_address",
+        "ready_address",
+        "region",
+        "store_address",
+        "vm",
+    )
+
+    def __init__(
+        self,
+        *,
+        vm,
+        failure_domain,
+        region,
+        failure_domains,
+        caller_address,
+        ready_address,
+        peer_address,
+        store_address,
+        metrics_address=None,
+        bounds=None,
+        first_start=False,
+    ):
+        self.vm = vm
+        self.failure_domain = failure_domain
+        self.region = region
+        self.failure_domains = failure_domains
+        self.caller_address = caller_address
+        self.ready_address = ready_address
+        self.peer_address = peer_address
+        self.store_address = store_address
+        self.metrics_address = metrics_address
+        self.bounds = bounds or Bounds()
+        self.first_start = first_start
--- a/hemlockspoke/tier/front.py
+++ b/hemlockspoke/tier/front.py
@@ -3,9 +3,9 @@
 import logging
 import random
 
-from hemlockspoke.tier.attempt import Verdict
 from hemlockspoke.tier.forward import Forward
 from hemlockspoke.tier.gather import Gather
+from hemlockspoke.tier.journal import describe_sends, printable
 from hemlockspoke.tier.replies import RETRY_START_MS, Refusal
 from hemlockspoke.tier.timing import Timings
 
@@ -16,6 +16,8 @@
 ANSWER_ALLOWANCE_MS = 8.0
 # Part of the target kept for noise that grows with the size of the work.
 ANSWER_ALLOWANCE_PART = 0.03
+# Nothing is known of the store for longer; JSON has no infinity.
+MAX_AGE_MS = 1e9
 # Kept before the caller's own deadline, so that a final answer still reaches it.
 DEADLINE_ALLOWANCE_MS = 15.0
 
@@ -118,11 +120,11 @@
             logger.warning(
                 "request",
                 extra={
-                    "request": text(marks.attempt_id),
+                    "request": printable(marks.attempt_id),
                     "outcome": outcome,
                     "status": status,
                     "reason": reason,
-                    "target": text(http.target),
+                    "target": printable(http.target),
                 },
             )
 
@@ -164,14 +166,13 @@
         metrics.count(f"requests.{outcome}")
         metrics.timing("request", elapsed_ms)
         plain = outcome == "answered" and now_ms <= request.aim_ms
-        level = logging.DEBUG if plain else logging.INFO
-        if not logger.isEnabledFor(level):
-            return
+        # Warnings have their own share of the log's volume.
+        level = logging.INFO if plain else logging.WARNING
         logger.log(
             level,
             "request",
             extra={
-                "request": text(request.attempt_id),
+                "request": printable(request.attempt_id),
                 "outcome": outcome,
                 "status": status,
                 "reason": reason,
@@ -180,32 +181,15 @@
                 "caller_budget_ms": round(
                     request.caller_deadline_ms - request.http.received_ms
                 ),
-                "target": text(request.http.target),
+                "target": printable(request.http.target),
                 "version": request.version,
+                "belief_age_ms": round(min(self._tier.directory.age_ms(), MAX_AGE_MS)),
                 "gathered_by": job.delegated(),
                 "sends": describe_sends(job.deliveries()),
             },
         )
 
 
-def describe_sends(deliveries):
-    """Return the attempts worth a line: all but those answered at once."""
-    lines = []
-    for delivery in deliveries:
-        attempts = delivery.attempts
-        if len(attempts) == 1 and attempts[0].verdict is Verdict.ANSWER:
-            continue
-        if not attempts:
-            lines.append(f"{delivery.service} {delivery.reason}")
-        for attempt in attempts:
-            verdict = attempt.verdict.value if attempt.verdict else "waiting"
-            lines.append(
-                f"{delivery.service} {attempt.upstream.server_id} {verdict} "
-                f"{attempt.elapsed_ms():.0f} ms {attempt.detail}".rstrip()
-            )
-    return lines
-
-
 def caller_host(headers):
     """Return the host that a request names, in lower case and without port."""
     for name, value in headers:
@@ -218,8 +202,3 @@
 def caller_path(target):
     """Return the path of a request target, without its query."""
     return target.split(b"?", 1)[0].decode("latin-1")
-
-
-def text(value):
-    """Return bytes of a header as text for the log."""
-    return value.decode("latin-1") if value is not None else None
--- a/hemlockspoke/tier/relay.py
+++ b/hemlockspoke/tier/relay.py
@@ -80,6 +80,30 @@
         return self._clock.now_ms() - self.confirmed_ms
 
 
+class RelayedSink:
+    """Takes what a feed reads, and passes it on to the daemons of the domain."""
+
+    __slots__ = ("_followed", "_relay")
+
+    def __init__(self, followed, relay):
+        self._followed = followed
+        self._relay = relay
+
+    def replace(self, changes, revision):
+        """Take a complete list."""
+        if self._followed.replace(changes, revision):
+            self._relay.read(self._followed, changes, 0, revision, complete=True)
+
+    def apply(self, changes, since, revision):
+        """Take changes that a watch reports."""
+        followed = self._followed
+        if revision <= followed.revision:
+            followed.confirm(revision, 0.0)
+            return
+        followed.apply(changes, revision)
+        self._relay.read(followed, changes, since, revision, complete=False)
+
+
 class _PeerContact:
     """The last heartbeat of a daemon."""
 
@@ -101,6 +125,7 @@
         "_kinds",
         "_max_age_ms",
         "_send",
+        "_stopped",
         "_vm",
         "leaving",
     )
@@ -113,23 +138,33 @@
         self._max_age_ms = max_age_ms
         self._kinds = {}
         self._contacts = {}
+        self._stopped = False
         self.leaving = False
 
     def follow(self, followed, feed):
         """Follow a kind, by a feed of this daemon's own at first."""
         followed.feed = feed
         self._kinds[followed.kind] = followed
-        feed.resume()
 
     def start(self):
-        """Send heartbeats from now on."""
+        """Read, and send heartbeats from now on."""
+        for followed in self._kinds.values():
+            followed.feed.resume()
         self._tick()
 
-    def kinds(self):
-        """Return the followed kinds."""
-        return list(self._kinds.values())
+    def stop(self):
+        """Read no more, and send no more heartbeats."""
+        self._stopped = True
+        for followed in self._kinds.values():
+            followed.feed.pause()
+
+    def age_ms(self):
+        """Return how long ago the store confirmed the oldest of what is known."""
+        return max((f.age_ms() for f in self._kinds.values()), default=float("inf"))
 
     def _tick(self):
+        if self._stopped:
+            return
         contact = self._contact()
         for vm in self._domain_peers():
             self._send(vm, contact)
--- a/hemlockspoke/ui/application.py
+++ b/hemlockspoke/ui/application.py
@@ -6,6 +6,7 @@
     audit_command,
     caller_commands,
     domain_commands,
+    explain_command,
     service_commands,
     settings_commands,
     status_command,
@@ -28,3 +29,4 @@
 status_command.register(application)
 audit_command.register(application)
 caller_commands.register(application)
+explain_command.register(application)
--- /dev/null
+++ b/hemlockspoke/ui/explain_command.py
@@ -0,0 +1,97 @@
+"""The command that explains what happened to one request."""
+
+import sys
+from typing import Annotated
+
+import typer
+
+from hemlockspoke.request_story import LogLine, collect_story
+from hemlockspoke.ui.exits import CommandFailed, ExitCode
+from hemlockspoke.ui.options import AsJson
+from hemlockspoke.ui.output import show
+from hemlockspoke.ui.subcommand import subcommand
+
+# Reading this many lines takes about a second; people want to see progress then.
+PROGRESS_LINES = 20_000
+SHOWN_FIELDS = (
+    "outcome",
+    "status",
+    "reason",
+    "elapsed_ms",
+    "aim_in_ms",
+    "caller_budget_ms",
+    "version",
+    "belief_age_ms",
+    "gathered_by",
+    "for_peer",
+)
+
+RequestId = Annotated[str, typer.Argument(help="Id of the caller's attempt.")]
+LogFiles = Annotated[
+    list[str] | None,
+    typer.Argument(help="Log files of any daemons; standard input without any."),
+]
+
+
+def register(app):
+    """Add the command to the application."""
+    example = "hemlockspoke explain 9c41d07be2a35f68 entry-*.log"
+    subcommand(app, "explain", example)(explain)
+
+
+def explain(request_id: RequestId, files: LogFiles = None, as_json: AsJson = False):
+    """Print what happened to a request, across daemons, and its cause."""
+    story = collect_story(request_id, _read_lines(files or ["-"]))
+    if not story.lines:
+        raise CommandFailed(
+            ExitCode.REFUSED,
+            f"no line names the request {request_id!r}; lines that a busy second had "
+            "no room for are counted in 'log lines left out'",
+        )
+    show(as_json, story.to_json(), lambda _: _print(story))
+
+
+def _read_lines(files):
+    """Yield the decoded lines of all files; lines of other forms are skipped."""
+    count = 0
+    for name in files:
+        for number, text in enumerate(_open(name), start=1):
+            count += 1
+            if count % PROGRESS_LINES == 0 and sys.stderr.isatty():
+                print(f"\r{count} lines read", end="", file=sys.stderr)
+            line = LogLine.parse(text, f"{name}:{number}")
+            if line is not None:
+                yield line
+    if count >= PROGRESS_LINES and sys.stderr.isatty():
+        print(file=sys.stderr)
+
+
+def _open(name):
+    if name == "-":
+        yield from sys.stdin
+        return
+    try:
+        with open(name, encoding="utf-8", errors="replace") as handle:
+            yield from handle
+    except OSError as error:
+        message = f"{name}: {error.strerror}"
+        raise CommandFailed(ExitCode.BAD_INPUT, message) from error
+
+
+def _print(story):
+    print(f"request {story.request_id}")
+    for line in story.context:
+        _print_line(
+            line, ("change", "server", "kind", "feed", "peer", "reason", "version")
+        )
+    for line in story.lines:
+        _print_line(line, SHOWN_FIELDS)
+        for send in line.fields.get("sends", ()):
+            print(f"      {send}")
+    print(f"cause: {story.cause()}")
+
+
+def _print_line(line, names):
+    fields = line.fields
+    shown = [f"{name}={fields[name]}" for name in names if name in fields]
+    print(f"  {line.when} {line.vm} {line.event}: {', '.join(shown)}")
--- /dev/null
+++ b/tests/features/edge_requests.feature
@@ -0,0 +1,99 @@
+Feature: requests on the platform's protocol, through real daemons
+
+  Background:
+    Given a platform with 3 shards and the daemon "e1" in "a1"
+
+  Scenario: a query returns the greatest records of all shards
+    When a caller sends a query to "e1"
+    Then it gets 200 with 3 proofs and 0 parts missing
+    And the body holds the 5 greatest records of the 3 shards
+
+  Scenario: a request that one server answers is returned unchanged
+    When a caller sends an item request to "e1"
+    Then it gets 200 with the proof and the body of one server
+
+  Scenario: a query that lacks a shard says so
+    Given both servers of shard 0 are "hang"
+    When a caller sends a query to "e1"
+    Then it gets 200 with 2 proofs and 1 parts missing
+    And the body holds the 5 greatest records of the other 2 shards
+
+  Scenario: too few parts are no success
+    Given both servers of shard 0 are "hang"
+    And both servers of shard 1 are "hang"
+    When a caller sends a query to "e1"
+    Then it gets 504 without a proof
+
+  Scenario Outline: a damaged answer reaches no caller
+    # Guards against bytes of a broken, foreign or repeated answer in a success.
+    Given the server "item-a1" is "<behaviour>"
+    When a caller sends 4 item requests to "e1"
+    Then each gets 200 with a proof for its own attempt
+
+    Examples:
+      | behaviour |
+      | truncate  |
+      | garbage   |
+      | foreign   |
+      | extra     |
+      | reset     |
+      | fail      |
+      | shed      |
+
+  Scenario Outline: an order is never sent twice
+    # Guards against a repeat of a request that may have run.
+    Given every server of items is "<behaviour>"
+    When a caller sends an order to "e1"
+    Then it gets <status> without a promise
+    And exactly 1 order has run
+
+    Examples:
+      | behaviour | status |
+      | reset     | 502    |
+      | truncate  | 502    |
+      | garbage   | 502    |
+      | hang      | 504    |
+
+  Scenario: a refused order promises that it has not run
+    Given every server of items is "shed"
+    When a caller sends an order to "e1"
+    Then it gets 503 with a time to come back
+    And exactly 0 orders have run
+
+  Scenario: an order that one server refuses runs at another
+    Given the server "item-a1" is "shed"
+    When a caller sends an order to "e1"
+    Then it gets 200 with the proof and the body of one server
+    And exactly 1 order has run
+
+  Scenario: an unanswered request ends at the time of its route
+    Given every server of items is "hang"
+    And the configuration gives requests 300 ms
+    When a caller sends an item request to "e1"
+    Then it gets 504 within 600 ms
+
+  Scenario: servers are told no more time than is left
+    When a caller that waits 700 ms sends an item request to "e1"
+    Then no server was given more than 700 ms
+
+  Scenario: a caller that leaves cancels its work
+    Given every server of items is "hang"
+    When a caller sends an item request to "e1" and leaves
+    Then the servers see their requests cancelled
+
+  Scenario: a reused address gives no foreign answer
+    # Guards against requests at a server that took over an address.
+    Given the entry of "item-a1" holds the address of "s0-a1"
+    When a caller sends 3 item requests to "e1"
+    Then each gets 200 with a proof for its own attempt
+    And "s0-a1" has run nothing
+
+  Scenario Outline: a request beyond the limits is refused
+    When a caller sends <what> to "e1"
+    Then it gets <status> without a proof
+
+    Examples:
+      | what                 | status |
+      | a body of 200000 B   | 413    |
+      | a header of 30000 B  | 431    |
+      | no route             | 404    |
--- /dev/null
+++ b/tests/features/steps/edge_requests_steps.py
@@ -0,0 +1,242 @@
+"""Steps on requests through the daemons of a platform in one process."""
+
+import time
+
+from behave import given, then, when
+from twisted.internet import reactor
+from twisted.internet.protocol import Protocol
+
+from hemlockspoke.tier.merge import split_records
+from tests.platform_world import HOST, PlatformWorld
+from tests.reactor_thread import in_reactor, wait_until
+
+
+@given('a platform with {shards:d} shards and the daemon "{vm}" in "{zone}"')
+def step_platform(context, shards, vm, zone):
+    context.world = PlatformWorld(shards=shards)
+    context.add_cleanup(context.world.stop)
+    context.world.add_daemon(vm, zone)
+    context.world.wait_ready(vm)
+    context.attempts = 0
+
+
+def attempt_id(context):
+    context.attempts += 1
+    return f"attempt{context.attempts}"
+
+
+def send(context, vm, target, **options):
+    context.attempt = attempt_id(context)
+    context.sent_s = time.monotonic()
+    context.reply = context.world.request(vm, target, context.attempt, **options)
+    context.elapsed_ms = (time.monotonic() - context.sent_s) * 1000
+    return context.reply
+
+
+def items(context):
+    return [context.world.servers[f"item-{zone}"] for zone in ("a1", "b1")]
+
+
+@given('both servers of shard {shard:d} are "{behaviour}"')
+def step_shard(context, shard, behaviour):
+    for zone in ("a1", "b1"):
+        context.world.servers[f"s{shard}-{zone}"].behaviour = behaviour
+
+
+@given('the server "{server}" is "{behaviour}"')
+def step_server(context, server, behaviour):
+    context.world.servers[server].behaviour = behaviour
+
+
+@given('every server of items is "{behaviour}"')
+def step_items(context, behaviour):
+    for server in items(context):
+        server.behaviour = behaviour
+
+
+@given("the configuration gives requests {timeout_ms:d} ms")
+def step_timeout(context, timeout_ms):
+    context.world.route_fields["timeout_ms"] = timeout_ms
+    context.world.configure()
+    version = context.world.version
+    daemon = context.world.daemons["e1"]
+    wait_until(lambda: daemon.directory.routing.version == version)
+
+
+@given('the entry of "{server}" holds the address of "{other}"')
+def step_reused(context, server, other):
+    world = context.world
+    address = world.servers[other].address
+    world.put("servers", server, world.servers[server].entry(address=address))
+    daemon = world.daemons["e1"]
+    wait_until(
+        lambda: str(daemon.directory.upstreams[server].entry.address) == address
+    )
+
+
+@when('a caller sends a query to "{vm}"')
+def step_query(context, vm):
+    send(context, vm, "/query/a?page=2")
+
+
+@when('a caller sends an item request to "{vm}"')
+def step_item(context, vm):
+    send(context, vm, "/item/a")
+
+
+@when('a caller that waits {budget_ms:d} ms sends an item request to "{vm}"')
+def step_short(context, budget_ms, vm):
+    send(context, vm, "/item/a", budget_ms=budget_ms)
+
+
+@when('a caller sends {count:d} item requests to "{vm}"')
+def step_items_sent(context, count, vm):
+    context.replies = []
+    for _ in range(count):
+        send(context, vm, "/item/a")
+        context.replies.append((context.attempt, context.reply))
+
+
+@when('a caller sends an order to "{vm}"')
+def step_order(context, vm):
+    send(context, vm, "/order/a", method=b"POST", body=b"two tonnes")
+
+
+@when('a caller sends a body of {size:d} B to "{vm}"')
+def step_long_body(context, size, vm):
+    send(context, vm, "/order/a", method=b"POST", body=b"x" * size)
+
+
+@when('a caller sends a header of {size:d} B to "{vm}"')
+def step_long_header(context, size, vm):
+    send(context, vm, "/item/a", extra=[(b"X-Long", b"x" * size)])
+
+
+@when('a caller sends no route to "{vm}"')
+def step_no_route(context, vm):
+    send(context, vm, "/unknown/a")
+
+
+class OneShot(Protocol):
+    """Sends a request and can leave."""
+
+    data = b""
+
+    def connectionMade(self):
+        self.transport.write(self.data)
+
+
+@when('a caller sends an item request to "{vm}" and leaves')
+def step_leaves(context, vm):
+    from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+
+    host, ports = context.world.addresses[vm]
+    protocol = OneShot()
+    protocol.data = (
+        f"GET /item/a HTTP/1.1\r\nHost: {HOST}\r\n"
+        "X-Hemlockspoke-Attempt-Id: leaving\r\n"
+        "X-Hemlockspoke-Deadline-Ms: 1500\r\n\r\n"
+    ).encode()
+    endpoint = TCP4ClientEndpoint(reactor, host, ports["frontend"])
+    in_reactor(connectProtocol, endpoint, protocol)
+    wait_until(lambda: sum(len(server.runs) for server in items(context)) > 0)
+    in_reactor(protocol.transport.loseConnection)
+
+
+@then("the servers see their requests cancelled")
+def step_cancelled(context):
+    servers = items(context)
+    # Half a second after the caller left, servers must not be at work any more.
+    wait_until(
+        lambda: sum(s.cancelled for s in servers) == sum(len(s.runs) for s in servers),
+        timeout_s=0.5,
+    )
+
+
+@then("it gets {status:d} with {count:d} proofs and {missing:d} parts missing")
+def step_gathered(context, status, count, missing):
+    reply = context.reply
+    assert reply.status == status, (reply.status, reply.body)
+    proofs = reply.headers["x-hemlockspoke-part-stamps"].split(b", ")
+    assert len(proofs) == len(set(proofs)) == count, proofs
+    attempt = context.attempt.encode()
+    assert all(proof.endswith(b"." + attempt) for proof in proofs), proofs
+    assert reply.headers["x-hemlockspoke-parts-missing"] == b"%d" % missing
+
+
+def greatest(context, shards):
+    bodies = [context.world.servers[f"s{shard}-a1"].body for shard in shards]
+    records = [record for body in bodies for record in split_records(body)]
+    return b"".join(sorted(records, reverse=True)[:5])
+
+
+@then("the body holds the 5 greatest records of the 3 shards")
+def step_body(context):
+    assert context.reply.body == greatest(context, [0, 1, 2])
+
+
+@then("the body holds the 5 greatest records of the other 2 shards")
+def step_body_partial(context):
+    assert context.reply.body == greatest(context, [1, 2])
+
+
+@then("it gets {status:d} without a proof")
+def step_status(context, status):
+    reply = context.reply
+    assert reply.status == status, (reply.status, reply.body)
+    assert not any("stamp" in name for name in reply.headers)
+
+
+@then("it gets {status:d} without a promise")
+def step_no_promise(context, status):
+    step_status(context, status)
+    assert status not in (408, 421, 429, 503)
+
+
+@then("it gets {status:d} within {limit_ms:d} ms")
+def step_within(context, status, limit_ms):
+    step_status(context, status)
+    assert context.elapsed_ms < limit_ms, context.elapsed_ms
+
+
+@then("it gets 503 with a time to come back")
+def step_come_back(context):
+    step_status(context, 503)
+    assert 0 < float(context.reply.headers["retry-after"]) < 1.5 / 3
+
+
+@then("it gets 200 with the proof and the body of one server")
+def step_unchanged(context):
+    reply = context.reply
+    assert reply.status == 200, (reply.status, reply.body)
+    proof = reply.headers["x-hemlockspoke-server-stamp"].decode()
+    server = context.world.servers[proof.split(".")[0]]
+    assert proof.endswith("." + context.attempt)
+    assert reply.body == server.body
+
+
+@then("each gets 200 with a proof for its own attempt")
+def step_own(context):
+    for attempt, reply in context.replies:
+        assert reply.status == 200, (reply.status, reply.body)
+        proof = reply.headers["x-hemlockspoke-server-stamp"].decode()
+        assert proof.endswith("." + attempt), (proof, attempt)
+        assert reply.body == context.world.servers[proof.split(".")[0]].body
+
+
+@then("exactly {count:d} order has run")
+@then("exactly {count:d} orders have run")
+def step_runs(context, count):
+    runs = [run for server in items(context) for run in server.runs]
+    assert len(runs) == count, runs
+
+
+@then('"{server}" has run nothing')
+def step_nothing(context, server):
+    assert context.world.servers[server].runs == []
+
+
+@then("no server was given more than {limit_ms:d} ms")
+def step_time_given(context, limit_ms):
+    given_ms = [ms for server in items(context) for ms in server.deadlines_ms]
+    assert given_ms and max(given_ms) <= limit_ms, given_ms
--- /dev/null
+++ b/tests/platform_world.py
@@ -0,0 +1,231 @@
+"""A small platform in one process: store, servers and the real daemons."""
+
+import itertools
+import json
+import socket
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+
+from hemlockspoke.address import Address
+from hemlockspoke.clock import ReactorClock
+from hemlockspoke.http1.connection import ConnectionPool, Exchange
+from hemlockspoke.http1.messages import encode_request
+from hemlockspoke.platform.edge import build
+from hemlockspoke.platform.settings import parse_settings
+from tests.reactor_thread import in_reactor, wait_until
+from tests.standins.object_store import ObjectStore
+from tests.standins.shard_server import ShardServer
+
+HOST = "pages.example"
+QUERY_PATH = "/query/"
+ITEM_PATH = "/item/"
+ORDER_PATH = "/order/"
+ZONES = {"a1": "a", "b1": "b"}
+_numbers = itertools.count(1)
+
+
+def free_port(host):
+    """Return a port that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+class Reply:
+    """What a caller got; ``status`` is None if the connection ended."""
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = {name.lower().decode(): value for name, value in headers}
+        self.body = body
+
+
+class PlatformWorld:
+    """Store, shards with two servers each in two zones, and some daemons."""
+
+    def __init__(self, shards=3, target_ms=400, timeout_ms=1500, min_coverage=0.6):
+        self.clock = ReactorClock(reactor)
+        self.store = in_reactor(ObjectStore, reactor, self.clock)
+        self.servers = {}
+        self.daemons = {}
+        self.addresses = {}
+        self.shards = [f"shard-{n}" for n in range(shards)]
+        self.version = 1
+        self.route_fields = {
+            "timeout_ms": timeout_ms,
+            "target_latency_ms": target_ms,
+            "priority": 1,
+            "max_attempts": 2,
+            "allowed_regions": [],
+        }
+        self.min_coverage = min_coverage
+        for number, service in enumerate(self.shards):
+            for zone in ZONES:
+                self.add_server(f"s{number}-{zone}", service, number, zone)
+        for zone in ZONES:
+            self.add_server(f"item-{zone}", "items", 90, zone)
+        self.configure()
+
+    def add_server(self, server_id, service, shard, zone):
+        """Start a server and its entry."""
+        server = in_reactor(
+            ShardServer, reactor, self.clock, server_id, service, shard, zone
+        )
+        self.servers[server_id] = server
+        self.put("servers", server_id, server.entry())
+
+    def put(self, kind, name, spec):
+        """Write an object of the store."""
+        in_reactor(self.store.put, kind, name, spec)
+
+    def remove(self, kind, name):
+        """Remove an object of the store."""
+        in_reactor(self.store.remove, kind, name)
+
+    def configure(self, **changes):
+        """Write the next version of the configuration."""
+        self.version += 3
+        self.put("config", "main", {**self.configuration(), **changes})
+
+    def configuration(self):
+        """Return the configuration of the present version."""
+        routes = [
+            {
+                "name": "query",
+                "host": HOST,
+                "path_prefix": QUERY_PATH,
+                "kind": "idempotent",
+                "shard_services": self.shards,
+                "top_k": 5,
+                "min_coverage": self.min_coverage,
+                **self.route_fields,
+            },
+            {
+                "name": "item",
+                "host": HOST,
+                "path_prefix": ITEM_PATH,
+                "kind": "idempotent",
+                "service": "items",
+                **self.route_fields,
+            },
+            {
+                "name": "order",
+                "host": HOST,
+                "path_prefix": ORDER_PATH,
+                "kind": "non_idempotent",
+                "service": "items",
+                **self.route_fields,
+            },
+        ]
+        services = [
+            {"name": name, "health_path": "/health", "max_connections": 50}
+            for name in [*self.shards, "items"]
+        ]
+        limits = {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 1000,
+            "idle_timeout_ms": 5000,
+        }
+        return {
+            "version": self.version,
+            "routes": routes,
+            "services": services,
+            "limits": limits,
+        }
+
+    def add_daemon(self, vm, zone="a1", first_start=True, bounds=None):
+        """Start a daemon and wait until it is ready."""
+        number = next(_numbers)
+        host = f"127.0.{number // 200}.{10 + number % 200}"
+        ports = {name: free_port(host) for name in ("frontend", "ready", "peer")}
+        bound_lines = "\n".join(
+            f"bounds.{name}={value}" for name, value in (bounds or {}).items()
+        )
+        text = f"""
+node_name={vm}
+zone={zone}
+region={ZONES[zone]}
+ip={host}
+{chr(10).join(f"zones.{name}={region}" for name, region in ZONES.items())}
+listen_addrs.frontend={host}:{ports["frontend"]}
+listen_addrs.ready={host}:{ports["ready"]}
+internal_ports={ports["peer"]},{ports["peer"]}
+platform.address={self.store.address}
+bootstrap={"true" if first_start else "false"}
+bounds.retry_budget_ratio=0.2
+bounds.retry_slack=100
+bounds.stable_window_ms=2000
+bounds.drain_ms=2000
+{bound_lines}
+"""
+        settings = parse_settings(text)
+        daemon = in_reactor(build, settings, reactor)
+        in_reactor(daemon.start)
+        self.daemons[vm] = daemon
+        self.addresses[vm] = host, ports
+        return daemon
+
+    def wait_ready(self, *vms):
+        """Wait until daemons can route requests."""
+        for vm in vms or self.daemons:
+            wait_until(self.daemons[vm].directory.ready)
+
+    def wait_peers(self, vm, count):
+        """Wait until a daemon has streams to others."""
+        network = self.daemons[vm]._network
+        wait_until(lambda: len(network.connected()) >= count)
+
+    def request(
+        self, vm, target, attempt, method=b"GET", body=b"", budget_ms=1500, extra=()
+    ):
+        """Send a request as a caller does and return its ``Reply``."""
+        host, ports = self.addresses[vm]
+        return in_reactor(
+            self._send,
+            Address(host, ports["frontend"]),
+            method,
+            target.encode(),
+            [
+                (b"Host", HOST.encode()),
+                (b"X-Hemlockspoke-Attempt-Id", attempt.encode()),
+                (b"X-Hemlockspoke-Deadline-Ms", b"%d" % budget_ms),
+                *extra,
+            ],
+            body,
+        )
+
+    def ready_status(self, vm):
+        """Return what the balancer's ready call gets."""
+        host, ports = self.addresses[vm]
+        address = Address(host, ports["ready"])
+        return in_reactor(self._send, address, b"GET", b"/api/ready", [], b"").status
+
+    def _send(self, address, method, target, headers, body):
+        done = Deferred()
+        pool = ConnectionPool(reactor, self.clock, address, 1)
+
+        def responded(response):
+            done.callback(Reply(response.status, response.headers, response.body))
+            pool.close_when_done()
+
+        def lost(loss, detail):
+            done.callback(Reply(None, [], detail.encode()))
+
+        data = encode_request(method, target, headers, body)
+        pool.submit(Exchange(lambda: data, responded, lost))
+        return done
+
+    def stop(self):
+        """Close everything."""
+        for daemon in self.daemons.values():
+            in_reactor(daemon.close)
+        for server in self.servers.values():
+            in_reactor(server.stop)
+        in_reactor(self.store.stop)
+
+
+def parse_json_lines(lines):
+    """Return the decoded lines."""
+    return [json.loads(line) for line in lines]
--- /dev/null
+++ b/tests/standins/object_store.py
@@ -0,0 +1,187 @@
+"""Stand-in for the users' object API: kinds, revisions, lists and watches.
+
+It serves real HTTP on one address. Tests change objects directly and set faults:
+``mode`` is ``up``, ``busy`` (503), ``silent`` (no answers) or ``reset``, for all
+callers or for the addresses in ``turned_away`` only.
+"""
+
+import json
+from urllib.parse import parse_qs, urlsplit
+
+from hemlockspoke.http1.channel import CallerSite
+
+PAGE_ITEMS = 50
+
+
+class StoredItem:
+    """One object with its revision."""
+
+    __slots__ = ("name", "revision", "spec")
+
+    def __init__(self, name, spec, revision):
+        self.name = name
+        self.spec = spec
+        self.revision = revision
+
+    def to_json(self):
+        """Return the object as the API shows it."""
+        meta = {"name": self.name, "revision": self.revision, "created": 1}
+        meta.update(finalizers=[], deleting=False)
+        return {"meta": meta, "spec": self.spec, "status": None}
+
+
+class Event:
+    """A change that watches report."""
+
+    __slots__ = ("item", "kind", "removed")
+
+    def __init__(self, kind, item, removed):
+        self.kind = kind
+        self.item = item
+        self.removed = removed
+
+
+class ObjectStore:
+    """The objects and the calls of one store."""
+
+    def __init__(self, reactor, clock, host="127.0.0.1"):
+        self._clock = clock
+        self._kinds = {}
+        self._events = []
+        self._history_from = 0
+        self._waiting = []
+        self.revision = 10
+        self.mode = "up"
+        self.turned_away = None
+        self.calls = []
+        site = CallerSite(clock, self._handle)
+        self._port = reactor.listenTCP(0, site, interface=host)
+        self._site = site
+
+    @property
+    def address(self):
+        """Return the address as text."""
+        host = self._port.getHost()
+        return f"{host.host}:{host.port}"
+
+    def stop(self):
+        """Close the port and every connection."""
+        for channel in list(self._site.channels):
+            channel.transport.abortConnection()
+        return self._port.stopListening()
+
+    def put(self, kind, name, spec):
+        """Write an object and wake the watches."""
+        self.revision += 1
+        item = StoredItem(name, spec, self.revision)
+        self._kinds.setdefault(kind, {})[name] = item
+        self._changed(Event(kind, item, removed=False))
+
+    def remove(self, kind, name):
+        """Remove an object and wake the watches."""
+        item = self._kinds.get(kind, {}).pop(name, None)
+        if item is not None:
+            self.revision += 1
+            gone = StoredItem(name, item.spec, self.revision)
+            self._changed(Event(kind, gone, removed=True))
+
+    def get(self, kind, name):
+        """Return the spec of an object, or None."""
+        item = self._kinds.get(kind, {}).get(name)
+        return item.spec if item else None
+
+    def compact(self):
+        """Forget the history: older watches are answered with 410."""
+        self._history_from = self.revision
+        self._events.clear()
+        for request, *_ in self._take_waiting():
+            request.respond(410, [], b"")
+
+    def _take_waiting(self):
+        waiting, self._waiting = self._waiting, []
+        return waiting
+
+    def _changed(self, event):
+        self._events.append(event)
+        if self.mode == "silent":
+            return
+        for request, kind, revision in self._take_waiting():
+            if not self._answer_watch(request, kind, revision):
+                self._waiting.append((request, kind, revision))
+
+    def _turns_away(self, request):
+        if self.turned_away is None:
+            return True
+        host = request.peer_host
+        return host in self.turned_away
+
+    def _handle(self, request):
+        self.calls.append((request.method.decode(), request.target.decode()))
+        if self.mode != "up" and self._turns_away(request):
+            if self.mode == "busy":
+                request.respond(503, [], b"")
+            elif self.mode == "reset":
+                request.abort()
+            return
+        parts = urlsplit(request.target.decode())
+        path = parts.path.split("/")[3:]
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if request.method == b"GET" and "watch" in query:
+            self._watch(request, path[0], query)
+        elif request.method == b"GET":
+            self._list(request, path[0], query.get("after", ""))
+        elif request.method in (b"POST", b"PUT"):
+            self._write(request, path)
+        else:
+            reply(request, 404, {})
+
+    def _list(self, request, kind, after):
+        names = sorted(name for name in self._kinds.get(kind, {}) if name > after)
+        items = [self._kinds[kind][name].to_json() for name in names[:PAGE_ITEMS]]
+        more = len(names) > PAGE_ITEMS
+        body = {"items": items, "more": more, "current_rev": self.revision}
+        reply(request, 200, body)
+
+    def _watch(self, request, kind, query):
+        revision = int(query["watch"])
+        if revision < self._history_from:
+            reply(request, 410, {})
+            return
+        if not self._answer_watch(request, kind, revision):
+            waiting = (request, kind, revision)
+            self._waiting.append(waiting)
+            self._clock.call_later(int(query["wait_ms"]), self._expire, waiting)
+
+    def _expire(self, waiting):
+        if waiting in self._waiting and self.mode != "silent":
+            self._waiting.remove(waiting)
+            reply(waiting[0], 200, {"events": [], "current_rev": self.revision})
+
+    def _answer_watch(self, request, kind, revision):
+        events = [
+            {"removed": event.removed, "object": event.item.to_json()}
+            for event in self._events
+            if event.kind == kind and event.item.revision > revision
+        ]
+        if events:
+            reply(request, 200, {"events": events, "current_rev": self.revision})
+        return bool(events)
+
+    def _write(self, request, path):
+        body = json.loads(request.body)
+        name, kind = body["meta"]["name"], path[0]
+        item = self._kinds.get(kind, {}).get(name)
+        wanted = body["meta"].get("revision")
+        created = request.method == b"POST"
+        conflict = item is not None if created else item.revision != wanted
+        if conflict:
+            reply(request, 409, item.to_json())
+            return
+        self.put(kind, name, body["spec"])
+        reply(request, 200, self._kinds[kind][name].to_json())
+
+
+def reply(request, status, body):
+    """Answer a call with JSON."""
+    headers = [(b"Content-Type", b"application/json")]
+    request.respond(status, headers, json.dumps(body).encode())
