--- a/hemlockspoke/http1/connection.py
+++ b/hemlockspoke/http1/connection.py
@@ -171,6 +171,7 @@
 
     __slots__ = (
         "_address",
+        "_bind",
         "_clock",
         "_closed",
         "_connecting",
@@ -183,10 +184,11 @@
         "opened",
     )
 
-    def __init__(self, reactor, clock, address, limit):
+    def __init__(self, reactor, clock, address, limit, bind_host=None):
         self._reactor = reactor
         self._clock = clock
         self._address = address
+        self._bind = None if bind_host is None else (bind_host, 0)
         self.limit = limit
         self._idle = []
         self._open = set()
@@ -240,6 +242,7 @@
             self._address.port,
             factory,
             timeout=CONNECT_TIMEOUT_MS / 1000.0,
+            bindAddress=self._bind,
         )
 
     def connected(self, connection):
--- a/hemlockspoke/platform/edge.py
+++ b/hemlockspoke/platform/edge.py
@@ -23,7 +23,13 @@
     """Return a daemon that follows the platform's store."""
     clock = ReactorClock(reactor)
     metrics = MetricsRegistry()
-    calls = StoreCalls(reactor, clock, settings.store_address, metrics)
+    calls = StoreCalls(
+        reactor,
+        clock,
+        settings.store_address,
+        metrics,
+        bind_host=settings.peer_address.host,
+    )
     daemon = EdgeDaemon(settings, reactor, clock, metrics, PlatformCodec())
     for kind, sink in sinks_by_kind(daemon.directory).items():
         daemon.follow(kind, KindSource(calls, kind), sink)
--- a/hemlockspoke/platform/store.py
+++ b/hemlockspoke/platform/store.py
@@ -32,10 +32,10 @@
 
     __slots__ = ("_clock", "_host", "_metrics", "_pool")
 
-    def __init__(self, reactor, clock, address, metrics):
+    def __init__(self, reactor, clock, address, metrics, bind_host=None):
         self._clock = clock
         self._metrics = metrics
-        self._pool = ConnectionPool(reactor, clock, address, MAX_CONNECTIONS)
+        self._pool = ConnectionPool(reactor, clock, address, MAX_CONNECTIONS, bind_host)
         self._host = str(address).encode()
 
     def call(self, method, path, on_reply, body=None, timeout_ms=CALL_TIMEOUT_MS):
--- /dev/null
+++ b/tests/features/steps/edge_peers_steps.py
@@ -0,0 +1,138 @@
+"""Steps on what daemons of a platform in one process do for each other."""
+
+from behave import given, then, when
+from twisted.internet import reactor
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.task import deferLater
+
+from tests.features.steps.edge_requests_steps import OneShot
+from tests.platform_world import HOST
+from tests.reactor_thread import in_reactor, wait_until
+
+DAEMON_KIND = "hemlockspoke-daemons"
+
+
+def shards(context, zone=None):
+    return [
+        server
+        for server in context.world.servers.values()
+        if server.service.startswith("shard") and zone in (None, server.zone)
+    ]
+
+
+@given('the daemon "{vm}" runs in "{zone}" beside "{other}"')
+def step_beside(context, vm, zone, other):
+    world = context.world
+    world.add_daemon(vm, zone)
+    world.wait_ready(vm)
+    network = world.daemons[vm]._network
+    back = world.daemons[other]._network
+    # The lists of registered daemons are read every 5 s.
+    wait_until(lambda: other in network.connected(), timeout_s=8)
+    wait_until(lambda: vm in back.connected(), timeout_s=8)
+    fellows = world.daemons[other]._fellows
+    wait_until(lambda: vm in fellows._all, timeout_s=8)
+
+
+@given("{delay_ms:d} ms go by")
+def step_go_by(context, delay_ms):
+    in_reactor(deferLater, reactor, delay_ms / 1000, lambda: None)
+
+
+@then('only one of "{vms}" reads the store')
+def step_one_reader(context, vms):
+    relays = [context.world.daemons[vm]._relay for vm in vms.split(", ")]
+    for kind in ("config", "servers", "evacuations"):
+        active = [relay for relay in relays if relay._kinds[kind].feed.active]
+        assert len(active) == 1, (kind, len(active))
+
+
+@given('the store turns "{vm}" away')
+def step_turned_away(context, vm):
+    host, _ = context.world.addresses[vm]
+    context.world.store.turned_away = {host}
+    context.world.store.mode = "busy"
+
+
+@given('the daemon "{vm}" is gone')
+def step_gone(context, vm):
+    in_reactor(context.world.daemons.pop(vm).close)
+
+
+@given('the servers of "{zone}" are out of service')
+def step_zone_gone(context, zone):
+    known = context.world.daemons
+    for server in shards(context, zone):
+        context.world.remove("servers", server.server_id)
+    for server in shards(context, zone):
+        name = server.server_id
+        for daemon in known.values():
+            upstreams = daemon.directory.upstreams
+            wait_until(
+                lambda upstreams=upstreams, name=name: (
+                    name not in upstreams
+                    or upstreams[name].leaving_until_ms is not None
+                )
+            )
+    in_reactor(deferLater, reactor, 0.6, lambda: None)
+
+
+@then('the servers of "{zone}" were reached by "{vm}" only')
+def step_reached(context, zone, vm):
+    asked = context.world.daemons["e1"].directory.upstreams
+    helper = context.world.daemons[vm].directory.upstreams
+    for server in shards(context, zone):
+        assert server.runs
+        assert asked[server.server_id].pool.opened == 0
+        assert helper[server.server_id].pool.opened > 0
+
+
+@given('"{vm}" ignores what "{other}" asks of it')
+def step_ignores(context, vm, other):
+    desk = context.world.daemons[vm]._desk
+    context.world.daemons[vm]._network.set_receiver(lambda peer, message: None)
+    assert desk.active() == 0
+
+
+@given('every shard is "{behaviour}"')
+def step_every_shard(context, behaviour):
+    for server in shards(context):
+        server.behaviour = behaviour
+
+
+@when('a caller sends a query to "{vm}" and leaves')
+def step_leaves(context, vm):
+    host, ports = context.world.addresses[vm]
+    protocol = OneShot()
+    protocol.data = (
+        f"GET /query/a HTTP/1.1\r\nHost: {HOST}\r\n"
+        "X-Hemlockspoke-Attempt-Id: leaving\r\n"
+        "X-Hemlockspoke-Deadline-Ms: 1500\r\n\r\n"
+    ).encode()
+    endpoint = TCP4ClientEndpoint(reactor, host, ports["frontend"])
+    in_reactor(connectProtocol, endpoint, protocol)
+    wait_until(lambda: all(server.runs for server in shards(context, "b1")))
+    in_reactor(protocol.transport.loseConnection)
+
+
+@then("the shards see their requests cancelled")
+def step_cancelled(context):
+    # Half a second after the caller left, servers must not be at work any more.
+    wait_until(
+        lambda: all(s.cancelled == len(s.runs) for s in shards(context)),
+        timeout_s=0.5,
+    )
+
+
+@given('the registration of "{vm}" is left over from an earlier process')
+def step_left_over(context, vm):
+    spec = {"failure_domain": "a1", "peer_address": "127.0.9.9:9", "renewed_ms": 1}
+    context.world.put(DAEMON_KIND, vm, spec)
+
+
+@then('the store holds the present address of "{vm}"')
+def step_present(context, vm):
+    host, ports = context.world.addresses[vm]
+    address = f"{host}:{ports['peer']}"
+    store = context.world.store
+    wait_until(lambda: store.get(DAEMON_KIND, vm)["peer_address"] == address)
--- a/tests/features/steps/edge_requests_steps.py
+++ b/tests/features/steps/edge_requests_steps.py
@@ -44,6 +44,7 @@
 
 
 @given('the server "{server}" is "{behaviour}"')
+@when('the server "{server}" is now "{behaviour}"')
 def step_server(context, server, behaviour):
     context.world.servers[server].behaviour = behaviour
 
@@ -69,9 +70,7 @@
     address = world.servers[other].address
     world.put("servers", server, world.servers[server].entry(address=address))
     daemon = world.daemons["e1"]
-    wait_until(
-        lambda: str(daemon.directory.upstreams[server].entry.address) == address
-    )
+    wait_until(lambda: str(daemon.directory.upstreams[server].entry.address) == address)
 
 
 @when('a caller sends a query to "{vm}"')
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -155,6 +155,9 @@
     def _expire(self, waiting):
         if waiting in self._waiting and self.mode != "silent":
             self._waiting.remove(waiting)
+            # A change made while the store was silent is reported now.
+            if self._answer_watch(*waiting):
+                return
             reply(waiting[0], 200, {"events": [], "current_rev": self.revision})
 
     def _answer_watch(self, request, kind, revision):
--- a/tests/standins/shard_server.py
+++ b/tests/standins/shard_server.py
@@ -108,9 +108,7 @@
 def serve(server, request):
     """Answer after the usual time."""
     headers = server.run(request)
-    server.clock.call_later(
-        server.work_ms, request.respond, 200, headers, server.body
-    )
+    server.clock.call_later(server.work_ms, request.respond, 200, headers, server.body)
 
 
 @behaviours.register("shed")
