Let both daemons of a delegated query send to the same servers only

The asking daemon and the gathering one chose servers on their own, and an attempt that waited for its connection was sent after the answer. Ruled out: the bound of a single delivery, which held. Change: the request names the servers that both may use; attempts that have not left are dropped with the answer. Connections are divided by region, slowness is the middle of three requests, and a hedge that would come too late is not sent.

--- a/hemlockspoke/messages.py
+++ b/hemlockspoke/messages.py
@@ -287,7 +287,8 @@
 class GatherRequest(Message):
     """Asks a daemon near the servers to gather parts of a query.
 
-    ``services`` are the shards wanted; ``aim_in_ms`` and ``remaining_ms`` count
+    ``services`` lists ``[shard, [server, ...]]``: the shards wanted, and the servers
+    of each that the query may be sent to. ``aim_in_ms`` and ``remaining_ms`` count
     from the sending. ``headers`` are those of the caller.
     """
 
@@ -309,12 +310,20 @@
 class GatherParts(Message):
     """Parts of a query: one proof for each service that answered.
 
-    ``records`` holds the greatest records of these parts. ``failed`` lists
-    ``[service, may_have_run]`` for services without an answer. ``last`` is set on
-    the final message of a query.
+    ``records`` holds the greatest records of these parts, ``took_ms`` how long each
+    service took. ``failed`` lists ``[service, may_have_run]`` for services without
+    an answer. ``last`` is set on the final message of a query.
     """
 
-    __slots__ = ("query_id", "services", "proofs", "records", "failed", "last")
+    __slots__ = (
+        "query_id",
+        "services",
+        "proofs",
+        "took_ms",
+        "records",
+        "failed",
+        "last",
+    )
 
 
 @message("gather_cancel")
--- a/hemlockspoke/tier/attempt.py
+++ b/hemlockspoke/tier/attempt.py
@@ -158,7 +158,7 @@
         upstream = self.upstream
         upstream.note_handshake()
         latency_ms = now_ms - self._exchange.sent_ms
-        usual_ms = self._timing.mean_work_ms
+        usual_ms = self._timing.usual_work_ms
         upstream.note_latency(now_ms, latency_ms, usual_ms)
         self._timing.note_work(latency_ms - upstream.rtt_ms)
 
--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -39,17 +39,19 @@
         "done",
         "peer",
         "query_id",
+        "region",
         "silent",
         "waiting",
     )
 
-    def __init__(self, desk, query_id, peer, services, gather):
+    def __init__(self, desk, query_id, peer, region, services, gather):
         self._desk = desk
         self._gather = gather
         self._asked_ms = desk.clock.now_ms()
         self._timer = None
         self.query_id = query_id
         self.peer = peer
+        self.region = region
         self.waiting = set(services)
         self.silent = False
         self.done = False
@@ -80,7 +82,7 @@
         self.waiting.difference_update(service for service, _ in message.failed)
         if message.last:
             self._close()
-        self._gather.delegate_reported(message)
+        self._gather.delegate_reported(message, self.region)
 
     def lose(self):
         """Take that the other daemon is not reached any more."""
@@ -104,16 +106,17 @@
     """Parts that this daemon gathers for another one."""
 
     __slots__ = (
-        "_attempts",
         "_deliveries",
         "_desk",
         "_failed",
         "_finished",
         "_message",
+        "_parts",
         "_peer",
         "_query_id",
         "_reported",
         "_resolved",
+        "_started_ms",
         "_timers",
         "_top_k",
         "attempt_id",
@@ -125,7 +128,8 @@
         self._message = message
         self._query_id = message.query_id
         self._top_k = message.top_k
-        self._attempts = []
+        self._parts = []
+        self._started_ms = desk.clock.now_ms()
         self._failed = []
         self._reported = False
         self._resolved = 0
@@ -151,8 +155,17 @@
         )
         aim_ms = now_ms + message.aim_in_ms
         self._deliveries = [
-            Delivery(tier, service, route, work, timing, aim_ms, self._delivered)
-            for service in message.services
+            Delivery(
+                tier,
+                service,
+                route,
+                work,
+                timing,
+                aim_ms,
+                self._delivered,
+                only=frozenset(allowed),
+            )
+            for service, allowed in message.services
         ]
         first_ms = FIRST_REPORT_PART * message.aim_in_ms
         call_later = tier.clock.call_later
@@ -170,7 +183,8 @@
             return
         self._resolved += 1
         if result.answered:
-            self._attempts.append((delivery.service, result.attempt))
+            took_ms = self._desk.clock.now_ms() - self._started_ms
+            self._parts.append((delivery.service, result.attempt, took_ms))
         else:
             self._failed.append([delivery.service, result.may_have_run])
         if self._resolved == len(self._deliveries):
@@ -178,19 +192,20 @@
 
     def _at_aim(self):
         """Report what came since the first report; late parts still count later."""
-        if not self._finished and (self._attempts or self._failed):
+        if not self._finished and (self._parts or self._failed):
             self._report(last=False)
 
     def _report(self, last):
         if self._finished:
             return
-        attempts, self._attempts = self._attempts, []
+        parts, self._parts = self._parts, []
         failed, self._failed = self._failed, []
-        bodies = [attempt.response.body for _, attempt in attempts]
+        bodies = [attempt.response.body for _, attempt, _ in parts]
         report = GatherParts(
             query_id=self._query_id,
-            services=[service for service, _ in attempts],
-            proofs=[attempt.marks.proof for _, attempt in attempts],
+            services=[service for service, _, _ in parts],
+            proofs=[attempt.marks.proof for _, attempt, _ in parts],
+            took_ms=[round(took_ms) for _, _, took_ms in parts],
             records=greatest_records(bodies, self._top_k),
             failed=failed,
             last=last,
@@ -260,15 +275,18 @@
         """Return how many queries are gathered here for other daemons."""
         return len(self._here)
 
-    def delegate_for(self, region):
+    def _delegate_for(self, region):
         """Return the daemon that gathers in a region, or None."""
         for vm in self._fellows.in_region(region):
             if not self._leaving(vm):
                 return vm
         return None
 
-    def ask(self, request, services, peer, rtt_ms, gather):
-        """Hand parts of a query to another daemon."""
+    def ask(self, request, allowed, region, rtt_ms, gather):
+        """Hand parts of a query to a daemon of a region; None if none is reached."""
+        peer = self._delegate_for(region)
+        if peer is None:
+            return None
         now_ms = self.clock.now_ms()
         query_id = next(self._ids)
         route = request.route
@@ -280,14 +298,14 @@
             method=request.http.method,
             target=request.http.target,
             headers=[list(header) for header in request.http.headers],
-            services=list(services),
+            services=list(allowed.items()),
             top_k=route.top_k,
             aim_in_ms=aim_in_ms,
             remaining_ms=max(1.0, request.caller_deadline_ms - now_ms - rtt_ms),
         )
         if not self.send(peer, message):
             return None
-        parts = DelegatedParts(self, query_id, peer, services, gather)
+        parts = DelegatedParts(self, query_id, peer, region, allowed, gather)
         self._asked[query_id] = parts
         # The other daemon reports after a part of its time; twice the way there
         # covers a busy moment of either.
@@ -321,11 +339,12 @@
         if table is not None:
             route = table.find(message.host, message.path_prefix)
         if route is None:
-            failed = [[service, False] for service in message.services]
+            failed = [[service, False] for service, _ in message.services]
             report = GatherParts(
                 query_id=message.query_id,
                 services=[],
                 proofs=[],
+                took_ms=[],
                 records=b"",
                 failed=failed,
                 last=True,
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -5,11 +5,15 @@
 # A request that its caller no longer needs may end by itself in this time, so that
 # its connection is kept; then the connection is closed. A server that is still at
 # work half a second after the caller left counts as not told.
-LINGER_MS = 400
+LINGER_MS = 300
+# A server that takes this many times the usual time has no slots to spare.
+SLOW_SERVER = 3.0
 # Arrivals of one request at one service, however many refusals are truthful.
 MAX_ARRIVALS = 4
 # Connections that could not be opened, for one request.
 MAX_UNSENT = 3
+# An attempt that waits for a connection looks this often for another server.
+MOVE_RETRY_MS = 10.0
 # Noise of the daemon and of the network over the usual time of a request.
 HEDGE_ALLOWANCE_MS = 3.0
 
@@ -47,6 +51,7 @@
         "_aim_ms",
         "_max_attempts",
         "_on_done",
+        "_only",
         "_regions",
         "_sent_before",
         "_servers",
@@ -71,6 +76,7 @@
         aim_ms,
         on_done,
         sent_before=False,
+        only=None,
     ):
         self._tier = tier
         self._work = work
@@ -79,6 +85,8 @@
         self._on_done = on_done
         self._max_attempts = route.max_attempts
         self._regions = route.regions
+        # Ids of the servers that the request may be sent to, None for any.
+        self._only = only
         # Another daemon may have sent the request to a server of the service.
         self._sent_before = sent_before
         self._servers = set()
@@ -115,9 +123,19 @@
             attempt.cancel()
 
     def abandon(self):
-        """Let attempts end by themselves for a while, then end them."""
+        """Let attempts end by themselves for a while, then end them.
+
+        At a slow server they are ended at once, which leaves its slots to requests
+        that are waited for.
+        """
         self.done = True
         self._stop_timer()
+        now_ms = self._tier.clock.now_ms()
+        for attempt in self.in_flight():
+            slow = attempt.upstream.slowness(now_ms) > SLOW_SERVER
+            if slow or not attempt.sent:
+                attempt.cancel()
+                self._refund(attempt)
         if self.in_flight():
             self._tier.clock.call_later(LINGER_MS, self.cancel)
 
@@ -130,8 +148,11 @@
         sent = sum(1 for a in self.attempts if a.verdict is not Verdict.UNSENT)
         return sent + int(self._sent_before)
 
-    def _pick(self):
-        """Return the server for the next attempt, or None."""
+    def _pick(self, spare=False):
+        """Return the server for the next attempt, or None.
+
+        A spare attempt is never worth a request to a server that is leaving.
+        """
         now_ms = self._tier.clock.now_ms()
         busy = {a.upstream for a in self.attempts if a.in_flight}
         failed = {
@@ -144,7 +165,11 @@
         candidates = [u for u in candidates if u not in busy and u not in failed]
         if len(self._servers) >= self._max_attempts:
             candidates = [u for u in candidates if u in self._servers]
-        work_ms = self._timing.mean_work_ms
+        if self._only is not None:
+            candidates = [u for u in candidates if u.server_id in self._only]
+        if spare:
+            candidates = [u for u in candidates if u.leaving_until_ms is None]
+        work_ms = self._timing.usual_work_ms
         return min(
             candidates,
             key=lambda u: (u in tried, u.expected_ms(now_ms, work_ms)),
@@ -157,7 +182,7 @@
         if arrivals >= MAX_ARRIVALS:
             self.reason = "arrivals used up"
             return False
-        upstream = self._pick()
+        upstream = self._pick(spare=hedge)
         if upstream is None:
             self.reason = "no other server" if self.attempts else "no server"
             return False
@@ -183,19 +208,20 @@
         self._stop_timer()
         if not self._work.idempotent or not attempt.in_flight:
             return
-        clock = self._tier.clock
-        upstream = attempt.upstream
-        timing = self._timing
-        usual_ms = upstream.rtt_ms + timing.slow_work_ms()
-        delay_ms = usual_ms + HEDGE_ALLOWANCE_MS
-        other = self._pick()
+        now_ms = self._tier.clock.now_ms()
+        upstream, timing = attempt.upstream, self._timing
+        work_ms = timing.slow_work_ms() * max(1.0, upstream.slowness(now_ms))
+        delay_ms = upstream.rtt_ms + work_ms + HEDGE_ALLOWANCE_MS
+        other = self._pick(spare=True)
         if other is not None:
-            now_ms = clock.now_ms()
-            needed_ms = other.rtt_ms + timing.slow_work_ms()
-            latest_ms = self._aim_ms - now_ms - needed_ms
-            floor_ms = upstream.rtt_ms + timing.mean_work_ms + HEDGE_ALLOWANCE_MS
-            delay_ms = max(floor_ms, min(delay_ms, latest_ms))
-        self._timer = clock.call_later(delay_ms, self._overdue, attempt)
+            needed_ms = other.expected_ms(now_ms, timing.slow_work_ms())
+            if needed_ms < delay_ms:
+                # The other server is faster: start in time for the aim, but not
+                # before this one could have answered.
+                floor_ms = upstream.rtt_ms + timing.usual_work_ms + HEDGE_ALLOWANCE_MS
+                latest_ms = self._aim_ms - now_ms - needed_ms
+                delay_ms = max(floor_ms, min(delay_ms, latest_ms))
+        self._timer = self._tier.clock.call_later(delay_ms, self._overdue, attempt)
 
     def _overdue(self, attempt):
         """Send a hedge for an attempt that takes longer than usual."""
@@ -204,14 +230,34 @@
             return
         attempt.mark_overdue()
         if not attempt.sent:
-            # It still waits for a connection: another server may have one.
-            if self._pick() is not None:
-                attempt.cancel()
-                self._refund(attempt)
-                self._attempt()
+            self._move(attempt)
+            return
+        other = self._pick(spare=True)
+        if other is None:
+            return
+        clock = self._tier.clock
+        now_ms = clock.now_ms()
+        needed_ms = other.expected_ms(now_ms, self._timing.usual_work_ms)
+        if now_ms < self._aim_ms < now_ms + needed_ms:
+            # It would come too late for the aim and only add to the load of slow
+            # servers. After the aim it still helps a caller who waits.
+            self._timer = clock.call_later(
+                self._aim_ms - now_ms + 1.0, self._overdue, attempt
+            )
             return
         self._attempt(hedge=True)
 
+    def _move(self, attempt):
+        """Take an attempt that waits for a connection to a server that has one."""
+        other = self._pick()
+        if other is None or not other.pool.free():
+            clock = self._tier.clock
+            self._timer = clock.call_later(MOVE_RETRY_MS, self._overdue, attempt)
+            return
+        attempt.cancel()
+        self._refund(attempt)
+        self._attempt()
+
     def _refund(self, attempt):
         if attempt.extra and attempt.verdict is Verdict.UNSENT:
             self._tier.extra_load.refund(self.service)
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -13,8 +13,10 @@
 # Part of the drain time in which a leaving server is still used when its service
 # has no other. The rest is left to the news and to requests on their way.
 LEAVING_PART = 0.25
-# Connections left to callers of the server that this daemon does not know of.
-CONNECTION_RESERVE = 0.9
+# The rest is left to callers of the server that this daemon does not know of.
+CONNECTION_RESERVE = 0.95
+# Part of a server's connections for the daemons of other regions.
+FAR_PART = 0.25
 
 
 class Directory:
@@ -49,7 +51,7 @@
         self._region = region
         self._failure_domains = failure_domains
         self._drain_ms = drain_ms
-        self._members = 1
+        self._members = {region: 1}
         self.routing = None
         self.routing_ms = None
         self.servers_known = False
@@ -71,8 +73,7 @@
         old = self.routing.version if self.routing else None
         self.routing = table
         self.routing_ms = self._clock.now_ms()
-        for upstream in self.upstreams.values():
-            upstream.pool.limit = self.connection_limit(upstream.entry.service)
+        self._set_connection_limits()
         logger.info(
             "configuration adopted",
             extra={"version": table.version, "previous_version": old},
@@ -88,25 +89,37 @@
             logger.info("failure domains out", extra={"domains": sorted(names)})
             self.domains_out = names
 
-    def set_member_count(self, count):
-        """Take how many daemons share the limits of the servers."""
-        if count != self._members:
-            logger.info("members", extra={"count": count, "previous": self._members})
-            self._members = count
-            for upstream in self.upstreams.values():
-                upstream.pool.limit = self.connection_limit(upstream.entry.service)
+    def set_members(self, by_region):
+        """Take how many daemons of each region share the servers' limits."""
+        if by_region != self._members:
+            logger.info("members", extra={"by_region": by_region})
+            self._members = by_region
+            self._set_connection_limits()
 
     def member_count(self):
         """Return how many daemons share the limits of the servers."""
-        return max(1, self._members)
+        return max(1, sum(self._members.values()))
+
+    def _set_connection_limits(self):
+        for upstream in self.upstreams.values():
+            upstream.pool.limit = self.connection_limit(upstream.entry, upstream.region)
+
+    def connection_limit(self, entry, region):
+        """Return how many connections this daemon may have to one server.
 
-    def connection_limit(self, service):
-        """Return how many connections this daemon may have to one server."""
-        limits = self.routing.services.get(service) if self.routing else None
+        Daemons of the server's region get most of them, since they gather its
+        parts for the others as well.
+        """
+        limits = self.routing.services.get(entry.service) if self.routing else None
         if limits is None:
             return 1
-        share = limits.max_connections * CONNECTION_RESERVE / self.member_count()
-        return max(1, int(share))
+        usable = limits.max_connections * CONNECTION_RESERVE
+        near = max(1, self._members.get(region, 0))
+        far = self.member_count() - self._members.get(region, 0)
+        far_each = max(1, int(usable * FAR_PART / max(1, far)))
+        if region != self._region:
+            return far_each
+        return max(1, int((usable - far_each * far) / near))
 
     def set_servers(self, entries):
         """Take a complete list of servers.
@@ -174,14 +187,20 @@
             and (not regions or upstream.region in regions)
         ]
 
-    def best(self, service, regions, work_ms):
-        """Return the server that is expected to answer first, or None."""
+    def best(self, service, regions, work_ms, count=1):
+        """Return the servers that are expected to answer first, best first."""
         now_ms = self._clock.now_ms()
-        return min(
-            self.candidates(service, regions),
-            key=lambda upstream: upstream.expected_ms(now_ms, work_ms),
-            default=None,
-        )
+        candidates = self.candidates(service, regions)
+        candidates.sort(key=lambda upstream: upstream.expected_ms(now_ms, work_ms))
+        return candidates[:count]
+
+    def note_remote(self, service, region, took_ms, work_ms):
+        """Take how long a daemon of a region needed for an answer of a service."""
+        now_ms = self._clock.now_ms()
+        for upstream in self.services.get(service, ()):
+            if upstream.region == region:
+                latency_ms = upstream.rtt_ms + took_ms
+                upstream.note_latency(now_ms, latency_ms, work_ms)
 
     def _add(self, entry):
         region = self._failure_domains.get(entry.failure_domain, "")
@@ -189,7 +208,7 @@
             self._reactor,
             self._clock,
             entry.address,
-            self.connection_limit(entry.service),
+            self.connection_limit(entry, region),
         )
         upstream = Upstream(entry, pool, region, region == self._region)
         self.upstreams[entry.server_id] = upstream
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -1,6 +1,7 @@
 """A daemon on an entry VM: its parts, its start and its graceful stop."""
 
 import logging
+from collections import Counter
 
 from hemlockspoke.adapters.peer_stream import TcpPeerNetwork
 from hemlockspoke.errors import HumanReadableError
@@ -127,7 +128,9 @@
 
     def _found(self, fellows):
         """Take the list of registered daemons, without this one."""
-        self.directory.set_member_count(len(fellows) + 1)
+        by_region = Counter(fellow.region for fellow in fellows)
+        by_region[self._settings.region] += 1
+        self.directory.set_members(dict(by_region))
         self._fellows.set_all(fellows)
 
     def _peer_message(self, vm, message):
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -36,6 +36,7 @@
 
     __slots__ = (
         "_aim_timer",
+        "_allowed",
         "_deadline_timer",
         "_delegated",
         "_deliveries",
@@ -55,6 +56,7 @@
         self._tier = tier
         self._request = request
         self._on_answer = on_answer
+        self._allowed = {}
         self._deliveries = []
         self._delegated = []
         self._parts = []
@@ -98,31 +100,37 @@
             return services
         groups, here = self._by_region(services)
         for region, group in groups.items():
-            names = [service for service, _ in group]
-            peer = desk.delegate_for(region) if len(group) >= MIN_PARTS else None
             parts = None
-            if peer is not None:
-                rtt_ms = max(upstream.rtt_ms for _, upstream in group)
-                parts = desk.ask(request, names, peer, rtt_ms, self)
+            if len(group) >= MIN_PARTS:
+                rtt_ms = max(servers[0].rtt_ms for servers in group.values())
+                # Both daemons send to the same servers, so that no more of them
+                # get the request than the route allows.
+                allowed = {
+                    service: [server.server_id for server in servers]
+                    for service, servers in group.items()
+                }
+                parts = desk.ask(request, allowed, region, rtt_ms, self)
             if parts is None:
-                here.extend(names)
+                here.extend(group)
                 continue
             self._delegated.append(parts)
-            for service in names:
+            self._allowed.update(allowed)
+            for service in group:
                 self._sources[service] += 1
         return here
 
     def _by_region(self, services):
-        """Return services by the region of their best server, and those near."""
+        """Return services with their best servers by region, and those near."""
         request, directory = self._request, self._tier.directory
-        work_ms = request.timing.mean_work_ms
+        route = request.route
+        work_ms = request.timing.usual_work_ms
         groups, here = {}, []
         for service in services:
-            best = directory.best(service, request.route.regions, work_ms)
-            if best is None or best.near:
+            best = directory.best(service, route.regions, work_ms, route.max_attempts)
+            if not best or best[0].near:
                 here.append(service)
             else:
-                groups.setdefault(best.region, []).append((service, best))
+                groups.setdefault(best[0].region, {})[service] = best
         return groups, here
 
     def _send_here(self, services, sent_before=False):
@@ -137,6 +145,7 @@
                 request.aim_ms,
                 self._delivered,
                 sent_before,
+                self._allowed.get(service),
             )
             for service in services
         ]
@@ -171,8 +180,9 @@
             )
         self._check()
 
-    def delegate_reported(self, message):
+    def delegate_reported(self, message, region):
         """Take what a daemon near the servers has gathered."""
+        self._learn(message, region)
         if self._finished:
             return
         self._ran = True
@@ -193,6 +203,12 @@
         if not self._finished:
             self._check()
 
+    def _learn(self, message, region):
+        """Take how fast the servers of a region are from who gathers there."""
+        timing, directory = self._request.timing, self._tier.directory
+        for service, took_ms in zip(message.services, message.took_ms, strict=True):
+            directory.note_remote(service, region, took_ms, timing.usual_work_ms)
+
     def delegate_silent(self, services):
         """Ask for parts from here as well."""
         if not self._finished:
--- a/hemlockspoke/tier/timing.py
+++ b/hemlockspoke/tier/timing.py
@@ -5,6 +5,9 @@
 # Until requests have been measured.
 INITIAL_WORK_MS = 20.0
 SLOW_QUANTILE = 0.9
+# While many servers are slow the quantile tells little; a request that takes this
+# many times the usual time is late all the same.
+SLOW_FACTOR = 2.5
 # Enough for the quantile, and soon replaced when the work of the route changes.
 WORK_SAMPLE = 120
 # Sorting the sample for each request would cost more than it tells.
@@ -17,10 +20,10 @@
 class RouteTiming:
     """Usual times of one route at its servers, without the round trip."""
 
-    __slots__ = ("_budgets", "_sample", "_slow_ms", "_unsorted", "mean_work_ms")
+    __slots__ = ("_budgets", "_sample", "_slow_ms", "_unsorted", "usual_work_ms")
 
     def __init__(self):
-        self.mean_work_ms = INITIAL_WORK_MS
+        self.usual_work_ms = INITIAL_WORK_MS
         self._slow_ms = 2.0 * INITIAL_WORK_MS
         self._sample = deque(maxlen=WORK_SAMPLE)
         self._unsorted = 0
@@ -38,13 +41,12 @@
         self._unsorted = 0
         ordered = sorted(self._sample)
         self._slow_ms = ordered[int(SLOW_QUANTILE * (len(ordered) - 1))]
-        # Stragglers must not move the mean, by which stragglers are recognised.
-        middle = ordered[: max(1, int(SLOW_QUANTILE * len(ordered)))]
-        self.mean_work_ms = sum(middle) / len(middle)
+        # The median stands for the work itself while less than half is disturbed.
+        self.usual_work_ms = ordered[len(ordered) // 2]
 
     def slow_work_ms(self):
-        """Return the time that 9 in 10 requests stay under."""
-        return max(self._slow_ms, self.mean_work_ms)
+        """Return the time that 9 in 10 requests stay under at sound servers."""
+        return min(self._slow_ms, SLOW_FACTOR * self.usual_work_ms)
 
     def note_budget(self, budget_ms):
         """Take how long a caller says it will wait."""
--- a/hemlockspoke/tier/upstreams.py
+++ b/hemlockspoke/tier/upstreams.py
@@ -1,9 +1,13 @@
 """Servers as this daemon knows them, with what it has measured of each."""
 
+from collections import deque
 from enum import Enum
 
 # Weight of a new measurement. Pauses and slow-downs last for some tens of requests.
 SMOOTHING = 0.25
+# The middle of this many requests is slow only if the server is: pauses that every
+# server makes now and then rarely meet two of three.
+SLOWNESS_SAMPLE = 3
 # A failure is forgotten by half in this time, so that a recovered server is tried
 # again without a probe.
 FAILURE_HALF_LIFE_MS = 2500.0
@@ -79,6 +83,7 @@
     __slots__ = (
         "_failure_ms",
         "_failure_ratio",
+        "_ratios",
         "_slowness",
         "_slowness_ms",
         "cold_until_ms",
@@ -108,6 +113,7 @@
         self.overdue = 0
         self._failure_ratio = 0.0
         self._failure_ms = 0.0
+        self._ratios = deque(maxlen=SLOWNESS_SAMPLE)
         self._slowness = 1.0
         self._slowness_ms = 0.0
 
@@ -138,8 +144,8 @@
         """Take how long a request took, relative to what is usual for its route."""
         work_ms = max(0.0, latency_ms - self.rtt_ms)
         ratio = min(50.0, max(0.2, work_ms / max(1.0, usual_work_ms)))
-        slowness = self.slowness(now_ms)
-        self._slowness = slowness + SMOOTHING * (ratio - slowness)
+        self._ratios.append(ratio)
+        self._slowness = sorted(self._ratios)[(len(self._ratios) - 1) // 2]
         self._slowness_ms = now_ms
 
     def slowness(self, now_ms):
--- a/tests/features/edge_peers.feature
+++ b/tests/features/edge_peers.feature
@@ -61,3 +61,23 @@
     Given the registration of "e9" is left over from an earlier process
     When the daemon "e9" starts in "a1"
     Then the store holds the present address of "e9"
+
+  Scenario: two daemons never reach more servers than the route allows
+    # Guards against a delegate and the asking daemon that know different servers.
+    Given the daemon "e3" runs in "b1" beside "e1"
+    And the servers of "a1" are out of service
+    And every shard has another server in "b1" that only "e3" knows
+    And every shard has another server in "b1" that only "e1" knows
+    And every shard is "hang"
+    And "e3" reports late
+    When a caller sends a query to "e1"
+    Then no shard has run the query on more than 2 servers
+
+  Scenario: nothing is sent for a query that has been answered
+    # Guards against requests that leave when their connection opens late.
+    Given shard 0 has only the server "s0-a1"
+    And connections to "s0-a1" open after 600 ms
+    When a caller sends a query to "e1"
+    Then it gets 200 with 3 proofs and 1 parts missing
+    When 700 ms have passed
+    Then "s0-a1" has read nothing
--- a/tests/features/steps/edge_peers_steps.py
+++ b/tests/features/steps/edge_peers_steps.py
@@ -5,6 +5,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.task import deferLater
 
+from hemlockspoke.platform.objects import decode_server
 from tests.features.steps.edge_requests_steps import OneShot
 from tests.platform_world import HOST
 from tests.reactor_thread import in_reactor, wait_until
@@ -136,3 +137,60 @@
     address = f"{host}:{ports['peer']}"
     store = context.world.store
     wait_until(lambda: store.get(DAEMON_KIND, vm)["peer_address"] == address)
+
+
+@given('every shard has another server in "{zone}" that only "{vm}" knows')
+def step_second(context, zone, vm):
+    world = context.world
+    helper = world.daemons[vm].directory
+    for number, service in enumerate(world.shards):
+        server_id = f"s{number}-{zone}-of-{vm}"
+        world.add_server(server_id, service, number, zone, announce=False)
+        entry = decode_server(server_id, world.servers[server_id].entry())
+        in_reactor(helper.set_server, entry)
+
+
+@given('"{vm}" reports late')
+def step_reports_late(context, vm):
+    network = context.world.daemons[vm]._network
+    # A daemon whose reports are held up is asked around after a while.
+    network.send = lambda peer, message: True
+
+
+@then("no shard has run the query on more than {limit:d} servers")
+def step_few_servers(context, limit):
+    for service in context.world.shards:
+        used = [s for s in shards(context) if s.service == service and s.runs]
+        assert len(used) <= limit, [server.server_id for server in used]
+
+
+class LateReactor:
+    """The reactor, except that connections are opened later."""
+
+    def __init__(self, delay_ms):
+        self._delay_s = delay_ms / 1000
+
+    def connectTCP(self, *arguments, **options):
+        reactor.callLater(self._delay_s, reactor.connectTCP, *arguments, **options)
+
+
+@given('shard {shard:d} has only the server "{server}"')
+def step_only(context, shard, server):
+    directory = context.world.daemons["e1"].directory
+    for other in shards(context):
+        if other.service == f"shard-{shard}" and other.server_id != server:
+            context.world.remove("servers", other.server_id)
+            known = directory.upstreams[other.server_id]
+            wait_until(lambda known=known: known.leaving_until_ms is not None)
+    in_reactor(deferLater, reactor, 0.6, lambda: None)
+
+
+@given('connections to "{server}" open after {delay_ms:d} ms')
+def step_late_connections(context, server, delay_ms):
+    pool = context.world.daemons["e1"].directory.upstreams[server].pool
+    pool._reactor = LateReactor(delay_ms)
+
+
+@then('"{server}" has read nothing')
+def step_read_nothing(context, server):
+    assert context.world.servers[server].reads == []
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -67,13 +67,14 @@
             self.add_server(f"item-{zone}", "items", 90, zone)
         self.configure()
 
-    def add_server(self, server_id, service, shard, zone):
-        """Start a server and its entry."""
+    def add_server(self, server_id, service, shard, zone, announce=True):
+        """Start a server, and write its entry."""
         server = in_reactor(
             ShardServer, reactor, self.clock, server_id, service, shard, zone
         )
         self.servers[server_id] = server
-        self.put("servers", server_id, server.entry())
+        if announce:
+            self.put("servers", server_id, server.entry())
 
     def put(self, kind, name, spec):
         """Write an object of the store."""
