Take one measurement a pause; hedge at the time of a sound server

Several requests of one pause of a server made it look slow for seconds, and the hedge waited as long as a slow server takes. Change: requests within 250 ms are one measurement; the hedge waits only as long as a sound server takes if another one is faster. A daemon that reports late is not asked for 1.5 s.

--- a/hemlockspoke/tier/attempt.py
+++ b/hemlockspoke/tier/attempt.py
@@ -125,8 +125,17 @@
             self._exchange.cancel()
             self._settle(Verdict.UNKNOWN if sent else Verdict.UNSENT, "cancelled")
             if sent and self._overdue:
-                now_ms = self._clock.now_ms()
-                self.upstream.note_result(now_ms, failed=True)
+                self._note_unanswered()
+
+    def _note_unanswered(self):
+        """Count an attempt that nobody waited for any longer."""
+        now_ms = self._clock.now_ms()
+        upstream = self.upstream
+        upstream.note_result(now_ms, failed=True)
+        waited_ms = now_ms - self._exchange.sent_ms
+        usual_ms = self._timing.usual_work_ms
+        if waited_ms > upstream.answer_ms(now_ms, usual_ms):
+            upstream.note_latency(now_ms, waited_ms, usual_ms)
 
     def elapsed_ms(self):
         """Return how long the attempt took or has taken."""
--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -18,6 +18,9 @@
 
 # Fewer parts save less than the extra way costs.
 MIN_PARTS = 3
+# A silent daemon is asked again after this time; its stream is closed by then if it
+# is still silent.
+SUSPECT_MS = 1500.0
 # Part of the gathering daemon's time after which it sends what it has, so that the
 # asking one knows that it lives.
 FIRST_REPORT_PART = 0.45
@@ -62,6 +65,7 @@
 
     def _overdue(self):
         self.silent = True
+        self._desk.suspect(self.peer)
         logger.info(
             "delegated parts overdue",
             extra={"peer": self.peer, "parts": len(self.waiting)},
@@ -71,6 +75,7 @@
     def report(self, message):
         """Take a report of the gathering daemon."""
         self._timer.cancel()
+        self._desk.trust(self.peer)
         if self.silent:
             self.silent = False
             elapsed_ms = self._desk.clock.now_ms() - self._asked_ms
@@ -251,6 +256,7 @@
         "_ids",
         "_leaving",
         "_network",
+        "_suspects",
         "_tier",
         "_timings",
         "clock",
@@ -265,6 +271,7 @@
         self._ids = itertools.count(1)
         self._asked = {}
         self._here = {}
+        self._suspects = {}
         self.clock = tier.clock
 
     def send(self, peer, message):
@@ -277,11 +284,21 @@
 
     def _delegate_for(self, region):
         """Return the daemon that gathers in a region, or None."""
+        now_ms = self.clock.now_ms()
         for vm in self._fellows.in_region(region):
-            if not self._leaving(vm):
+            suspected = self._suspects.get(vm, 0.0) > now_ms
+            if not suspected and not self._leaving(vm):
                 return vm
         return None
 
+    def suspect(self, peer):
+        """Ask a daemon that did not report in time nothing for a while."""
+        self._suspects[peer] = self.clock.now_ms() + SUSPECT_MS
+
+    def trust(self, peer):
+        """Ask a daemon that has reported again."""
+        self._suspects.pop(peer, None)
+
     def ask(self, request, allowed, region, rtt_ms, gather):
         """Hand parts of a query to a daemon of a region; None if none is reached."""
         peer = self._delegate_for(region)
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -210,8 +210,8 @@
             return
         now_ms = self._tier.clock.now_ms()
         upstream, timing = attempt.upstream, self._timing
-        work_ms = timing.slow_work_ms() * max(1.0, upstream.slowness(now_ms))
-        delay_ms = upstream.rtt_ms + work_ms + HEDGE_ALLOWANCE_MS
+        sound_ms = upstream.rtt_ms + timing.slow_work_ms() + HEDGE_ALLOWANCE_MS
+        delay_ms = sound_ms * max(1.0, upstream.slowness(now_ms))
         other = self._pick(spare=True)
         if other is not None:
             needed_ms = other.expected_ms(now_ms, timing.slow_work_ms())
@@ -220,7 +220,7 @@
                 # before this one could have answered.
                 floor_ms = upstream.rtt_ms + timing.usual_work_ms + HEDGE_ALLOWANCE_MS
                 latest_ms = self._aim_ms - now_ms - needed_ms
-                delay_ms = max(floor_ms, min(delay_ms, latest_ms))
+                delay_ms = max(floor_ms, min(sound_ms, latest_ms))
         self._timer = self._tier.clock.call_later(delay_ms, self._overdue, attempt)
 
     def _overdue(self, attempt):
@@ -237,7 +237,7 @@
             return
         clock = self._tier.clock
         now_ms = clock.now_ms()
-        needed_ms = other.expected_ms(now_ms, self._timing.usual_work_ms)
+        needed_ms = other.answer_ms(now_ms, self._timing.usual_work_ms)
         if now_ms < self._aim_ms < now_ms + needed_ms:
             # It would come too late for the aim and only add to the load of slow
             # servers. After the aim it still helps a caller who waits.
--- a/hemlockspoke/tier/upstreams.py
+++ b/hemlockspoke/tier/upstreams.py
@@ -5,9 +5,11 @@
 
 # Weight of a new measurement. Pauses and slow-downs last for some tens of requests.
 SMOOTHING = 0.25
-# The middle of this many requests is slow only if the server is: pauses that every
-# server makes now and then rarely meet two of three.
+# The middle of this many measurements is slow only if the server is: pauses that
+# every server makes now and then rarely meet two of three.
 SLOWNESS_SAMPLE = 3
+# Requests that meet the same pause of a server are one measurement.
+PAUSE_MS = 250.0
 # A failure is forgotten by half in this time, so that a recovered server is tried
 # again without a probe.
 FAILURE_HALF_LIFE_MS = 2500.0
@@ -84,6 +86,7 @@
         "_failure_ms",
         "_failure_ratio",
         "_ratios",
+        "_sampled_ms",
         "_slowness",
         "_slowness_ms",
         "cold_until_ms",
@@ -114,6 +117,7 @@
         self._failure_ratio = 0.0
         self._failure_ms = 0.0
         self._ratios = deque(maxlen=SLOWNESS_SAMPLE)
+        self._sampled_ms = 0.0
         self._slowness = 1.0
         self._slowness_ms = 0.0
 
@@ -144,7 +148,11 @@
         """Take how long a request took, relative to what is usual for its route."""
         work_ms = max(0.0, latency_ms - self.rtt_ms)
         ratio = min(50.0, max(0.2, work_ms / max(1.0, usual_work_ms)))
-        self._ratios.append(ratio)
+        if self._ratios and now_ms - self._sampled_ms < PAUSE_MS:
+            self._ratios[-1] = min(self._ratios[-1], ratio)
+        else:
+            self._ratios.append(ratio)
+            self._sampled_ms = now_ms
         self._slowness = sorted(self._ratios)[(len(self._ratios) - 1) // 2]
         self._slowness_ms = now_ms
 
@@ -163,10 +171,14 @@
         """Return whether the server is cold."""
         return now_ms < self.cold_until_ms
 
-    def expected_ms(self, now_ms, work_ms):
-        """Return the expected time to an answer, with its risk of a failure."""
+    def answer_ms(self, now_ms, work_ms):
+        """Return the expected time to an answer by speed and load alone."""
         load = 1.0 + self.outstanding / max(1, self.entry.slots)
-        expected = self.rtt_ms + work_ms * self.slowness(now_ms) * load
+        return self.rtt_ms + work_ms * self.slowness(now_ms) * load
+
+    def expected_ms(self, now_ms, work_ms):
+        """Return the expected time to an answer, with its risks."""
+        expected = self.answer_ms(now_ms, work_ms)
         expected += FAILURE_COST_MS * self.failure_ratio(now_ms)
         # Requests without an answer past their usual time point to a pause or a
         # dark server, which concerns the next request as well.
