Aim by the caller's round trip; let one daemon read at the first start

Change: the aim subtracts the round trip that the caller's socket has measured; at the first start the others wait 2 s for the daemon that reads; a daemon that is not known and opens a stream makes the list be read at once.

--- a/hemlockspoke/http1/channel.py
+++ b/hemlockspoke/http1/channel.py
@@ -1,5 +1,8 @@
 """Callers' connections: reads requests and writes one response to each."""
 
+import logging
+import socket
+import struct
 from collections import deque
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
@@ -7,6 +10,13 @@
 
 from hemlockspoke.http1.messages import encode_response
 
+logger = logging.getLogger(__name__)
+
+# Where the kernel's tcp_info holds the smoothed round trip time in microseconds.
+TCP_INFO_RTT_OFFSET = 68
+TCP_INFO_BYTES = 72
+# Used where the socket does not tell.
+DEFAULT_RTT_MS = 4.0
 # Requests that a caller may send ahead on one connection before reading pauses.
 MAX_PIPELINED = 8
 
@@ -38,21 +48,35 @@
     """A request that has been read completely.
 
     ``on_caller_gone`` is called if the caller's connection ends before the
-    response has been written.
+    response has been written. ``caller_rtt_ms`` is the round trip to the caller;
+    ``opened_connection`` tells that the caller opened a connection for the request.
     """
 
     __slots__ = (
         "_channel",
         "body",
+        "caller_rtt_ms",
         "headers",
         "keep_open",
         "method",
         "on_caller_gone",
+        "opened_connection",
         "received_ms",
         "target",
     )
 
-    def __init__(self, channel, method, target, headers, body, keep_open, received_ms):
+    def __init__(
+        self,
+        channel,
+        method,
+        target,
+        headers,
+        body,
+        keep_open,
+        received_ms,
+        caller_rtt_ms=DEFAULT_RTT_MS,
+        opened_connection=True,
+    ):
         self._channel = channel
         self.method = method
         self.target = target
@@ -60,6 +84,8 @@
         self.body = body
         self.keep_open = keep_open
         self.received_ms = received_ms
+        self.caller_rtt_ms = caller_rtt_ms
+        self.opened_connection = opened_connection
         self.on_caller_gone = None
 
     def respond(self, status, headers, body, close=False):
@@ -87,6 +113,7 @@
         self._queued = deque()
         self._timer = None
         self._closing = False
+        self._first = True
         self._reset_message()
 
     def _reset_message(self):
@@ -189,7 +216,10 @@
             b"".join(self._body),
             self._parser.should_keep_alive(),
             self._clock.now_ms(),
+            round_trip_ms(self.transport),
+            self._first,
         )
+        self._first = False
         self._reset_message()
         self._queued.append(request)
         if len(self._queued) > MAX_PIPELINED:
@@ -256,6 +286,18 @@
             request.on_caller_gone()
 
 
+def round_trip_ms(transport):
+    """Return the round trip time that the kernel has measured on a connection."""
+    try:
+        info = transport.getHandle().getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES
+        )
+        return struct.unpack_from("I", info, TCP_INFO_RTT_OFFSET)[0] / 1000.0
+    except (AttributeError, OSError, struct.error) as error:
+        logger.debug("round trip not known", extra={"reason": str(error)})
+        return DEFAULT_RTT_MS
+
+
 class CallerSite(Factory):
     """Makes channels; ``handle(request)`` takes each request."""
 
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -26,6 +26,9 @@
 # Left of the time for a stop, so that answers leave the buffers.
 STOP_RESERVE_MS = 700.0
 STOP_POLL_MS = 50.0
+# At the first start traffic comes some seconds later, and one daemon of each failure
+# domain can read for all.
+FIRST_START_HOLD_MS = 2000.0
 # Connections that wait to be accepted while the daemon is busy.
 LISTEN_BACKLOG = 512
 
@@ -132,6 +135,8 @@
         by_region[self._settings.region] += 1
         self.directory.set_members(dict(by_region))
         self._fellows.set_all(fellows)
+        if self._fellows.lowest_in_domain():
+            self._relay.lead()
 
     def _peer_message(self, vm, message):
         self._relay.receive(vm, message)
@@ -139,6 +144,8 @@
 
     def _peer_connected(self, vm):
         logger.info("peer connected", extra={"peer": vm})
+        if self._members is not None and not self._fellows.knows(vm):
+            self._members.read_soon()
 
     def _peer_lost(self, vm):
         logger.warning("peer lost", extra={"peer": vm})
@@ -153,7 +160,7 @@
         if settings.metrics_address is not None:
             self._listen(settings.metrics_address, self._metrics_site)
         self._ports.append(self._network.listen(settings.peer_address))
-        self._relay.start()
+        self._relay.start(FIRST_START_HOLD_MS if settings.first_start else 0.0)
         if self._members is not None:
             self._members.start()
         logger.info("started", extra={"failure_domain": settings.failure_domain})
--- a/hemlockspoke/tier/fellows.py
+++ b/hemlockspoke/tier/fellows.py
@@ -63,6 +63,17 @@
                 groups[place] = rank(self.vm, names)[:DELEGATES_PER_REGION]
         return groups
 
+    def knows(self, vm):
+        """Return whether a daemon is in the list of registered daemons."""
+        return vm in self._all
+
+    def lowest_in_domain(self):
+        """Return whether no daemon of the failure domain has a lower name."""
+        return not any(
+            fellow.vm < self.vm and fellow.failure_domain == self.domain
+            for fellow in self._all.values()
+        )
+
     def domain_peers(self):
         """Return the daemons of the own failure domain with an open stream."""
         return [
--- a/hemlockspoke/tier/front.py
+++ b/hemlockspoke/tier/front.py
@@ -11,11 +11,11 @@
 
 logger = logging.getLogger(__name__)
 
-# Time for the answer to reach the caller: the way there, twice that where the
-# caller has just opened its connection, and the daemon's own work.
-ANSWER_ALLOWANCE_MS = 8.0
-# Part of the target kept for noise that grows with the size of the work.
-ANSWER_ALLOWANCE_PART = 0.03
+# The daemon's own work on an answer, for a busy moment: at least, as a part of the
+# target, and for each part that is merged.
+WORK_ALLOWANCE_MS = 5.0
+WORK_ALLOWANCE_PART = 0.02
+MERGE_ALLOWANCE_MS = 0.05
 # Nothing is known of the store for longer; JSON has no infinity.
 MAX_AGE_MS = 1e9
 # Kept before the caller's own deadline, so that a final answer still reaches it.
@@ -74,11 +74,22 @@
         self.caller_deadline_ms = start_ms + budget_ms
         limit_ms = min(budget_ms, route.timeout_ms)
         self.give_up_ms = start_ms + max(0.0, limit_ms - DEADLINE_ALLOWANCE_MS)
-        allowance_ms = ANSWER_ALLOWANCE_MS + ANSWER_ALLOWANCE_PART * route.target_ms
-        aim_ms = start_ms + route.target_ms - spent_ms - allowance_ms
+        aim_ms = start_ms + route.target_ms - spent_ms - allowance_ms(http, route)
         self.aim_ms = min(aim_ms, self.give_up_ms)
 
 
+def allowance_ms(http, route):
+    """Return what the way of a request and its answer take off the target.
+
+    The caller counts from its first packet: to the round trip of the request and
+    the answer comes that of a new connection.
+    """
+    trips = 2.0 if http.opened_connection else 1.0
+    work_ms = WORK_ALLOWANCE_MS + WORK_ALLOWANCE_PART * route.target_ms
+    work_ms += MERGE_ALLOWANCE_MS * len(route.shards)
+    return trips * http.caller_rtt_ms + work_ms
+
+
 class Front:
     """Answers requests by the configuration in force when they arrive."""
 
--- a/hemlockspoke/tier/members.py
+++ b/hemlockspoke/tier/members.py
@@ -11,11 +11,13 @@
 # All daemons of a system start within a fraction of a second of each other.
 FIRST_READ_MS = 500.0
 # A stale list costs a tenth of a call; a daemon that joins is found within this time.
-READ_MS = 5000.0
+READ_MS = 10_000.0
 # A registration is renewed this often, so that those of VMs that are gone can be
 # told from the others in spite of clocks that differ by some seconds.
 RENEW_MS = 120_000.0
 EXPIRY_MS = 600_000.0
+# Streams of several new daemons together lead to one reading.
+READ_SOON_MS = 100.0
 
 
 class Written:
@@ -41,7 +43,14 @@
     changes, or None without an answer. ``found`` takes the other daemons.
     """
 
-    __slots__ = ("_clock", "_found", "_registrations", "_rng", "_settings")
+    __slots__ = (
+        "_clock",
+        "_found",
+        "_registrations",
+        "_rng",
+        "_settings",
+        "_timer",
+    )
 
     def __init__(self, clock, settings, registrations, found, rng=None):
         self._clock = clock
@@ -49,11 +58,18 @@
         self._registrations = registrations
         self._found = found
         self._rng = rng or random.Random()
+        self._timer = None
 
     def start(self):
         """Register, and read the list from now on."""
         self._register(None)
-        self._clock.call_later(FIRST_READ_MS, self._read, False)
+        self._timer = self._clock.call_later(FIRST_READ_MS, self._read, False)
+
+    def read_soon(self):
+        """Read the list before its time: a daemon that is not known has called."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = self._clock.call_later(READ_SOON_MS, self._read, False)
 
     def _register(self, revision):
         settings = self._settings
@@ -78,13 +94,14 @@
         self._clock.call_later(REGISTER_RETRY_MS, self._register, None)
 
     def _read(self, stale):
+        self._timer = None
         self._registrations.read(stale, self._listed)
 
     def _listed(self, changes):
         if changes is not None:
             self._found(self._decode(changes))
         delay_ms = READ_MS * self._rng.uniform(0.8, 1.2)
-        self._clock.call_later(delay_ms, self._read, True)
+        self._timer = self._clock.call_later(delay_ms, self._read, True)
 
     def _decode(self, changes):
         fellows = []
--- a/hemlockspoke/tier/relay.py
+++ b/hemlockspoke/tier/relay.py
@@ -122,6 +122,7 @@
         "_clock",
         "_contacts",
         "_domain_peers",
+        "_hold_until_ms",
         "_kinds",
         "_max_age_ms",
         "_send",
@@ -139,6 +140,7 @@
         self._kinds = {}
         self._contacts = {}
         self._stopped = False
+        self._hold_until_ms = 0.0
         self.leaving = False
 
     def follow(self, followed, feed):
@@ -146,12 +148,21 @@
         followed.feed = feed
         self._kinds[followed.kind] = followed
 
-    def start(self):
-        """Read, and send heartbeats from now on."""
-        for followed in self._kinds.values():
-            followed.feed.resume()
+    def start(self, hold_ms=0.0):
+        """Read, and send heartbeats from now on.
+
+        Where all daemons start together, ``hold_ms`` gives those with other names
+        than the lowest time to hear from the one that reads.
+        """
+        self._hold_until_ms = self._clock.now_ms() + hold_ms
         self._tick()
 
+    def lead(self):
+        """Read at once: no daemon of the failure domain has a lower name."""
+        self._hold_until_ms = 0.0
+        for followed in self._kinds.values():
+            self._choose_reader(followed)
+
     def stop(self):
         """Read no more, and send no more heartbeats."""
         self._stopped = True
@@ -205,10 +216,15 @@
         """Read if nobody else does so for this daemon."""
         reader = self.reader_of(followed.kind)
         feed = followed.feed
-        if reader is None and not feed.active:
+        held = self._clock.now_ms() < self._hold_until_ms
+        if reader is None and not feed.active and not held:
+            known = followed.revision is not None
             logger.info(
                 "reading the store",
-                extra={"kind": followed.kind, "age_ms": round(followed.age_ms())},
+                extra={
+                    "kind": followed.kind,
+                    "age_ms": round(followed.age_ms()) if known else None,
+                },
             )
             feed.resume(followed.revision)
         elif reader is not None and feed.active and followed.revision is not None:
