--- a/hemlockspoke/tier/members.py
+++ b/hemlockspoke/tier/members.py
@@ -9,7 +9,8 @@
 
 REGISTER_RETRY_MS = 1000.0
 # All daemons of a system start within a fraction of a second of each other.
-FIRST_READ_MS = 500.0
+FIRST_START_READ_MS = 500.0
+RESTART_READ_MS = 20.0
 # A stale list costs a tenth of a call; a daemon that joins is found within this time.
 READ_MS = 10_000.0
 # A registration is renewed this often, so that those of VMs that are gone can be
