--- a/tests/features/steps/edge_peers_steps.py
+++ b/tests/features/steps/edge_peers_steps.py
@@ -2,12 +2,10 @@
 
 from behave import given, then, when
 from twisted.internet import reactor
-from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.task import deferLater
 
 from hemlockspoke.platform.objects import decode_server
-from tests.features.steps.edge_requests_steps import OneShot
-from tests.platform_world import HOST
+from tests.features.steps.edge_requests_steps import check_cancelled, send_and_leave
 from tests.reactor_thread import in_reactor, wait_until
 
 DAEMON_KIND = "hemlockspoke-daemons"
@@ -103,26 +101,12 @@
 
 @when('a caller sends a query to "{vm}" and leaves')
 def step_leaves(context, vm):
-    host, ports = context.world.addresses[vm]
-    protocol = OneShot()
-    protocol.data = (
-        f"GET /query/a HTTP/1.1\r\nHost: {HOST}\r\n"
-        "X-Hemlockspoke-Attempt-Id: leaving\r\n"
-        "X-Hemlockspoke-Deadline-Ms: 1500\r\n\r\n"
-    ).encode()
-    endpoint = TCP4ClientEndpoint(reactor, host, ports["frontend"])
-    in_reactor(connectProtocol, endpoint, protocol)
-    wait_until(lambda: all(server.runs for server in shards(context, "b1")))
-    in_reactor(protocol.transport.loseConnection)
+    send_and_leave(context, vm, "/query/a", shards(context, "b1"), all)
 
 
 @then("the shards see their requests cancelled")
 def step_cancelled(context):
-    # Half a second after the caller left, servers must not be at work any more.
-    wait_until(
-        lambda: all(s.cancelled == len(s.runs) for s in shards(context)),
-        timeout_s=0.5,
-    )
+    check_cancelled(shards(context))
 
 
 @given('the registration of "{vm}" is left over from an earlier process')
--- a/tests/features/steps/edge_requests_steps.py
+++ b/tests/features/steps/edge_requests_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 from twisted.internet import reactor
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.protocol import Protocol
 
 from hemlockspoke.tier.merge import split_records
@@ -125,33 +126,39 @@
         self.transport.write(self.data)
 
 
-@when('a caller sends an item request to "{vm}" and leaves')
-def step_leaves(context, vm):
-    from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
-
+def send_and_leave(context, vm, target, servers, started):
+    """Send a request, and leave once ``started`` tells that the servers have it."""
     host, ports = context.world.addresses[vm]
     protocol = OneShot()
     protocol.data = (
-        f"GET /item/a HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"GET {target} HTTP/1.1\r\nHost: {HOST}\r\n"
         "X-Hemlockspoke-Attempt-Id: leaving\r\n"
         "X-Hemlockspoke-Deadline-Ms: 1500\r\n\r\n"
     ).encode()
     endpoint = TCP4ClientEndpoint(reactor, host, ports["frontend"])
     in_reactor(connectProtocol, endpoint, protocol)
-    wait_until(lambda: sum(len(server.runs) for server in items(context)) > 0)
+    wait_until(lambda: started(len(server.runs) > 0 for server in servers))
     in_reactor(protocol.transport.loseConnection)
 
 
-@then("the servers see their requests cancelled")
-def step_cancelled(context):
-    servers = items(context)
+def check_cancelled(servers):
     # Half a second after the caller left, servers must not be at work any more.
     wait_until(
-        lambda: sum(s.cancelled for s in servers) == sum(len(s.runs) for s in servers),
+        lambda: all(server.cancelled == len(server.runs) for server in servers),
         timeout_s=0.5,
     )
 
 
+@when('a caller sends an item request to "{vm}" and leaves')
+def step_leaves(context, vm):
+    send_and_leave(context, vm, "/item/a", items(context), any)
+
+
+@then("the servers see their requests cancelled")
+def step_cancelled(context):
+    check_cancelled(items(context))
+
+
 @then("it gets {status:d} with {count:d} proofs and {missing:d} parts missing")
 def step_gathered(context, status, count, missing):
     reply = context.reply
