--- /dev/null
+++ b/tests/features/edge_settings.feature
@@ -0,0 +1,35 @@
+Feature: the platform's settings file
+
+  Scenario: every mistake is listed at once
+    Given a settings file without "zone" and with "platform.address" of "store:1"
+    When the settings are read
+    Then reading fails with "zone is missing" and "platform.address: 'store:1'"
+
+  Scenario Outline: a value of a wrong form is named
+    Given a settings file with "<field>" of "<value>"
+    When the settings are read
+    Then reading fails with "<field>" and "<reason>"
+
+    Examples:
+      | field                 | value        | reason          |
+      | bounds.drain_ms       | soon         | is not a number |
+      | listen_addrs.frontend | 10.0.0.1     | numeric IP      |
+      | internal_ports        | 99999,100000 | is not from 1   |
+
+  Scenario: fields that are not known are ignored
+    Given a settings file with "new.field" of "anything"
+    When the settings are read
+    Then the region of "b1" is "b" and the time to stop is 6000 ms
+
+  Scenario: a file that cannot be read is a clear error
+    When the settings "/nonexistent/boot.conf" are read
+    Then reading fails with "/nonexistent/boot.conf" and "No such file"
+
+  Scenario: settings that change are read again, bad ones are not taken
+    Given a platform with 2 shards and the daemon "e1" in "a1"
+    When its settings give 9000 ms to stop and it is told to read them
+    Then it has 9000 ms to stop
+    When its settings cannot be read and it is told to read them
+    Then it has 9000 ms to stop
+    When a caller sends an item request to "e1"
+    Then it gets 200 with the proof and the body of one server
--- /dev/null
+++ b/tests/features/steps/edge_settings_steps.py
@@ -0,0 +1,87 @@
+"""Steps on the platform's settings file."""
+
+from behave import given, then, when
+
+from hemlockspoke.errors import HumanReadableError
+from hemlockspoke.platform.settings import parse_settings, read_settings
+from hemlockspoke.tier.edge_settings import Bounds
+from tests.reactor_thread import in_reactor
+
+GOOD = {
+    "node_name": "e1",
+    "zone": "a1",
+    "region": "a",
+    "ip": "10.1.0.9",
+    "zones.a1": "a",
+    "zones.b1": "b",
+    "listen_addrs.frontend": "10.1.0.9:8104",
+    "listen_addrs.ready": "10.1.0.9:8108",
+    "internal_ports": "7380,7395",
+    "platform.address": "10.200.1.7:8102",
+    "bounds.grace_s": "6",
+}
+
+
+@given('a settings file with "{field}" of "{value}"')
+def step_file(context, field, value):
+    context.fields = {**GOOD, field: value}
+
+
+@given('a settings file without "{gone}" and with "{field}" of "{value}"')
+def step_two(context, gone, field, value):
+    step_file(context, field, value)
+    del context.fields[gone]
+
+
+def attempt(context, read):
+    context.settings, context.error = None, ""
+    try:
+        context.settings = read()
+    except HumanReadableError as error:
+        context.error = str(error)
+
+
+@when("the settings are read")
+def step_read(context):
+    lines = [f"{name}={value}" for name, value in context.fields.items()]
+    attempt(context, lambda: parse_settings("\n".join(lines)))
+
+
+@when('the settings "{path}" are read')
+def step_read_path(context, path):
+    attempt(context, lambda: read_settings(path))
+
+
+@then('reading fails with "{first}" and "{second}"')
+def step_fails(context, first, second):
+    assert first in context.error and second in context.error, context.error
+
+
+@then('the region of "{zone}" is "{region}" and the time to stop is {stop_ms:d} ms')
+def step_values(context, zone, region, stop_ms):
+    assert context.settings.failure_domains[zone] == region
+    assert context.settings.bounds.shutdown_ms == stop_ms
+
+
+@when("its settings give {stop_ms:d} ms to stop and it is told to read them")
+def step_reload(context, stop_ms):
+    daemon = context.world.daemons["e1"]
+    settings = parse_settings("\n".join(f"{n}={v}" for n, v in GOOD.items()))
+    settings.bounds = Bounds(shutdown_ms=stop_ms)
+    daemon.read_settings = lambda: settings
+    in_reactor(daemon._reload)
+
+
+@when("its settings cannot be read and it is told to read them")
+def step_reload_bad(context):
+    def fail():
+        raise HumanReadableError("boot.conf: zone is missing")
+
+    daemon = context.world.daemons["e1"]
+    daemon.read_settings = fail
+    in_reactor(daemon._reload)
+
+
+@then("it has {stop_ms:d} ms to stop")
+def step_stop(context, stop_ms):
+    assert context.world.daemons["e1"]._settings.bounds.shutdown_ms == stop_ms
