Divide connections and cold rates by one rule that never exceeds the limit

Change: tier/apportion.py works out a daemon's part from the list of daemons; where there are too many, the server's id ranks who gets a connection. A cold server gets this daemon's part of its rate. Fields that nothing read are gone. Result: property tests over fleets of up to 120 daemons.

--- a/hemlockspoke/platform/headers.py
+++ b/hemlockspoke/platform/headers.py
@@ -10,7 +10,6 @@
 INSTANCE_ID = b"x-hemlockspoke-instance-id"
 NOT_EXECUTED = b"x-hemlockspoke-not-executed"
 SERVER_STAMP = b"x-hemlockspoke-server-stamp"
-WARMUP = b"x-hemlockspoke-warmup-ms"
 PART_STAMPS = b"X-Hemlockspoke-Part-Stamps"
 PARTS_MISSING = b"X-Hemlockspoke-Parts-Missing"
 # Proofs in one header line; longer lines meet the header limits of some clients.
@@ -57,8 +56,6 @@
                 marks.not_run = True
             elif lower == INSTANCE_ID:
                 marks.server_id = value.decode("latin-1")
-            elif lower == WARMUP:
-                marks.cold_ms = parse_ms(value)
         return marks
 
     def gathered_headers(self, proofs, missing):
--- a/hemlockspoke/platform/objects.py
+++ b/hemlockspoke/platform/objects.py
@@ -52,7 +52,6 @@
         idempotent=item["kind"] == "idempotent",
         timeout_ms=float(item["timeout_ms"]),
         target_ms=float(item.get("target_latency_ms") or item["timeout_ms"]),
-        priority=int(item.get("priority", 0)),
         max_attempts=max(1, int(item.get("max_attempts", 1))),
         split=split,
         shards=shards,
@@ -67,7 +66,6 @@
         item["name"],
         int(item.get("max_connections") or 1),
         float(item.get("warmup_per_s") or 0.0),
-        item.get("health_path", "/"),
     )
 
 
--- /dev/null
+++ b/hemlockspoke/tier/apportion.py
@@ -0,0 +1,99 @@
+"""Divides the limits of a server among the daemons that use it.
+
+Every daemon works out its own part from the list of registered daemons, so that no
+write and no message is needed for it. The parts of daemons with the same list never
+add up to more than the limit.
+"""
+
+from hemlockspoke.rendezvous import rank
+
+# Daemons that share the limits until their list has been read: more than small
+# systems have, so that nobody takes too much meanwhile.
+ASSUMED_MEMBERS = 16
+# The rest is left to callers of the server that this daemon does not know of, and to
+# daemons whose lists differ for a while.
+CONNECTION_PART = 0.95
+COLD_PART = 0.8
+# Part of a server's connections for the daemons of other regions. Those of its own
+# region gather its parts for the others as well.
+FAR_PART = 0.25
+
+
+class Apportionment:
+    """The part of one daemon in limits over all daemons.
+
+    >>> parts = Apportionment("e1", "a")
+    >>> parts.set_members({"a": ["e1", "e2"], "b": ["e3"]})
+    True
+    >>> parts.connections("s1", "a", 40), parts.connections("s1", "b", 40)
+    (14, 4)
+    """
+
+    __slots__ = ("_members", "_region", "_vm")
+
+    def __init__(self, vm, region):
+        self._vm = vm
+        self._region = region
+        self._members = None
+
+    def set_members(self, members):
+        """Take the names of all daemons by region; return whether they changed."""
+        members = {region: sorted(names) for region, names in members.items()}
+        if members == self._members:
+            return False
+        self._members = members
+        return True
+
+    def count(self):
+        """Return how many daemons share the limits."""
+        if self._members is None:
+            return ASSUMED_MEMBERS
+        return max(1, sum(len(names) for names in self._members.values()))
+
+    def connections(self, server_id, region, limit):
+        """Return how many connections this daemon may have to a server."""
+        usable = int(limit * CONNECTION_PART)
+        if self._members is None:
+            # Without any connection nothing is served while the store is away.
+            return max(1, usable // ASSUMED_MEMBERS)
+        near = self._members.get(region, [])
+        far = [
+            vm
+            for other, names in self._members.items()
+            if other != region
+            for vm in names
+        ]
+        far_limit = self._far_limit(usable, len(near), len(far))
+        if region != self._region:
+            return self._part(server_id, far, far_limit)
+        # What cannot be divided among the far ones goes to the near ones.
+        if not far:
+            far_limit = 0
+        elif far_limit >= len(far):
+            far_limit -= far_limit % len(far)
+        return self._part(server_id, near, usable - far_limit)
+
+    def _far_limit(self, usable, near, far):
+        """Return how many connections the daemons of other regions may have.
+
+        Each gets one if that leaves two for each near one; else the server's id
+        decides which of them do.
+        """
+        if not near:
+            return usable
+        return max(int(usable * FAR_PART), min(far, usable - 2 * near))
+
+    def cold_requests(self, server_id, limit):
+        """Return how many requests a second this daemon may send to a cold server."""
+        usable = int(limit * COLD_PART)
+        if self._members is None:
+            return usable // ASSUMED_MEMBERS
+        names = [vm for names in self._members.values() for vm in names]
+        whole, rest = divmod(usable, max(1, len(names)))
+        return whole + int(self._vm in rank(server_id, names)[:rest])
+
+    def _part(self, server_id, names, limit):
+        """Return an equal part of a limit, or 1 for the first by rank."""
+        if limit >= len(names):
+            return limit // max(1, len(names))
+        return int(self._vm in rank(server_id, names)[: max(0, limit)])
--- a/hemlockspoke/tier/attempt.py
+++ b/hemlockspoke/tier/attempt.py
@@ -100,6 +100,7 @@
     def start(self):
         """Send the request as soon as a connection is free."""
         self.upstream.outstanding += 1
+        self.upstream.note_send(self.started_ms)
         self.upstream.pool.submit(self._exchange)
 
     @property
--- a/hemlockspoke/tier/codec.py
+++ b/hemlockspoke/tier/codec.py
@@ -20,16 +20,13 @@
     request; ``not_run`` that it did not and will not run it.
     """
 
-    __slots__ = ("attempt_id", "cold_ms", "not_run", "proof", "server_id")
+    __slots__ = ("attempt_id", "not_run", "proof", "server_id")
 
-    def __init__(
-        self, proof=None, not_run=False, attempt_id=None, server_id=None, cold_ms=None
-    ):
+    def __init__(self, proof=None, not_run=False, attempt_id=None, server_id=None):
         self.proof = proof
         self.not_run = not_run
         self.attempt_id = attempt_id
         self.server_id = server_id
-        self.cold_ms = cold_ms
 
 
 class Codec(ABC):
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -3,6 +3,7 @@
 import logging
 
 from hemlockspoke.http1.connection import ConnectionPool
+from hemlockspoke.tier.apportion import Apportionment
 from hemlockspoke.tier.upstreams import ServerState, Upstream
 
 logger = logging.getLogger(__name__)
@@ -13,13 +14,6 @@
 # Part of the drain time in which a leaving server is still used when its service
 # has no other. The rest is left to the news and to requests on their way.
 LEAVING_PART = 0.25
-# The rest is left to callers of the server that this daemon does not know of.
-CONNECTION_RESERVE = 0.95
-# Daemons that share the limits until their list has been read: more than small
-# systems have, so that nobody takes too much meanwhile.
-ASSUMED_MEMBERS = 16
-# Part of a server's connections for the daemons of other regions.
-FAR_PART = 0.25
 
 
 class Directory:
@@ -33,14 +27,16 @@
 
     __slots__ = (
         "_clock",
+        "_cold_overshoot",
+        "_cold_slack",
         "_drain_ms",
         "_failure_domains",
-        "_members",
         "_reactor",
         "_region",
         "age_ms",
         "domains_out",
         "on_configuration",
+        "parts",
         "routing",
         "routing_ms",
         "servers_known",
@@ -48,13 +44,15 @@
         "upstreams",
     )
 
-    def __init__(self, reactor, clock, region, failure_domains, drain_ms):
+    def __init__(self, reactor, clock, vm, region, failure_domains, bounds):
         self._reactor = reactor
         self._clock = clock
         self._region = region
         self._failure_domains = failure_domains
-        self._drain_ms = drain_ms
-        self._members = {region: ASSUMED_MEMBERS}
+        self._drain_ms = bounds.drain_ms
+        self._cold_overshoot = bounds.cold_overshoot
+        self._cold_slack = bounds.cold_slack
+        self.parts = Apportionment(vm, region)
         self.routing = None
         self.routing_ms = None
         self.servers_known = False
@@ -92,37 +90,35 @@
             logger.info("failure domains out", extra={"domains": sorted(names)})
             self.domains_out = names
 
-    def set_members(self, by_region):
-        """Take how many daemons of each region share the servers' limits."""
-        if by_region != self._members:
-            logger.info("members", extra={"by_region": by_region})
-            self._members = by_region
+    def set_members(self, names_by_region):
+        """Take the daemons of each region, which share the servers' limits."""
+        if self.parts.set_members(names_by_region):
+            counts = {region: len(names) for region, names in names_by_region.items()}
+            logger.info("members", extra={"by_region": counts})
             self._set_connection_limits()
 
-    def member_count(self):
-        """Return how many daemons share the limits of the servers."""
-        return max(1, sum(self._members.values()))
-
     def _set_connection_limits(self):
         for upstream in self.upstreams.values():
-            upstream.pool.limit = self.connection_limit(upstream.entry, upstream.region)
-
-    def connection_limit(self, entry, region):
-        """Return how many connections this daemon may have to one server.
+            upstream.pool.limit = self._connection_limit(
+                upstream.entry, upstream.region
+            )
 
-        Daemons of the server's region get most of them, since they gather its
-        parts for the others as well.
-        """
+    def _connection_limit(self, entry, region):
         limits = self.routing.services.get(entry.service) if self.routing else None
         if limits is None:
-            return 1
-        usable = limits.max_connections * CONNECTION_RESERVE
-        near = max(1, self._members.get(region, 0))
-        far = self.member_count() - self._members.get(region, 0)
-        far_each = max(1, int(usable * FAR_PART / max(1, far)))
-        if region != self._region:
-            return far_each
-        return max(1, int((usable - far_each * far) / near))
+            return 0
+        return self.parts.connections(entry.server_id, region, limits.max_connections)
+
+    def _may_send(self, upstream, now_ms):
+        """Return whether this daemon's parts of the limits allow a request."""
+        if upstream.pool.limit < 1:
+            return False
+        limits = self.routing.services.get(upstream.entry.service)
+        if limits is None or not limits.cold_per_s or not upstream.cold(now_ms):
+            return True
+        bound = limits.cold_per_s * self._cold_overshoot + self._cold_slack
+        allowed = self.parts.cold_requests(upstream.server_id, bound)
+        return upstream.sent_within_second(now_ms) < allowed
 
     def set_servers(self, entries):
         """Take a complete list of servers.
@@ -180,8 +176,16 @@
             upstream.pool.drop_idle()
 
     def candidates(self, service, regions=()):
-        """Return the servers of a service that may get a request now."""
+        """Return the servers of a service that this daemon may send to now."""
         now_ms = self._clock.now_ms()
+        return [
+            upstream
+            for upstream in self._serving(service, regions, now_ms)
+            if self._may_send(upstream, now_ms)
+        ]
+
+    def _serving(self, service, regions, now_ms):
+        """Return the servers of a service that may get requests of any daemon."""
         return [
             upstream
             for upstream in self.services.get(service, ())
@@ -191,9 +195,12 @@
         ]
 
     def best(self, service, regions, work_ms, count=1):
-        """Return the servers that are expected to answer first, best first."""
+        """Return the servers that are expected to answer first, best first.
+
+        Daemons near them may reach servers that this one may not.
+        """
         now_ms = self._clock.now_ms()
-        candidates = self.candidates(service, regions)
+        candidates = self._serving(service, regions, now_ms)
         candidates.sort(key=lambda upstream: upstream.expected_ms(now_ms, work_ms))
         return candidates[:count]
 
@@ -211,7 +218,7 @@
             self._reactor,
             self._clock,
             entry.address,
-            self.connection_limit(entry, region),
+            self._connection_limit(entry, region),
         )
         upstream = Upstream(entry, pool, region, region == self._region)
         self.upstreams[entry.server_id] = upstream
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -1,7 +1,6 @@
 """A daemon on an entry VM: its parts, its start and its graceful stop."""
 
 import logging
-from collections import Counter
 
 from hemlockspoke.adapters.peer_stream import TcpPeerNetwork
 from hemlockspoke.errors import HumanReadableError
@@ -18,9 +17,6 @@
 
 logger = logging.getLogger(__name__)
 
-# A silent watch is found out by its end, so its wait is a part of the time after
-# which the daemon is expected to follow changes again.
-WATCH_PART = 2.5
 # Two missed ready calls, a second apart, take a daemon out of rotation.
 ROTATION_LAG_MS = 2600.0
 # Left of the time for a stop, so that answers leave the buffers.
@@ -63,15 +59,16 @@
         self.directory = Directory(
             reactor,
             clock,
+            settings.vm,
             settings.region,
             settings.failure_domains,
-            bounds.drain_ms,
+            bounds,
         )
         self.directory.on_configuration = self._configured
         extra_load = ExtraLoad(
             bounds.extra_load_ratio,
             bounds.extra_load_slack,
-            self.directory.member_count,
+            self.directory.parts.count,
             fresh=settings.first_start,
         )
         tier = Tier(clock, codec, self.directory, extra_load, metrics)
@@ -97,7 +94,7 @@
         self._fellows = Fellows(
             settings.vm, settings.failure_domain, settings.region, self._network
         )
-        self._wait_ms = settings.bounds.stable_window_ms / WATCH_PART
+        self._wait_ms = settings.bounds.longest_watch_ms()
         self._relay = Relay(
             self._clock,
             settings.vm,
@@ -131,9 +128,10 @@
 
     def _found(self, fellows):
         """Take the list of registered daemons, without this one."""
-        by_region = Counter(fellow.region for fellow in fellows)
-        by_region[self._settings.region] += 1
-        self.directory.set_members(dict(by_region))
+        names = {self._settings.region: [self._settings.vm]}
+        for fellow in fellows:
+            names.setdefault(fellow.region, []).append(fellow.vm)
+        self.directory.set_members(names)
         self._fellows.set_all(fellows)
         if self._fellows.lowest_in_domain():
             self._relay.lead()
@@ -185,7 +183,7 @@
 
     def _answer_metrics(self, request):
         self._metrics.gauge("requests_active", self._front.active())
-        self._metrics.gauge("members", self.directory.member_count())
+        self._metrics.gauge("members", self.directory.parts.count())
         self._metrics.gauge("servers", len(self.directory.upstreams))
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         request.respond(200, headers, self._metrics.to_text().encode())
--- a/hemlockspoke/tier/edge_settings.py
+++ b/hemlockspoke/tier/edge_settings.py
@@ -1,14 +1,22 @@
 """What a daemon on an entry VM is told by its surroundings."""
 
+# A silent watch is found out by its end, so it waits for a part of the time after
+# which the daemon must follow changes again, and of that in which it must.
+WINDOW_PART = 2.5
+CHANGE_PART = 2.0
+
 
 class Bounds:
     """Times and ratios within which the surroundings expect changes to be followed.
 
     ``stable_window_ms`` is how long a daemon must have been undisturbed before the
-    others hold for it.
+    others hold for it. A cold server may get ``cold_overshoot`` times its stated rate
+    and ``cold_slack`` requests more in a second.
     """
 
     __slots__ = (
+        "cold_overshoot",
+        "cold_slack",
         "config_apply_ms",
         "drain_ms",
         "evacuate_ms",
@@ -27,6 +35,8 @@
         extra_load_ratio=0.0,
         extra_load_slack=0.0,
         stable_window_ms=4000.0,
+        cold_overshoot=1.0,
+        cold_slack=0.0,
     ):
         self.config_apply_ms = config_apply_ms
         self.drain_ms = drain_ms
@@ -35,6 +45,13 @@
         self.extra_load_ratio = extra_load_ratio
         self.extra_load_slack = extra_load_slack
         self.stable_window_ms = stable_window_ms
+        self.cold_overshoot = cold_overshoot
+        self.cold_slack = cold_slack
+
+    def longest_watch_ms(self):
+        """Return how long a watch may wait."""
+        change_ms = min(self.config_apply_ms, self.drain_ms, self.evacuate_ms)
+        return min(self.stable_window_ms / WINDOW_PART, change_ms / CHANGE_PART)
 
 
 class EdgeSettings:
--- a/hemlockspoke/tier/routes.py
+++ b/hemlockspoke/tier/routes.py
@@ -17,7 +17,6 @@
         "min_coverage",
         "name",
         "path_prefix",
-        "priority",
         "regions",
         "shards",
         "split",
@@ -35,7 +34,6 @@
         idempotent,
         timeout_ms,
         target_ms,
-        priority=0,
         max_attempts=1,
         split=(),
         shards=(),
@@ -49,7 +47,6 @@
         self.idempotent = idempotent
         self.timeout_ms = timeout_ms
         self.target_ms = target_ms
-        self.priority = priority
         self.max_attempts = max_attempts
         self.split = tuple(split)
         self.shards = tuple(shards)
@@ -72,13 +69,12 @@
     is stated.
     """
 
-    __slots__ = ("cold_per_s", "health_path", "max_connections", "name")
+    __slots__ = ("cold_per_s", "max_connections", "name")
 
-    def __init__(self, name, max_connections, cold_per_s=0.0, health_path="/"):
+    def __init__(self, name, max_connections, cold_per_s=0.0):
         self.name = name
         self.max_connections = max_connections
         self.cold_per_s = cold_per_s
-        self.health_path = health_path
 
 
 class RoutingTable:
--- a/hemlockspoke/tier/upstreams.py
+++ b/hemlockspoke/tier/upstreams.py
@@ -22,6 +22,10 @@
 # A slow-down is forgotten by half in this time without measurements.
 SLOWNESS_HALF_LIFE_MS = 3000.0
 COLD_COST_MS = 150.0
+# A second, and what requests may wait for their connections.
+COLD_WINDOW_MS = 1200.0
+# More than any daemon's part of what a cold server bears in a second.
+SENDS_KEPT = 200
 LEAVING_COST_MS = 5000.0
 
 
@@ -87,6 +91,7 @@
         "_failure_ratio",
         "_ratios",
         "_sampled_ms",
+        "_sends_ms",
         "_slowness",
         "_slowness_ms",
         "cold_until_ms",
@@ -118,6 +123,7 @@
         self._failure_ms = 0.0
         self._ratios = deque(maxlen=SLOWNESS_SAMPLE)
         self._sampled_ms = 0.0
+        self._sends_ms = deque(maxlen=SENDS_KEPT)
         self._slowness = 1.0
         self._slowness_ms = 0.0
 
@@ -167,6 +173,16 @@
             return False
         return self.leaving_until_ms is None or now_ms < self.leaving_until_ms
 
+    def note_send(self, now_ms):
+        """Count a request that is about to leave."""
+        self._sends_ms.append(now_ms)
+
+    def sent_within_second(self, now_ms):
+        """Return how many requests were sent within the last second."""
+        while self._sends_ms and now_ms - self._sends_ms[0] > COLD_WINDOW_MS:
+            self._sends_ms.popleft()
+        return len(self._sends_ms)
+
     def cold(self, now_ms):
         """Return whether the server is cold."""
         return now_ms < self.cold_until_ms
--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -31,6 +31,16 @@
   Scenario: connections of all daemons stay within what a server accepts
     Then for any fleet the connections to a server are fewer than its cap
 
+  Scenario: requests of all daemons to a cold server stay within what it bears
+    Then for any fleet the cold requests in a second are fewer than the bound
+
+  Scenario: a cold server gets no more than this daemon's part in a second
+    # Guards against a restarted server that falls over under the full load.
+    Given a cold server that bears 10 requests a second, and 2 daemons
+    When 50 requests a second want it for 3 seconds
+    Then no second holds more than 9 of them
+    And all of them get it once it is warm
+
   Scenario: a daemon that does not know the others takes little
     # Guards against many daemons that each take the whole of a limit while the
     # store does not tell them of each other.
--- a/tests/features/steps/edge_decisions_steps.py
+++ b/tests/features/steps/edge_decisions_steps.py
@@ -12,7 +12,9 @@
 from hemlockspoke.http1.messages import encode_response
 from hemlockspoke.http1.response_parser import ResponseReader
 from hemlockspoke.messages import StoreNews
+from hemlockspoke.tier.apportion import Apportionment
 from hemlockspoke.tier.directory import Directory
+from hemlockspoke.tier.edge_settings import Bounds
 from hemlockspoke.tier.extra_load import ExtraLoad
 from hemlockspoke.tier.merge import greatest_records, split_records
 from hemlockspoke.tier.relay import FollowedKind, Relay
@@ -179,41 +181,93 @@
     assert context.upstream.slowness(context.now_ms) > 3.0
 
 
+FLEETS = st.dictionaries(
+    st.sampled_from(["a", "b", "c"]), st.integers(1, 40), min_size=1
+)
+
+
+def fleet_parts(fleet):
+    """Return the apportionment of each daemon of a fleet."""
+    members = {
+        region: [f"{region}{n}" for n in range(fleet[region])] for region in fleet
+    }
+    parts = [
+        Apportionment(vm, region) for region, names in members.items() for vm in names
+    ]
+    for part in parts:
+        part.set_members(members)
+    return parts
+
+
 @then("for any fleet the connections to a server are fewer than its cap")
 def step_connections(context):
-    fleets = st.dictionaries(
-        st.sampled_from(["a", "b", "c"]), st.integers(1, 6), min_size=1
-    )
-
-    @for_all(fleets, st.integers(26, 200))
-    def check(fleet, cap):
-        total = 0
-        for region, daemons in fleet.items():
-            directory = Directory(None, ManualClock(), region, {}, 1000)
-            directory.routing = RoutingTable(1, [], [ServiceLimits("shard", cap)])
-            directory.set_members(fleet)
-            entry = ServerEntry("s1", "shard", Address("127.0.0.1", 1), "a1")
-            total += daemons * directory.connection_limit(entry, "a")
+    @for_all(FLEETS, st.integers(10, 200), st.sampled_from(["a", "b", "c"]))
+    def check(fleet, cap, region):
+        total = sum(p.connections("s1", region, cap) for p in fleet_parts(fleet))
         assert total <= cap, (total, cap, fleet)
 
     check()
 
 
-def unknowing_directory():
-    directory = Directory(None, ManualClock(), "a", {}, 1000)
-    directory.routing = RoutingTable(1, [], [ServiceLimits("shard", 26)])
-    return directory
+@then("for any fleet the cold requests in a second are fewer than the bound")
+def step_cold(context):
+    @for_all(FLEETS, st.floats(0, 200))
+    def check(fleet, bound):
+        total = sum(p.cold_requests("s1", bound) for p in fleet_parts(fleet))
+        assert total <= bound, (total, bound, fleet)
+
+    check()
+
+
+@given("a cold server that bears 10 requests a second, and 2 daemons")
+def step_cold_server(context):
+    bounds = Bounds(cold_overshoot=1.5, cold_slack=5.0)
+    context.clock = ManualClock()
+    directory = Directory(None, context.clock, "e1", "a", {"a1": "a"}, bounds)
+    directory.set_members({"a": ["e1", "e2"]})
+    limits = ServiceLimits("shard", 50, cold_per_s=10.0)
+    directory.adopt_routing(RoutingTable(1, [], [limits]))
+    address = Address("127.0.0.1", 1)
+    directory.set_server(ServerEntry("s1", "shard", address, "a1", cold_ms=3000))
+    context.directory = directory
+
+
+@when("50 requests a second want it for 3 seconds")
+def step_want(context):
+    context.sends_ms = []
+    for _ in range(149):
+        context.clock.advance(20.0)
+        for upstream in context.directory.candidates("shard"):
+            now_ms = context.clock.now_ms()
+            upstream.note_send(now_ms)
+            context.sends_ms.append(now_ms)
+
+
+@then("no second holds more than {limit:d} of them")
+def step_in_second(context, limit):
+    # Half of (10 x 1.5 + 5) for each daemon is 10; a fifth is kept back.
+    sends = context.sends_ms
+    assert sends
+    for start in sends:
+        assert sum(1 for at in sends if start <= at < start + 1000) <= limit
+
+
+@then("all of them get it once it is warm")
+def step_warm(context):
+    context.clock.advance(100.0)
+    for _ in range(50):
+        (upstream,) = context.directory.candidates("shard")
+        upstream.note_send(context.clock.now_ms())
 
 
 @then("9 daemons that know of no other stay within what a server accepts")
 def step_unknowing(context):
-    entry = ServerEntry("s1", "shard", Address("127.0.0.1", 1), "a1")
-    assert 9 * unknowing_directory().connection_limit(entry, "a") <= 26
+    assert 9 * Apportionment("e1", "a").connections("s1", "a", 26) <= 26
 
 
 @then("they save no more extra arrivals than 9 daemons may")
 def step_unknowing_extra(context):
-    load = ExtraLoad(RATIO, SLACK, unknowing_directory().member_count, fresh=False)
+    load = ExtraLoad(RATIO, SLACK, Apportionment("e1", "a").count, fresh=False)
     assert 9 * load.burst() <= SLACK
 
 
