Remove unused fields; compute the patience of a query in one place

Two fields and a method that nothing read, a doc comment that named callbacks which are methods now, a factor without a name, and the same product in two methods of Gather.

--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -24,14 +24,15 @@
 # Part of the gathering daemon's time after which it sends what it has, so that the
 # asking one knows that it lives.
 FIRST_REPORT_PART = 0.45
+# Round trips that the first report may take: one, and a busy moment of either daemon.
+FIRST_REPORT_TRIPS = 1.3
 
 
 class DelegatedParts:
     """Parts of one query that another daemon gathers.
 
-    ``on_parts(message)`` is called for each report. ``on_silent(services)`` is
-    called with the services that nothing was heard of when the first report is
-    overdue, and ``on_lost(services)`` when there will be none.
+    ``gather`` is told of each report, of the services that nothing was heard of when
+    the first report is overdue, and of those that there will be none for.
     """
 
     __slots__ = (
@@ -119,7 +120,6 @@
         "_parts",
         "_peer",
         "_query_id",
-        "_reported",
         "_resolved",
         "_started_ms",
         "_timers",
@@ -136,7 +136,6 @@
         self._parts = []
         self._started_ms = desk.clock.now_ms()
         self._failed = []
-        self._reported = False
         self._resolved = 0
         self._finished = False
         self._timers = []
@@ -324,9 +323,7 @@
             return None
         parts = DelegatedParts(self, query_id, peer, region, allowed, gather)
         self._asked[query_id] = parts
-        # The other daemon reports after a part of its time; twice the way there
-        # covers a busy moment of either.
-        parts.start(FIRST_REPORT_PART * aim_in_ms + 1.3 * rtt_ms)
+        parts.start(FIRST_REPORT_PART * aim_in_ms + FIRST_REPORT_TRIPS * rtt_ms)
         return parts
 
     def forget(self, parts):
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -38,7 +38,6 @@
         "on_configuration",
         "parts",
         "routing",
-        "routing_ms",
         "servers_known",
         "services",
         "upstreams",
@@ -54,7 +53,6 @@
         self._cold_slack = bounds.cold_slack
         self.parts = Apportionment(vm, region)
         self.routing = None
-        self.routing_ms = None
         self.servers_known = False
         self.upstreams = {}
         self.services = {}
@@ -73,7 +71,6 @@
             return False
         old = self.routing.version if self.routing else None
         self.routing = table
-        self.routing_ms = self._clock.now_ms()
         self._set_connection_limits()
         logger.info(
             "configuration adopted",
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -251,9 +251,11 @@
 
     def _late(self):
         """Return whether the time for missing parts is over."""
-        request = self._request
-        patience_ms = LATE_PATIENCE * request.route.target_ms
-        return self._tier.clock.now_ms() > request.aim_ms + patience_ms
+        late_ms = self._request.aim_ms + self._patience_ms()
+        return self._tier.clock.now_ms() > late_ms
+
+    def _patience_ms(self):
+        return LATE_PATIENCE * self._request.route.target_ms
 
     def _at_aim(self):
         if self._finished:
@@ -261,8 +263,9 @@
         if self._enough():
             self._settle()
             return
-        patience_ms = LATE_PATIENCE * self._request.route.target_ms
-        self._aim_timer = self._tier.clock.call_later(patience_ms, self._after_aim)
+        self._aim_timer = self._tier.clock.call_later(
+            self._patience_ms(), self._after_aim
+        )
 
     def _after_aim(self):
         if not self._finished and self._enough():
--- a/hemlockspoke/tier/timing.py
+++ b/hemlockspoke/tier/timing.py
@@ -77,8 +77,3 @@
         if timing is None:
             timing = self._by_route[route.key()] = RouteTiming()
         return timing
-
-    def forget_except(self, routes):
-        """Forget routes that no version in force has."""
-        kept = {route.key() for route in routes}
-        self._by_route = {k: v for k, v in self._by_route.items() if k in kept}
