Keep peer streams through a pause of the own process

Cause: the heartbeat timer runs before the bytes that arrived during a pause are read, so after a pause longer than the silence limit it closed every stream. Ruled out by reading: the choice between two streams is the same on both sides (the one that the lower name has dialed), so redials alone settle after one loss. Before: the new scenario loses the streams. After: it keeps them.

--- a/hemlockspoke/adapters/peer_stream.py
+++ b/hemlockspoke/adapters/peer_stream.py
@@ -178,6 +178,7 @@
         "_connect_listener",
         "_dialers",
         "_epoch",
+        "_heartbeat_due_ms",
         "_loss_listener",
         "_next_token",
         "_receiver",
@@ -208,6 +209,7 @@
         self._dialers = {}
         self._seeds = []
         self._next_token = 0
+        self._heartbeat_due_ms = 0.0
 
     @classmethod
     def from_config(cls, settings, reactor, clock, epoch, metrics):
@@ -353,6 +355,7 @@
             self._loss_listener(stream.vm)
 
     def _schedule_heartbeat(self):
+        self._heartbeat_due_ms = self.clock.now_ms() + self._timings.heartbeat_ms
         self.clock.call_later(self._timings.heartbeat_ms, self._heartbeat)
 
     def _heartbeat(self):
@@ -363,6 +366,8 @@
         """
         self._next_token += 1
         now_ms = self.clock.now_ms()
+        if now_ms - self._heartbeat_due_ms > self._timings.heartbeat_ms:
+            self._forgive_silence(now_ms)
         quiet_ms = self._timings.heartbeat_ms * QUIET_RATIO
         for stream in [*self._streams.values(), *self._unnamed]:
             silence_ms = now_ms - stream.last_received_ms
@@ -374,6 +379,16 @@
                 stream.send_message(Ping(token=self._next_token))
         self._schedule_heartbeat()
 
+    def _forgive_silence(self, now_ms):
+        """Give every stream another heartbeat: this process did not run.
+
+        Bytes that arrived meanwhile are read after the timers that are due.
+        """
+        timings = self._timings
+        heard_ms = now_ms - timings.stream_silence_ms + timings.heartbeat_ms
+        for stream in [*self._streams.values(), *self._unnamed]:
+            stream.last_received_ms = max(stream.last_received_ms, heard_ms)
+
     def stop(self):
         """Close everything."""
         for _, dialer in self._dialers.values():
--- a/tests/features/peer_stream.feature
+++ b/tests/features/peer_stream.feature
@@ -31,6 +31,15 @@
     Then "vm-a" reports the loss of "vm-b" within 1500 ms
     And a message from "vm-a" arrives at "vm-b" and the other way round
 
+  Scenario: a pause of the own process ends no stream
+    Guards against timers that judge silence before what has arrived is read.
+    Given peer networks "vm-a" and "vm-b" that know each other's address and seed
+    When the peer streams are up
+    And 300 ms go by
+    And the process does not run for 900 ms
+    And 300 ms go by
+    Then no peer stream has been lost
+
   Scenario: a one-sided choice of peers makes a stream from the higher name
     Given one-sided peer networks "vm-a" and "vm-b" of which only "vm-b" knows the other
     Then a message from "vm-a" arrives at "vm-b" and the other way round
--- a/tests/features/steps/edge_peers_steps.py
+++ b/tests/features/steps/edge_peers_steps.py
@@ -1,6 +1,6 @@
 """Steps on what daemons of a platform in one process do for each other."""
 
-from behave import given, then, when
+from behave import given, step, then, when
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
 
@@ -33,7 +33,7 @@
     wait_until(lambda: vm in fellows._all, timeout_s=14)
 
 
-@given("{delay_ms:d} ms go by")
+@step("{delay_ms:d} ms go by")
 def step_go_by(context, delay_ms):
     in_reactor(deferLater, reactor, delay_ms / 1000, lambda: None)
 
--- a/tests/features/steps/peer_stream_steps.py
+++ b/tests/features/steps/peer_stream_steps.py
@@ -124,6 +124,18 @@
     in_reactor(silence)
 
 
+@when("the process does not run for {pause_ms:d} ms")
+def step_pause(context, pause_ms):
+    for peer in context.peers.values():
+        peer.lost.clear()
+    in_reactor(time.sleep, pause_ms / 1000)
+
+
+@then("no peer stream has been lost")
+def step_none_lost(context):
+    assert [peer.lost for peer in context.peers.values()] == [[], []]
+
+
 @then('"{vm}" reports the loss of "{other}" within {limit_ms:d} ms')
 def step_loss(context, vm, other, limit_ms):
     eventually(lambda: other in context.peers[vm].lost, limit_ms)
