Let daemons of a large fleet hedge; return the slack with time

What a daemon had spent also came back only with its own requests, of which it has few. Change: the reserve is a part of the share; a part of the slack comes back evenly over the window. What is saved and what comes back never add up to more than the share, which the oracle of edge_decisions checks on a clock that moves.

--- a/hemlockspoke/platform/settings.py
+++ b/hemlockspoke/platform/settings.py
@@ -53,6 +53,10 @@
             * reader.number("bounds.grace_s", DEFAULTS.shutdown_ms / 1000.0),
             extra_load_ratio=reader.number("bounds.retry_budget_ratio", 0.0),
             extra_load_slack=reader.number("bounds.retry_slack", 0.0),
+            extra_load_window_ms=1000.0
+            * reader.number(
+                "bounds.retry_window_s", DEFAULTS.extra_load_window_ms / 1000.0
+            ),
             cold_overshoot=reader.number(
                 "bounds.warmup_overshoot", DEFAULTS.cold_overshoot
             ),
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -188,7 +188,8 @@
             return False
         extra = arrivals > 0
         load = self._tier.extra_load
-        if extra and not load.take(self.service, reserve=1.0 if hedge else 0.0):
+        reserve = load.hedge_reserve() if hedge else 0.0
+        if extra and not load.take(self.service, reserve):
             self.reason = "extra load used up"
             self._tier.metrics.count("extra_load.denied")
             return False
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -66,8 +66,8 @@
         )
         self.directory.on_configuration = self._configured
         extra_load = ExtraLoad(
-            bounds.extra_load_ratio,
-            bounds.extra_load_slack,
+            clock,
+            bounds,
             self.directory.parts.count,
             fresh=settings.first_start,
         )
--- a/hemlockspoke/tier/edge_settings.py
+++ b/hemlockspoke/tier/edge_settings.py
@@ -10,8 +10,10 @@
     """Times and ratios within which the surroundings expect changes to be followed.
 
     ``stable_window_ms`` is how long a daemon must have been undisturbed before the
-    others hold for it. A cold server may get ``cold_overshoot`` times its stated rate
-    and ``cold_slack`` requests more in a second.
+    others hold for it. In each ``extra_load_window_ms`` a service bears
+    ``extra_load_ratio`` repeated arrivals a request and ``extra_load_slack`` more. A
+    cold server may get ``cold_overshoot`` times its stated rate and ``cold_slack``
+    requests more in a second.
     """
 
     __slots__ = (
@@ -22,6 +24,7 @@
         "evacuate_ms",
         "extra_load_ratio",
         "extra_load_slack",
+        "extra_load_window_ms",
         "shutdown_ms",
         "stable_window_ms",
     )
@@ -34,6 +37,7 @@
         shutdown_ms=6000.0,
         extra_load_ratio=0.0,
         extra_load_slack=0.0,
+        extra_load_window_ms=10_000.0,
         stable_window_ms=4000.0,
         cold_overshoot=1.0,
         cold_slack=0.0,
@@ -44,6 +48,7 @@
         self.shutdown_ms = shutdown_ms
         self.extra_load_ratio = extra_load_ratio
         self.extra_load_slack = extra_load_slack
+        self.extra_load_window_ms = extra_load_window_ms
         self.stable_window_ms = stable_window_ms
         self.cold_overshoot = cold_overshoot
         self.cold_slack = cold_slack
--- a/hemlockspoke/tier/extra_load.py
+++ b/hemlockspoke/tier/extra_load.py
@@ -8,48 +8,99 @@
 # Kept back for requests whose clients never reached this daemon, and for the
 # windows of two daemons that do not coincide.
 RATIO_PART = 0.8
-SLACK_PART = 0.75
+SLACK_PART = 0.8
+# Part of a daemon's slack that may be spent at once; the rest comes back evenly over
+# the window, so that a long disturbance does not end with the first burst.
+SAVED_PART = 0.6
 MIN_BURST = 1.0
+# A hedge leaves this part of the burst, one token at most, to requests that a server
+# has refused: those cannot be answered without another arrival.
+HEDGE_RESERVE_PART = 0.15
+
+
+class _Bucket:
+    """Tokens of one service at a time of the clock."""
+
+    __slots__ = ("at_ms", "tokens")
+
+    def __init__(self, tokens, at_ms):
+        self.tokens = tokens
+        self.at_ms = at_ms
 
 
 class ExtraLoad:
     """One token bucket per service.
 
-    A process that starts again has spent an unknown part of its share a moment
-    ago, so its buckets start empty; at the first start of the system they are full.
+    In any window a daemon spends at most what it has saved, what comes back in the
+    window and what its requests in the window earn. A process that starts again has
+    spent an unknown part of its share a moment ago, so its buckets start empty; at
+    the first start of the system they are full.
     """
 
-    __slots__ = ("_fresh", "_member_count", "_ratio", "_slack", "_tokens")
+    __slots__ = (
+        "_buckets",
+        "_clock",
+        "_fresh",
+        "_member_count",
+        "_ratio",
+        "_slack",
+        "_started_ms",
+        "_window_ms",
+    )
 
-    def __init__(self, ratio, slack, member_count, fresh=False):
-        self._ratio = ratio * RATIO_PART
-        self._slack = slack * SLACK_PART
+    def __init__(self, clock, bounds, member_count, fresh=False):
+        self._clock = clock
+        self._ratio = bounds.extra_load_ratio * RATIO_PART
+        self._slack = bounds.extra_load_slack * SLACK_PART
+        self._window_ms = bounds.extra_load_window_ms
         self._member_count = member_count
         self._fresh = fresh
-        self._tokens = {}
+        self._started_ms = clock.now_ms()
+        self._buckets = {}
 
     def burst(self):
         """Return the most tokens that a service may have saved."""
-        return max(MIN_BURST, self._slack / self._member_count())
+        return max(MIN_BURST, SAVED_PART * self._slack / self._member_count())
+
+    def hedge_reserve(self):
+        """Return the tokens that a hedge leaves untouched."""
+        return min(1.0, HEDGE_RESERVE_PART * self.burst())
+
+    def window_limit(self):
+        """Return the most tokens that a daemon spends in a window unearned."""
+        return self.burst() + self._returned()
+
+    def _returned(self):
+        """Return the tokens that come back in a window."""
+        return (1.0 - SAVED_PART) * self._slack / self._member_count()
 
-    def tokens(self, service):
-        """Return the tokens of a service."""
-        start = self.burst() if self._fresh else 0.0
-        return self._tokens.get(service, start)
+    def _bucket(self, service):
+        """Return the bucket of a service as it is now."""
+        now_ms = self._clock.now_ms()
+        bucket = self._buckets.get(service)
+        burst = self.burst()
+        if bucket is None:
+            start = burst if self._fresh else 0.0
+            bucket = self._buckets[service] = _Bucket(start, self._started_ms)
+        windows = (now_ms - bucket.at_ms) / self._window_ms
+        bucket.tokens = min(burst, bucket.tokens + self._returned() * windows)
+        bucket.at_ms = now_ms
+        return bucket
 
     def earn(self, service):
         """Add what the first arrival of a request earns."""
-        tokens = self.tokens(service) + self._ratio
-        self._tokens[service] = min(self.burst(), tokens)
+        bucket = self._bucket(service)
+        bucket.tokens = min(self.burst(), bucket.tokens + self._ratio)
 
     def take(self, service, reserve=0.0):
         """Take a token, leaving ``reserve`` tokens; False if there are too few."""
-        tokens = self.tokens(service)
-        if tokens < 1.0 + reserve:
+        bucket = self._bucket(service)
+        if bucket.tokens < 1.0 + reserve:
             return False
-        self._tokens[service] = tokens - 1.0
+        bucket.tokens -= 1.0
         return True
 
     def refund(self, service):
         """Return the token of an arrival that did not happen."""
-        self._tokens[service] = min(self.burst(), self.tokens(service) + 1.0)
+        bucket = self._bucket(service)
+        bucket.tokens = min(self.burst(), bucket.tokens + 1.0)
--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -9,6 +9,14 @@
     Given extra load of a daemon that has started again
     Then it may send no extra arrival before its requests have earned one
 
+  Scenario: daemons of a large fleet may hedge
+    # Guards against a reserve that is larger than the share of one daemon of many.
+    Then each of 86 daemons may hedge a request to a service at once
+
+  Scenario: the slack comes back with time
+    # Guards against a daemon with few requests that spends its share once for good.
+    Then a daemon that has spent its share has another token after 1 windows
+
   Scenario: merged records equal those of a sort of all records
     Then any parts merge to their greatest records, also in two steps
 
--- a/tests/features/steps/edge_decisions_steps.py
+++ b/tests/features/steps/edge_decisions_steps.py
@@ -24,6 +24,11 @@
 RATIO = 0.2
 SLACK = 58
 WINDOW_S = 10
+BOUNDS = Bounds(
+    extra_load_ratio=RATIO,
+    extra_load_slack=SLACK,
+    extra_load_window_ms=1000.0 * WINDOW_S,
+)
 PLATFORM_NAMES = re.compile(
     r"x-hemlockspoke|shard_services|warmup_left_ms|listen_addrs|/api/objects"
     r"|evacuations|HEMLOCKSPOKE_SETTINGS",
@@ -39,10 +44,12 @@
 
     @for_all(sends)
     def check(events):
-        loads = [ExtraLoad(RATIO, SLACK, lambda: 9, fresh=True) for _ in range(9)]
+        clock = ManualClock()
+        loads = [ExtraLoad(clock, BOUNDS, lambda: 9, fresh=True) for _ in range(9)]
         now_s, firsts, extras = 0.0, [], []
         for daemon, extra, pause_s in events:
             now_s += pause_s
+            clock.advance(1000.0 * pause_s)
             if not extra:
                 loads[daemon].earn("shard")
                 firsts.append(now_s)
@@ -61,7 +68,7 @@
 
 @given("extra load of a daemon that has started again")
 def step_restarted(context):
-    context.load = ExtraLoad(RATIO, SLACK, lambda: 9, fresh=False)
+    context.load = ExtraLoad(ManualClock(), BOUNDS, lambda: 9, fresh=False)
 
 
 @then("it may send no extra arrival before its requests have earned one")
@@ -267,8 +274,28 @@
 
 @then("they save no more extra arrivals than 9 daemons may")
 def step_unknowing_extra(context):
-    load = ExtraLoad(RATIO, SLACK, Apportionment("e1", "a").count, fresh=False)
-    assert 9 * load.burst() <= SLACK
+    count = Apportionment("e1", "a").count
+    load = ExtraLoad(ManualClock(), BOUNDS, count, fresh=False)
+    assert 9 * load.window_limit() <= SLACK
+
+
+@then("each of {count:d} daemons may hedge a request to a service at once")
+def step_large_fleet(context, count):
+    # The slack of the largest deployment known.
+    bounds = Bounds(extra_load_ratio=RATIO, extra_load_slack=212)
+    clock = ManualClock()
+    load = ExtraLoad(clock, bounds, lambda: count, fresh=True)
+    assert load.take("shard", load.hedge_reserve())
+
+
+@then("a daemon that has spent its share has another token after {window:d} windows")
+def step_refilled(context, window):
+    clock = ManualClock()
+    load = ExtraLoad(clock, BOUNDS, lambda: 9, fresh=True)
+    while load.take("shard"):
+        pass
+    clock.advance(1000.0 * WINDOW_S * window)
+    assert load.take("shard")
 
 
 class NullSink:
