Take no server for slow after one measurement; watch busy kinds in batches

Cause: the first measurement of a server was its slowness. Where a daemon sends a server one request in ten seconds, one pause made it look ten times slow, and its hedges were held to come too late. Change: a server begins with sound measurements; a watch begins 200 ms after the one before at the earliest. The share of answers in time did not change.

--- a/hemlockspoke/tier/feed.py
+++ b/hemlockspoke/tier/feed.py
@@ -10,6 +10,9 @@
 # How much longer than its wait a watch is given before it counts as silent. A store
 # that answers slowly still answers within this time.
 WATCH_GRACE_MS = 600.0
+# Each call is paid for, so changes that follow each other closely are read together.
+# Changes must be followed within some seconds.
+WATCH_INTERVAL_MS = 200.0
 
 
 class Change:
@@ -69,6 +72,7 @@
         "_sink",
         "_source",
         "_wait_ms",
+        "_watched_ms",
         "active",
         "lost",
     )
@@ -83,6 +87,7 @@
         self._revision = None
         self._pages = []
         self._failures = 0
+        self._watched_ms = 0.0
         # Tells answers to calls made before a pause from those made after it.
         self._epoch = 0
         self.active = False
@@ -129,6 +134,7 @@
 
     def _watch(self, epoch):
         if epoch == self._epoch:
+            self._watched_ms = self._clock.now_ms()
             self._source.watch(
                 self._revision,
                 self._wait_ms,
@@ -150,7 +156,9 @@
         since = self._revision
         self._revision = max(since, page.revision)
         self._sink.apply(page.changes, since, self._revision)
-        self._watch(epoch)
+        waited_ms = self._clock.now_ms() - self._watched_ms
+        delay_ms = WATCH_INTERVAL_MS - waited_ms
+        self._clock.call_later(delay_ms, self._watch, epoch)
 
     def _heard(self):
         self._failures = 0
--- a/hemlockspoke/tier/upstreams.py
+++ b/hemlockspoke/tier/upstreams.py
@@ -121,8 +121,9 @@
         self.overdue = 0
         self._failure_ratio = 0.0
         self._failure_ms = 0.0
-        self._ratios = deque(maxlen=SLOWNESS_SAMPLE)
-        self._sampled_ms = 0.0
+        # A server counts as sound until more than one measurement says otherwise.
+        self._ratios = deque([1.0] * SLOWNESS_SAMPLE, maxlen=SLOWNESS_SAMPLE)
+        self._sampled_ms = -PAUSE_MS
         self._sends_ms = deque(maxlen=SENDS_KEPT)
         self._slowness = 1.0
         self._slowness_ms = 0.0
@@ -154,7 +155,7 @@
         """Take how long a request took, relative to what is usual for its route."""
         work_ms = max(0.0, latency_ms - self.rtt_ms)
         ratio = min(50.0, max(0.2, work_ms / max(1.0, usual_work_ms)))
-        if self._ratios and now_ms - self._sampled_ms < PAUSE_MS:
+        if now_ms - self._sampled_ms < PAUSE_MS:
             self._ratios[-1] = min(self._ratios[-1], ratio)
         else:
             self._ratios.append(ratio)
--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -36,6 +36,21 @@
     When 20 s pass without a request
     Then the server does not count as slow
 
+  Scenario: the first request to a server tells nothing if it meets a pause
+    # Guards against daemons with few requests that believe sound servers slow.
+    Given a server that has not been measured
+    When three requests meet one pause of the server
+    Then the server does not count as slow
+    When requests take ten times the usual time for a second
+    Then the server counts as slow
+
+  Scenario: a busy kind of objects is watched in batches
+    # Guards against a call to the store for each of many changes in turn.
+    Given a feed of a kind that changes every 10 ms
+    When 3000 ms pass on the feed's clock
+    Then the store got at most 25 calls
+    And the feed knows the last change but those of 200 ms
+
   Scenario: connections of all daemons stay within what a server accepts
     Then for any fleet the connections to a server are fewer than its cap
 
