--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -1,8 +1,8 @@
 """Has parts of a query gathered by a daemon near their servers.
 
 The parts of a query are many times larger than the answer made from them. A daemon
-in the servers' region merges them and sends back only the greatest records and the
-proofs, so that little crosses between regions.
+in the servers' failure domain merges them and sends back only the greatest records
+and the proofs, so that little crosses between failure domains.
 """
 
 import itertools
@@ -23,9 +23,11 @@
 SUSPECT_MS = 1500.0
 # Part of the gathering daemon's time after which it sends what it has, so that the
 # asking one knows that it lives.
-FIRST_REPORT_PART = 0.45
-# Round trips that the first report may take: one, and a busy moment of either daemon.
-FIRST_REPORT_TRIPS = 1.3
+FIRST_REPORT_PART = 0.35
+# What the first report may take over a round trip, for a busy moment of either daemon.
+FIRST_REPORT_ALLOWANCE_MS = 15.0
+# Left to the asking daemon to read a report and to answer.
+REPORT_ALLOWANCE_MS = 6.0
 
 
 class DelegatedParts:
@@ -40,22 +42,22 @@
         "_desk",
         "_gather",
         "_timer",
+        "domain",
         "done",
         "peer",
         "query_id",
-        "region",
         "silent",
         "waiting",
     )
 
-    def __init__(self, desk, query_id, peer, region, services, gather):
+    def __init__(self, desk, query_id, peer, domain, services, gather):
         self._desk = desk
         self._gather = gather
         self._asked_ms = desk.clock.now_ms()
         self._timer = None
         self.query_id = query_id
         self.peer = peer
-        self.region = region
+        self.domain = domain
         self.waiting = set(services)
         self.silent = False
         self.done = False
@@ -88,7 +90,7 @@
         self.waiting.difference_update(service for service, _ in message.failed)
         if message.last:
             self._close()
-        self._gather.delegate_reported(message, self.region)
+        self._gather.delegate_reported(message, self.domain)
 
     def lose(self):
         """Take that the other daemon is not reached any more."""
@@ -281,10 +283,15 @@
         """Return how many queries are gathered here for other daemons."""
         return len(self._here)
 
-    def _delegate_for(self, region):
-        """Return the daemon that gathers in a region, or None."""
+    @property
+    def domain(self):
+        """Return the failure domain of this daemon."""
+        return self._fellows.domain
+
+    def _delegate_for(self, domain):
+        """Return the daemon that gathers in a failure domain, or None."""
         now_ms = self.clock.now_ms()
-        for vm in self._fellows.in_region(region):
+        for vm in self._fellows.in_domain(domain):
             suspected = self._suspects.get(vm, 0.0) > now_ms
             if not suspected and not self._leaving(vm):
                 return vm
@@ -298,15 +305,16 @@
         """Ask a daemon that has reported again."""
         self._suspects.pop(peer, None)
 
-    def ask(self, request, allowed, region, rtt_ms, gather):
-        """Hand parts of a query to a daemon of a region; None if none is reached."""
-        peer = self._delegate_for(region)
+    def ask(self, request, allowed, domain, rtt_ms, gather):
+        """Hand parts of a query to a daemon of a domain; None if none is reached."""
+        peer = self._delegate_for(domain)
         if peer is None:
             return None
         now_ms = self.clock.now_ms()
         query_id = next(self._ids)
         route = request.route
-        aim_in_ms = max(1.0, request.aim_ms - now_ms - rtt_ms)
+        way_ms = rtt_ms + REPORT_ALLOWANCE_MS
+        aim_in_ms = max(1.0, request.aim_ms - now_ms - way_ms)
         message = GatherRequest(
             query_id=query_id,
             host=route.host,
@@ -321,9 +329,10 @@
         )
         if not self.send(peer, message):
             return None
-        parts = DelegatedParts(self, query_id, peer, region, allowed, gather)
+        parts = DelegatedParts(self, query_id, peer, domain, allowed, gather)
         self._asked[query_id] = parts
-        parts.start(FIRST_REPORT_PART * aim_in_ms + FIRST_REPORT_TRIPS * rtt_ms)
+        patience_ms = FIRST_REPORT_PART * aim_in_ms + rtt_ms
+        parts.start(patience_ms + FIRST_REPORT_ALLOWANCE_MS)
         return parts
 
     def forget(self, parts):
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -201,11 +201,11 @@
         candidates.sort(key=lambda upstream: upstream.expected_ms(now_ms, work_ms))
         return candidates[:count]
 
-    def note_remote(self, service, region, took_ms, work_ms):
-        """Take how long a daemon of a region needed for an answer of a service."""
+    def note_remote(self, service, domain, took_ms, work_ms):
+        """Take how long a daemon of a domain needed for an answer of a service."""
         now_ms = self._clock.now_ms()
         for upstream in self.services.get(service, ()):
-            if upstream.region == region:
+            if upstream.entry.failure_domain == domain:
                 latency_ms = upstream.rtt_ms + took_ms
                 upstream.note_latency(now_ms, latency_ms, work_ms)
 
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -91,9 +91,7 @@
             PeerTimings(),
             self._metrics,
         )
-        self._fellows = Fellows(
-            settings.vm, settings.failure_domain, settings.region, self._network
-        )
+        self._fellows = Fellows(settings.vm, settings.failure_domain, self._network)
         self._wait_ms = settings.bounds.longest_watch_ms()
         self._relay = Relay(
             self._clock,
--- a/hemlockspoke/tier/fellows.py
+++ b/hemlockspoke/tier/fellows.py
@@ -7,8 +7,8 @@
 
 logger = logging.getLogger(__name__)
 
-# Streams to each other region, by which parts of queries are gathered there.
-DELEGATES_PER_REGION = 2
+# Streams to each other failure domain, by which parts of queries are gathered there.
+DELEGATES_PER_DOMAIN = 2
 # Streams within the failure domain. In a larger one some daemons read the store
 # that could take the news of another.
 DOMAIN_PEERS = 24
@@ -29,12 +29,11 @@
 class Fellows:
     """Chooses the daemons to keep streams to, and finds one by place."""
 
-    __slots__ = ("_all", "_network", "_region", "domain", "vm")
+    __slots__ = ("_all", "_network", "domain", "vm")
 
-    def __init__(self, vm, failure_domain, region, network):
+    def __init__(self, vm, failure_domain, network):
         self.vm = vm
         self.domain = failure_domain
-        self._region = region
         self._network = network
         self._all = {}
 
@@ -45,22 +44,19 @@
         for names in self._groups().values():
             for vm in names:
                 chosen[vm] = self._all[vm].address
-        # The choice is one-sided between regions: the other daemon may prefer others.
+        # The choice is one-sided between domains: the other daemon may prefer others.
         self._network.set_addresses(chosen, one_sided=True)
 
     def _groups(self):
-        """Return the chosen daemons: of the own domain, and of each other region."""
+        """Return the chosen daemons of each failure domain."""
         groups = {}
         for fellow in self._all.values():
-            near = fellow.failure_domain == self.domain
-            if near or fellow.region != self._region:
-                place = self.domain if near else f"region {fellow.region}"
-                groups.setdefault(place, []).append(fellow.vm)
-        for place, names in groups.items():
-            if place == self.domain:
-                groups[place] = sorted(names)[:DOMAIN_PEERS]
+            groups.setdefault(fellow.failure_domain, []).append(fellow.vm)
+        for domain, names in groups.items():
+            if domain == self.domain:
+                groups[domain] = sorted(names)[:DOMAIN_PEERS]
             else:
-                groups[place] = rank(self.vm, names)[:DELEGATES_PER_REGION]
+                groups[domain] = rank(self.vm, names)[:DELEGATES_PER_DOMAIN]
         return groups
 
     def knows(self, vm):
@@ -76,20 +72,18 @@
 
     def domain_peers(self):
         """Return the daemons of the own failure domain with an open stream."""
-        return [
-            vm
-            for vm in self._network.connected()
-            if vm in self._all and self._all[vm].failure_domain == self.domain
-        ]
+        return self._connected_in(self.domain)
+
+    def in_domain(self, domain):
+        """Return the daemons of a failure domain with an open stream, best first."""
+        return rank(self.vm, self._connected_in(domain))
 
-    def in_region(self, region):
-        """Return the daemons of a region with an open stream, best first."""
-        names = [
+    def _connected_in(self, domain):
+        return [
             vm
             for vm in self._network.connected()
-            if vm in self._all and self._all[vm].region == region
+            if vm in self._all and self._all[vm].failure_domain == domain
         ]
-        return rank(self.vm, names)
 
 
 def decode_fellow(name, spec, failure_domains):
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -30,8 +30,8 @@
 
     The answer is sent when every shard has answered, or at the aim if enough have,
     or later as soon as enough have. It names the parts that it holds. Shards whose
-    best servers stand in another region are gathered by a daemon there; if it is
-    silent, they are asked from here as well.
+    best servers stand in another failure domain are gathered by a daemon there; if
+    it is silent, they are asked from here as well.
     """
 
     __slots__ = (
@@ -94,12 +94,12 @@
         self._send_here(self._delegate(request.route.shards))
 
     def _delegate(self, services):
-        """Hand over what other regions gather best; return the rest."""
+        """Hand over what daemons near the servers gather best; return the rest."""
         request, desk = self._request, self._tier.desk
         if desk is None or request.http.body:
             return services
-        groups, here = self._by_region(services)
-        for region, group in groups.items():
+        groups, here = self._by_domain(services)
+        for domain, group in groups.items():
             parts = None
             if len(group) >= MIN_PARTS:
                 rtt_ms = max(servers[0].rtt_ms for servers in group.values())
@@ -109,7 +109,7 @@
                     service: [server.server_id for server in servers]
                     for service, servers in group.items()
                 }
-                parts = desk.ask(request, allowed, region, rtt_ms, self)
+                parts = desk.ask(request, allowed, domain, rtt_ms, self)
             if parts is None:
                 here.extend(group)
                 continue
@@ -119,18 +119,20 @@
                 self._sources[service] += 1
         return here
 
-    def _by_region(self, services):
-        """Return services with their best servers by region, and those near."""
+    def _by_domain(self, services):
+        """Return services with their best servers by failure domain, and those here."""
         request, directory = self._request, self._tier.directory
+        own_domain = self._tier.desk.domain
         route = request.route
         work_ms = request.timing.usual_work_ms
         groups, here = {}, []
         for service in services:
             best = directory.best(service, route.regions, work_ms, route.max_attempts)
-            if not best or best[0].near:
+            domain = best[0].entry.failure_domain if best else own_domain
+            if domain == own_domain:
                 here.append(service)
             else:
-                groups.setdefault(best[0].region, {})[service] = best
+                groups.setdefault(domain, {})[service] = best
         return groups, here
 
     def _send_here(self, services, sent_before=False):
@@ -180,9 +182,9 @@
             )
         self._check()
 
-    def delegate_reported(self, message, region):
+    def delegate_reported(self, message, domain):
         """Take what a daemon near the servers has gathered."""
-        self._learn(message, region)
+        self._learn(message, domain)
         if self._finished:
             return
         self._ran = True
@@ -203,11 +205,11 @@
         if not self._finished:
             self._check()
 
-    def _learn(self, message, region):
-        """Take how fast the servers of a region are from who gathers there."""
+    def _learn(self, message, domain):
+        """Take how fast the servers of a domain are from who gathers there."""
         timing, directory = self._request.timing, self._tier.directory
         for service, took_ms in zip(message.services, message.took_ms, strict=True):
-            directory.note_remote(service, region, took_ms, timing.usual_work_ms)
+            directory.note_remote(service, domain, took_ms, timing.usual_work_ms)
 
     def delegate_silent(self, services):
         """Ask for parts from here as well."""
