Divide large queries among daemons; do less work for each sub-query

Cause: on half a core, sending 90 sub-queries takes about 25 ms of the daemon's time and reading their answers as much, more than servers need for the work. The check after each answer went over all shards, and headers were filtered again for each server. Change: sets are kept up to date instead of made anew, what is common to all sub-queries is encoded once, and a daemon gathers at most 32 parts of a query if others can share them. A daemon that gathers reports at once that it does, so that a late first report is no longer taken for a dead daemon.

--- a/hemlockspoke/http1/messages.py
+++ b/hemlockspoke/http1/messages.py
@@ -37,8 +37,19 @@
 
 def encode_request(method, target, headers, body):
     """Return the bytes of a request whose body has a stated length."""
+    return request_head(method, target, headers) + request_tail(method, [], body)
+
+
+def request_head(method, target, headers):
+    """Return the bytes that begin a request, to which headers may be added."""
     lines = [b"%s %s HTTP/1.1\r\n" % (method, target)]
     lines.extend(b"%s: %s\r\n" % header for header in headers)
+    return b"".join(lines)
+
+
+def request_tail(method, headers, body):
+    """Return the bytes that end a request: its last headers and its body."""
+    lines = [b"%s: %s\r\n" % header for header in headers]
     if body or method not in _BODYLESS_METHODS:
         lines.append(b"Content-Length: %d\r\n" % len(body))
     lines.append(b"\r\n")
--- a/hemlockspoke/platform/headers.py
+++ b/hemlockspoke/platform/headers.py
@@ -32,16 +32,20 @@
                 marks.remaining_ms = parse_ms(value)
         return marks
 
-    def server_headers(self, headers, remaining_ms, server_id):
-        """Return the headers for a server from those of the caller."""
-        kept = [
+    def forwarded_headers(self, headers):
+        """Return the headers of a caller that every server gets."""
+        return [
             (name, value)
             for name, value in end_to_end(headers)
             if name.lower() not in (DEADLINE, EXPECT_INSTANCE)
         ]
-        kept.append((b"X-Hemlockspoke-Deadline-Ms", b"%d" % max(1, remaining_ms)))
-        kept.append((b"X-Hemlockspoke-Expect-Instance", server_id.encode()))
-        return kept
+
+    def server_headers(self, remaining_ms, server_id):
+        """Return the headers that one server gets besides."""
+        return [
+            (b"X-Hemlockspoke-Deadline-Ms", b"%d" % max(1, remaining_ms)),
+            (b"X-Hemlockspoke-Expect-Instance", server_id.encode()),
+        ]
 
     def read_reply(self, response):
         """Return the ``ReplyMarks`` of a response."""
--- a/hemlockspoke/tier/attempt.py
+++ b/hemlockspoke/tier/attempt.py
@@ -3,7 +3,7 @@
 from enum import Enum
 
 from hemlockspoke.http1.connection import Exchange, Loss
-from hemlockspoke.http1.messages import encode_request
+from hemlockspoke.http1.messages import request_head, request_tail
 
 HTTP_MISDIRECTED = 421
 
@@ -30,6 +30,7 @@
     """
 
     __slots__ = (
+        "_head",
         "attempt_id",
         "body",
         "deadline_ms",
@@ -49,6 +50,15 @@
         self.attempt_id = attempt_id
         self.deadline_ms = deadline_ms
         self.idempotent = idempotent
+        self._head = None
+
+    def encode(self, codec, remaining_ms, server_id):
+        """Return the bytes for one server; a query is encoded for many in turn."""
+        if self._head is None:
+            forwarded = codec.forwarded_headers(self.headers)
+            self._head = request_head(self.method, self.target, forwarded)
+        headers = codec.server_headers(remaining_ms, server_id)
+        return self._head + request_tail(self.method, headers, self.body)
 
 
 class Attempt:
@@ -113,6 +123,10 @@
         """Return whether the attempt has not ended."""
         return self.verdict is None
 
+    def holds_request(self):
+        """Return whether the server has the request, or has failed it."""
+        return self.verdict in (None, Verdict.UNKNOWN, Verdict.FAILURE)
+
     def mark_overdue(self):
         """Count the attempt against its server until it ends."""
         if self.in_flight and not self._overdue:
@@ -146,10 +160,7 @@
     def _encode(self):
         work = self._work
         remaining_ms = work.deadline_ms - self._clock.now_ms()
-        headers = self._codec.server_headers(
-            work.headers, remaining_ms, self.upstream.server_id
-        )
-        return encode_request(work.method, work.target, headers, work.body)
+        return work.encode(self._codec, remaining_ms, self.upstream.server_id)
 
     def _responded(self, response):
         self.response = response
--- a/hemlockspoke/tier/codec.py
+++ b/hemlockspoke/tier/codec.py
@@ -37,8 +37,12 @@
         """Return the ``CallerMarks`` of a request."""
 
     @abstractmethod
-    def server_headers(self, headers, remaining_ms, server_id):
-        """Return the headers for a server from those of the caller."""
+    def forwarded_headers(self, headers):
+        """Return the headers of a caller that every server gets."""
+
+    @abstractmethod
+    def server_headers(self, remaining_ms, server_id):
+        """Return the headers that one server gets besides."""
 
     @abstractmethod
     def read_reply(self, response):
--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -18,14 +18,16 @@
 
 # Fewer parts save less than the extra way costs.
 MIN_PARTS = 3
+# Parts of one query that a daemon gathers at most, if others can share them. On half
+# a core, sending so many sub-queries takes about as long as a server needs.
+PARTS_PER_DAEMON = 32
 # A silent daemon is asked again after this time; its stream is closed by then if it
 # is still silent.
 SUSPECT_MS = 1500.0
-# Part of the gathering daemon's time after which it sends what it has, so that the
-# asking one knows that it lives.
-FIRST_REPORT_PART = 0.35
+# Part of the gathering daemon's time after which it sends what it has.
+FIRST_REPORT_PART = 0.45
 # What the first report may take over a round trip, for a busy moment of either daemon.
-FIRST_REPORT_ALLOWANCE_MS = 15.0
+FIRST_REPORT_ALLOWANCE_MS = 25.0
 # Left to the asking daemon to read a report and to answer.
 REPORT_ALLOWANCE_MS = 6.0
 
@@ -180,6 +182,8 @@
             call_later(max(first_ms, message.aim_in_ms), self._at_aim),
             call_later(message.remaining_ms, self._report, True),
         ]
+        # An empty report at once tells the asking daemon that this one lives.
+        self._report(last=False)
         for delivery in self._deliveries:
             if not self._finished:
                 delivery.start()
@@ -288,14 +292,17 @@
         """Return the failure domain of this daemon."""
         return self._fellows.domain
 
-    def _delegate_for(self, domain):
-        """Return the daemon that gathers in a failure domain, or None."""
+    def helpers(self, domain, count):
+        """Return at most ``count`` daemons that gather in a failure domain."""
+        if count < 1:
+            return []
         now_ms = self.clock.now_ms()
-        for vm in self._fellows.in_domain(domain):
-            suspected = self._suspects.get(vm, 0.0) > now_ms
-            if not suspected and not self._leaving(vm):
-                return vm
-        return None
+        helpers = [
+            vm
+            for vm in self._fellows.in_domain(domain)
+            if self._suspects.get(vm, 0.0) <= now_ms and not self._leaving(vm)
+        ]
+        return helpers[:count]
 
     def suspect(self, peer):
         """Ask a daemon that did not report in time nothing for a while."""
@@ -305,11 +312,8 @@
         """Ask a daemon that has reported again."""
         self._suspects.pop(peer, None)
 
-    def ask(self, request, allowed, domain, rtt_ms, gather):
-        """Hand parts of a query to a daemon of a domain; None if none is reached."""
-        peer = self._delegate_for(domain)
-        if peer is None:
-            return None
+    def ask(self, peer, request, allowed, domain, rtt_ms, gather):
+        """Hand parts of a query to a daemon of a domain; None if it is not reached."""
         now_ms = self.clock.now_ms()
         query_id = next(self._ids)
         route = request.route
@@ -331,8 +335,7 @@
             return None
         parts = DelegatedParts(self, query_id, peer, domain, allowed, gather)
         self._asked[query_id] = parts
-        patience_ms = FIRST_REPORT_PART * aim_in_ms + rtt_ms
-        parts.start(patience_ms + FIRST_REPORT_ALLOWANCE_MS)
+        parts.start(rtt_ms + FIRST_REPORT_ALLOWANCE_MS)
         return parts
 
     def forget(self, parts):
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -154,15 +154,13 @@
         A spare attempt is never worth a request to a server that is leaving.
         """
         now_ms = self._tier.clock.now_ms()
-        busy = {a.upstream for a in self.attempts if a.in_flight}
-        failed = {
-            a.upstream
-            for a in self.attempts
-            if a.verdict in (Verdict.UNKNOWN, Verdict.FAILURE)
-        }
-        tried = {a.upstream for a in self.attempts}
         candidates = self._tier.directory.candidates(self.service, self._regions)
-        candidates = [u for u in candidates if u not in busy and u not in failed]
+        tried = ()
+        if self.attempts:
+            tried = {a.upstream for a in self.attempts}
+            # Those that have the request, or whose answer to it was no success.
+            excluded = {a.upstream for a in self.attempts if a.holds_request()}
+            candidates = [u for u in candidates if u not in excluded]
         if len(self._servers) >= self._max_attempts:
             candidates = [u for u in candidates if u in self._servers]
         if self._only is not None:
--- a/hemlockspoke/tier/fellows.py
+++ b/hemlockspoke/tier/fellows.py
@@ -8,7 +8,7 @@
 logger = logging.getLogger(__name__)
 
 # Streams to each other failure domain, by which parts of queries are gathered there.
-DELEGATES_PER_DOMAIN = 2
+DELEGATES_PER_DOMAIN = 3
 # Streams within the failure domain. In a larger one some daemons read the store
 # that could take the news of another.
 DOMAIN_PEERS = 24
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -3,7 +3,7 @@
 import math
 
 from hemlockspoke.tier.attempt import Work
-from hemlockspoke.tier.delegation import MIN_PARTS
+from hemlockspoke.tier.delegation import MIN_PARTS, PARTS_PER_DAEMON
 from hemlockspoke.tier.delivery import Delivery
 from hemlockspoke.tier.merge import greatest_records
 from hemlockspoke.tier.replies import Refusal
@@ -37,6 +37,7 @@
     __slots__ = (
         "_aim_timer",
         "_allowed",
+        "_answered",
         "_deadline_timer",
         "_delegated",
         "_deliveries",
@@ -49,6 +50,7 @@
         "_shards",
         "_sources",
         "_tier",
+        "_waiting",
         "_work",
     )
 
@@ -62,6 +64,9 @@
         self._parts = []
         # How many deliveries or daemons may still answer for each service.
         self._sources = dict.fromkeys(request.route.shards, 0)
+        self._answered = set()
+        # Services without an answer that some delivery or daemon may still bring.
+        self._waiting = set()
         self._ran = False
         self._finished = False
         self._aim_timer = None
@@ -98,42 +103,79 @@
         request, desk = self._request, self._tier.desk
         if desk is None or request.http.body:
             return services
-        groups, here = self._by_domain(services)
+        groups = self._by_domain(services)
+        here = []
         for domain, group in groups.items():
-            parts = None
-            if len(group) >= MIN_PARTS:
-                rtt_ms = max(servers[0].rtt_ms for servers in group.values())
+            rtt_ms = max((s[0].rtt_ms for s in group.values() if s), default=0.0)
+            for helper, chunk in self._divide(domain, list(group)):
                 # Both daemons send to the same servers, so that no more of them
                 # get the request than the route allows.
                 allowed = {
-                    service: [server.server_id for server in servers]
-                    for service, servers in group.items()
+                    service: [server.server_id for server in group[service]]
+                    for service in chunk
                 }
-                parts = desk.ask(request, allowed, domain, rtt_ms, self)
-            if parts is None:
-                here.extend(group)
-                continue
-            self._delegated.append(parts)
-            self._allowed.update(allowed)
-            for service in group:
-                self._sources[service] += 1
+                parts = None
+                if helper is not None:
+                    parts = desk.ask(helper, request, allowed, domain, rtt_ms, self)
+                if parts is None:
+                    here.extend(chunk)
+                    continue
+                self._delegated.append(parts)
+                self._allowed.update(allowed)
+                for service in chunk:
+                    self._add_source(service)
         return here
 
+    def _divide(self, domain, services):
+        """Return parts of the services, each with the daemon that gathers it.
+
+        No daemon stands for this one. Sending many sub-queries at once takes a
+        daemon longer than its servers need, so several share them.
+        """
+        desk = self._tier.desk
+        wanted = math.ceil(len(services) / PARTS_PER_DAEMON)
+        if domain == desk.domain:
+            gatherers = [None, *desk.helpers(domain, wanted - 1)]
+        elif len(services) >= MIN_PARTS:
+            gatherers = desk.helpers(domain, wanted) or [None]
+        else:
+            gatherers = [None]
+        size = math.ceil(len(services) / len(gatherers))
+        return [
+            (gatherer, services[number * size : (number + 1) * size])
+            for number, gatherer in enumerate(gatherers)
+        ]
+
     def _by_domain(self, services):
-        """Return services with their best servers by failure domain, and those here."""
+        """Return services with their best servers by failure domain."""
         request, directory = self._request, self._tier.directory
         own_domain = self._tier.desk.domain
         route = request.route
         work_ms = request.timing.usual_work_ms
-        groups, here = {}, []
+        groups = {}
         for service in services:
             best = directory.best(service, route.regions, work_ms, route.max_attempts)
             domain = best[0].entry.failure_domain if best else own_domain
-            if domain == own_domain:
-                here.append(service)
-            else:
-                groups.setdefault(domain, {})[service] = best
-        return groups, here
+            groups.setdefault(domain, {})[service] = best
+        return groups
+
+    def _add_source(self, service):
+        """Take that one more delivery or daemon may answer for a service."""
+        self._sources[service] += 1
+        if service not in self._answered:
+            self._waiting.add(service)
+
+    def _drop_source(self, service):
+        """Take that a delivery or daemon has ended for a service."""
+        self._sources[service] -= 1
+        if not self._sources[service]:
+            self._waiting.discard(service)
+
+    def _add_parts(self, services, proofs, records):
+        """Take answers."""
+        self._parts.append(_Parts(services, proofs, records))
+        self._answered.update(services)
+        self._waiting.difference_update(services)
 
     def _send_here(self, services, sent_before=False):
         request = self._request
@@ -153,7 +195,7 @@
         ]
         self._deliveries.extend(deliveries)
         for delivery in deliveries:
-            self._sources[delivery.service] += 1
+            self._add_source(delivery.service)
         for delivery in deliveries:
             if not self._finished:
                 delivery.start()
@@ -174,12 +216,11 @@
         if self._finished:
             return
         self._ran = self._ran or result.may_have_run
-        self._sources[delivery.service] -= 1
-        if result.answered and delivery.service not in self._answered():
+        service = delivery.service
+        self._drop_source(service)
+        if result.answered and service not in self._answered:
             attempt = result.attempt
-            self._parts.append(
-                _Parts([delivery.service], [attempt.marks.proof], attempt.response.body)
-            )
+            self._add_parts([service], [attempt.marks.proof], attempt.response.body)
         self._check()
 
     def delegate_reported(self, message, domain):
@@ -192,14 +233,14 @@
             # Its records are merged, so they replace single parts of its services.
             covered = frozenset(message.services)
             self._parts = [p for p in self._parts if not p.services & covered]
-            self._parts.append(_Parts(covered, message.proofs, message.records))
+            self._add_parts(covered, message.proofs, message.records)
         unsent = []
         for service, may_have_run in message.failed:
-            self._sources[service] -= 1
+            self._drop_source(service)
             if not may_have_run and not self._sources[service]:
                 unsent.append(service)
         for service in message.services:
-            self._sources[service] -= 1
+            self._drop_source(service)
         # What has not been sent there may be sent from here.
         self._send_here(unsent)
         if not self._finished:
@@ -225,31 +266,22 @@
         self._tier.metrics.count("delegation.lost")
         self._ran = True
         for service in services:
-            self._sources[service] -= 1
+            self._drop_source(service)
         unasked = [s for s in sorted(services) if not self._sources[s]]
         self._send_here(unasked, sent_before=True)
         if not self._finished:
             self._check()
 
-    def _answered(self):
-        return frozenset().union(*(parts.services for parts in self._parts))
-
     def _check(self):
-        answered = self._answered()
-        waiting = sum(
-            1
-            for service, sources in self._sources.items()
-            if sources and service not in answered
-        )
-        if not waiting:
+        if not self._waiting:
             self._settle()
-        elif len(answered) + waiting < self._needed:
+        elif len(self._answered) + len(self._waiting) < self._needed:
             self._refuse("too few shards can answer")
         elif self._enough() and self._late():
             self._settle()
 
     def _enough(self):
-        return len(self._answered()) >= self._needed
+        return len(self._answered) >= self._needed
 
     def _late(self):
         """Return whether the time for missing parts is over."""
