Notice settings that change without a signal; apply them to all parts

Cause: the platform may change the settings file without SIGHUP, and a reload reached only the time to stop, since the other parts had copied their values. Change: the file is looked at each second, and all parts read one object of bounds. Before: the new step waits for ever. After: it passes within 3 s.

--- a/hemlockspoke/platform/edge.py
+++ b/hemlockspoke/platform/edge.py
@@ -10,7 +10,7 @@
 from hemlockspoke.platform.feeds import KindSource, sinks_by_kind
 from hemlockspoke.platform.headers import PlatformCodec
 from hemlockspoke.platform.registrations import Registrations
-from hemlockspoke.platform.settings import read_settings
+from hemlockspoke.platform.settings import read_settings, settings_version
 from hemlockspoke.platform.store import StoreCalls
 from hemlockspoke.tier.edge_daemon import EdgeDaemon
 from hemlockspoke.tier.metrics import MetricsRegistry
@@ -50,6 +50,7 @@
 
     daemon = build(settings, reactor)
     daemon.read_settings = lambda: read_settings(path)
+    daemon.settings_version = lambda: settings_version(path)
     signal.signal(signal.SIGTERM, daemon.terminate)
     signal.signal(signal.SIGINT, daemon.terminate)
     signal.signal(signal.SIGHUP, daemon.reload)
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -26,10 +26,8 @@
     """
 
     __slots__ = (
+        "_bounds",
         "_clock",
-        "_cold_overshoot",
-        "_cold_slack",
-        "_drain_ms",
         "_failure_domains",
         "_reactor",
         "_region",
@@ -48,9 +46,7 @@
         self._clock = clock
         self._region = region
         self._failure_domains = failure_domains
-        self._drain_ms = bounds.drain_ms
-        self._cold_overshoot = bounds.cold_overshoot
-        self._cold_slack = bounds.cold_slack
+        self._bounds = bounds
         self.parts = Apportionment(vm, region)
         self.routing = None
         self.servers_known = False
@@ -113,7 +109,8 @@
         limits = self.routing.services.get(upstream.entry.service)
         if limits is None or not limits.cold_per_s or not upstream.cold(now_ms):
             return True
-        bound = limits.cold_per_s * self._cold_overshoot + self._cold_slack
+        bounds = self._bounds
+        bound = limits.cold_per_s * bounds.cold_overshoot + bounds.cold_slack
         allowed = self.parts.cold_requests(upstream.server_id, bound)
         return upstream.sent_within_second(now_ms) < allowed
 
@@ -147,7 +144,7 @@
         upstream.cold_until_ms = now_ms + entry.cold_ms if entry.cold_ms else 0.0
         if entry.state is ServerState.DRAINING:
             if upstream.leaving_until_ms is None:
-                self._leave(upstream, self._drain_ms * LEAVING_PART)
+                self._leave(upstream, self._bounds.drain_ms * LEAVING_PART)
         elif upstream.leaving_until_ms is not None:
             self._log_server(entry, "returned")
             upstream.leaving_until_ms = None
@@ -160,9 +157,9 @@
         upstream.listed = False
         self._log_server(upstream.entry, reason)
         if upstream.leaving_until_ms is not None:
-            self._forget_later(upstream, self._drain_ms)
+            self._forget_later(upstream, self._bounds.drain_ms)
             return
-        limit_ms = self._drain_ms * LEAVING_PART
+        limit_ms = self._bounds.drain_ms * LEAVING_PART
         self._leave(upstream, limit_ms if grace_ms is None else grace_ms)
 
     def misdirected(self, upstream, detail):
@@ -225,7 +222,7 @@
 
     def _leave(self, upstream, grace_ms):
         upstream.leaving_until_ms = self._clock.now_ms() + grace_ms
-        self._forget_later(upstream, max(grace_ms, self._drain_ms))
+        self._forget_later(upstream, max(grace_ms, self._bounds.drain_ms))
 
     def _forget_later(self, upstream, delay_ms):
         """Forget a server once work sent to it earlier has ended."""
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -25,6 +25,8 @@
 # At the first start traffic comes some seconds later, and one daemon of each failure
 # domain can read for all.
 FIRST_START_HOLD_MS = 2000.0
+# Settings may change without a signal, and the bounds on changes are seconds.
+SETTINGS_CHECK_MS = 1000.0
 # Connections that wait to be accepted while the daemon is busy.
 LISTEN_BACKLOG = 512
 
@@ -54,7 +56,10 @@
         self._leaving_ms = None
         self._members = None
         self._ports = []
+        # Reads the settings, and tells a version of them that is cheap to compare.
         self.read_settings = None
+        self.settings_version = None
+        self._settings_seen = None
         bounds = settings.bounds
         self.directory = Directory(
             reactor,
@@ -156,6 +161,8 @@
         if settings.metrics_address is not None:
             self._listen(settings.metrics_address, self._metrics_site)
         self._ports.append(self._network.listen(settings.peer_address))
+        if self.settings_version is not None:
+            self.watch_settings()
         self._relay.start(FIRST_START_HOLD_MS if settings.first_start else 0.0)
         if self._members is not None:
             self._members.start()
@@ -186,6 +193,18 @@
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         request.respond(200, headers, self._metrics.to_text().encode())
 
+    def watch_settings(self):
+        """Read the settings again whenever they change, with or without a signal."""
+        self._settings_seen = self.settings_version()
+        self._clock.call_later(SETTINGS_CHECK_MS, self._check_settings)
+
+    def _check_settings(self):
+        version = self.settings_version()
+        if version != self._settings_seen:
+            self._settings_seen = version
+            self._reload()
+        self._clock.call_later(SETTINGS_CHECK_MS, self._check_settings)
+
     def reload(self, *_):
         """Handle SIGHUP: read the settings again."""
         self._reactor.callFromThread(self._reload)
@@ -196,7 +215,7 @@
         except HumanReadableError as error:
             logger.error("settings not taken", extra={"reason": str(error)})
             return
-        self._settings.bounds = settings.bounds
+        self._settings.bounds.take(settings.bounds)
         logger.info("settings read again")
 
     def terminate(self, *_):
--- a/hemlockspoke/tier/edge_settings.py
+++ b/hemlockspoke/tier/edge_settings.py
@@ -53,6 +53,11 @@
         self.cold_overshoot = cold_overshoot
         self.cold_slack = cold_slack
 
+    def take(self, other):
+        """Take the values of other bounds; all parts of a daemon hold this object."""
+        for name in self.__slots__:
+            setattr(self, name, getattr(other, name))
+
     def longest_watch_ms(self):
         """Return how long a watch may wait."""
         change_ms = min(self.config_apply_ms, self.drain_ms, self.evacuate_ms)
--- a/hemlockspoke/tier/extra_load.py
+++ b/hemlockspoke/tier/extra_load.py
@@ -38,21 +38,17 @@
     """
 
     __slots__ = (
+        "_bounds",
         "_buckets",
         "_clock",
         "_fresh",
         "_member_count",
-        "_ratio",
-        "_slack",
         "_started_ms",
-        "_window_ms",
     )
 
     def __init__(self, clock, bounds, member_count, fresh=False):
         self._clock = clock
-        self._ratio = bounds.extra_load_ratio * RATIO_PART
-        self._slack = bounds.extra_load_slack * SLACK_PART
-        self._window_ms = bounds.extra_load_window_ms
+        self._bounds = bounds
         self._member_count = member_count
         self._fresh = fresh
         self._started_ms = clock.now_ms()
@@ -60,7 +56,7 @@
 
     def burst(self):
         """Return the most tokens that a service may have saved."""
-        return max(MIN_BURST, SAVED_PART * self._slack / self._member_count())
+        return max(MIN_BURST, SAVED_PART * self._slack())
 
     def hedge_reserve(self):
         """Return the tokens that a hedge leaves untouched."""
@@ -72,7 +68,11 @@
 
     def _returned(self):
         """Return the tokens that come back in a window."""
-        return (1.0 - SAVED_PART) * self._slack / self._member_count()
+        return (1.0 - SAVED_PART) * self._slack()
+
+    def _slack(self):
+        """Return this daemon's part of the slack of a window."""
+        return SLACK_PART * self._bounds.extra_load_slack / self._member_count()
 
     def _bucket(self, service):
         """Return the bucket of a service as it is now."""
@@ -82,7 +82,7 @@
         if bucket is None:
             start = burst if self._fresh else 0.0
             bucket = self._buckets[service] = _Bucket(start, self._started_ms)
-        windows = (now_ms - bucket.at_ms) / self._window_ms
+        windows = (now_ms - bucket.at_ms) / self._bounds.extra_load_window_ms
         bucket.tokens = min(burst, bucket.tokens + self._returned() * windows)
         bucket.at_ms = now_ms
         return bucket
@@ -90,7 +90,8 @@
     def earn(self, service):
         """Add what the first arrival of a request earns."""
         bucket = self._bucket(service)
-        bucket.tokens = min(self.burst(), bucket.tokens + self._ratio)
+        earned = RATIO_PART * self._bounds.extra_load_ratio
+        bucket.tokens = min(self.burst(), bucket.tokens + earned)
 
     def take(self, service, reserve=0.0):
         """Take a token, leaving ``reserve`` tokens; False if there are too few."""
--- a/tests/features/edge_settings.feature
+++ b/tests/features/edge_settings.feature
@@ -31,5 +31,7 @@
     Then it has 9000 ms to stop
     When its settings cannot be read and it is told to read them
     Then it has 9000 ms to stop
+    When its settings change to 7000 ms to stop without a signal
+    Then it has 7000 ms to stop within 3000 ms
     When a caller sends an item request to "e1"
     Then it gets 200 with the proof and the body of one server
--- a/tests/features/steps/edge_settings_steps.py
+++ b/tests/features/steps/edge_settings_steps.py
@@ -1,11 +1,18 @@
 """Steps on the platform's settings file."""
 
+import tempfile
+from pathlib import Path
+
 from behave import given, then, when
 
 from hemlockspoke.errors import HumanReadableError
-from hemlockspoke.platform.settings import parse_settings, read_settings
+from hemlockspoke.platform.settings import (
+    parse_settings,
+    read_settings,
+    settings_version,
+)
 from hemlockspoke.tier.edge_settings import Bounds
-from tests.reactor_thread import in_reactor
+from tests.reactor_thread import in_reactor, wait_until
 
 GOOD = {
     "node_name": "e1",
@@ -85,3 +92,23 @@
 @then("it has {stop_ms:d} ms to stop")
 def step_stop(context, stop_ms):
     assert context.world.daemons["e1"]._settings.bounds.shutdown_ms == stop_ms
+
+
+@when("its settings change to {stop_ms:d} ms to stop without a signal")
+def step_change_file(context, stop_ms):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    path = Path(folder.name) / "boot.conf"
+    lines = "\n".join(f"{n}={v}" for n, v in GOOD.items())
+    path.write_text(lines)
+    daemon = context.world.daemons["e1"]
+    daemon.read_settings = lambda: read_settings(path)
+    daemon.settings_version = lambda: settings_version(path)
+    in_reactor(daemon.watch_settings)
+    path.write_text(f"{lines}\nbounds.grace_s={stop_ms / 1000}")
+
+
+@then("it has {stop_ms:d} ms to stop within {limit_ms:d} ms")
+def step_stop_soon(context, stop_ms, limit_ms):
+    bounds = context.world.daemons["e1"]._settings.bounds
+    wait_until(lambda: bounds.shutdown_ms == stop_ms, timeout_s=limit_ms / 1000)
