Say in the log why a hedge does not leave

Cause: a sub-query shown as waiting did not tell whether its hedge had been held back for its load, for the time left, or for want of another server.

--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -240,6 +240,8 @@
         if now_ms < self._aim_ms < now_ms + needed_ms:
             # It would come too late for the aim and only add to the load of slow
             # servers. After the aim it still helps a caller who waits.
+            left_ms = self._aim_ms - now_ms
+            self.reason = f"no hedge: needs {needed_ms:.0f} of {left_ms:.0f} ms"
             self._timer = clock.call_later(
                 self._aim_ms - now_ms + 1.0, self._overdue, attempt
             )
--- a/hemlockspoke/tier/journal.py
+++ b/hemlockspoke/tier/journal.py
@@ -10,7 +10,7 @@
         attempts = delivery.attempts
         if len(attempts) == 1 and attempts[0].verdict is Verdict.ANSWER:
             continue
-        if not attempts:
+        if delivery.reason:
             lines.append(f"{delivery.service} {delivery.reason}")
         for attempt in attempts:
             verdict = attempt.verdict.value if attempt.verdict else "waiting"
