Give the hubs of a failure domain connections to servers of other regions

Cause: of 58 connections that a server accepts, the daemons of its own region got 42, although 24 daemons could use one each only; 13 of 49 others had one. The new log line showed it: "no hedge: no other server" for most parts that stayed out. Change: half of the daemons of a failure domain are its hubs. They gather parts for the others, and each keeps a connection to every server as long as each near daemon has one. Where a domain has up to 6 daemons all are hubs, as before.

--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -299,7 +299,7 @@
         now_ms = self.clock.now_ms()
         helpers = [
             vm
-            for vm in self._fellows.in_domain(domain)
+            for vm in self._fellows.hubs(domain)
             if self._suspects.get(vm, 0.0) <= now_ms and not self._leaving(vm)
         ]
         return helpers[:count]
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -233,6 +233,7 @@
             return
         other = self._pick(spare=True)
         if other is None:
+            self.reason = "no hedge: no other server"
             return
         clock = self._tier.clock
         now_ms = clock.now_ms()
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -41,13 +41,13 @@
         "upstreams",
     )
 
-    def __init__(self, reactor, clock, vm, region, failure_domains, bounds):
+    def __init__(self, reactor, clock, vm, domain, failure_domains, bounds):
         self._reactor = reactor
         self._clock = clock
-        self._region = region
+        self._region = failure_domains.get(domain, "")
         self._failure_domains = failure_domains
         self._bounds = bounds
-        self.parts = Apportionment(vm, region)
+        self.parts = Apportionment(vm, domain, failure_domains)
         self.routing = None
         self.servers_known = False
         self.upstreams = {}
@@ -83,24 +83,24 @@
             logger.info("failure domains out", extra={"domains": sorted(names)})
             self.domains_out = names
 
-    def set_members(self, names_by_region):
-        """Take the daemons of each region, which share the servers' limits."""
-        if self.parts.set_members(names_by_region):
-            counts = {region: len(names) for region, names in names_by_region.items()}
-            logger.info("members", extra={"by_region": counts})
+    def set_members(self, names_by_domain):
+        """Take the daemons of each domain, which share the servers' limits."""
+        if self.parts.set_members(names_by_domain):
+            counts = {domain: len(names) for domain, names in names_by_domain.items()}
+            logger.info("members", extra={"by_domain": counts})
             self._set_connection_limits()
 
     def _set_connection_limits(self):
         for upstream in self.upstreams.values():
-            upstream.pool.limit = self._connection_limit(
-                upstream.entry, upstream.region
-            )
+            upstream.pool.limit = self._connection_limit(upstream.entry)
 
-    def _connection_limit(self, entry, region):
+    def _connection_limit(self, entry):
         limits = self.routing.services.get(entry.service) if self.routing else None
         if limits is None:
             return 0
-        return self.parts.connections(entry.server_id, region, limits.max_connections)
+        return self.parts.connections(
+            entry.server_id, entry.failure_domain, limits.max_connections
+        )
 
     def _may_send(self, upstream, now_ms):
         """Return whether this daemon's parts of the limits allow a request."""
@@ -212,7 +212,7 @@
             self._reactor,
             self._clock,
             entry.address,
-            self._connection_limit(entry, region),
+            self._connection_limit(entry),
         )
         upstream = Upstream(entry, pool, region, region == self._region)
         self.upstreams[entry.server_id] = upstream
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -65,7 +65,7 @@
             reactor,
             clock,
             settings.vm,
-            settings.region,
+            settings.failure_domain,
             settings.failure_domains,
             bounds,
         )
@@ -96,7 +96,12 @@
             PeerTimings(),
             self._metrics,
         )
-        self._fellows = Fellows(settings.vm, settings.failure_domain, self._network)
+        self._fellows = Fellows(
+            settings.vm,
+            settings.failure_domain,
+            self._network,
+            self.directory.parts.hubs,
+        )
         self._wait_ms = settings.bounds.longest_watch_ms()
         self._relay = Relay(
             self._clock,
@@ -131,9 +136,9 @@
 
     def _found(self, fellows):
         """Take the list of registered daemons, without this one."""
-        names = {self._settings.region: [self._settings.vm]}
+        names = {self._settings.failure_domain: [self._settings.vm]}
         for fellow in fellows:
-            names.setdefault(fellow.region, []).append(fellow.vm)
+            names.setdefault(fellow.failure_domain, []).append(fellow.vm)
         self.directory.set_members(names)
         self._fellows.set_all(fellows)
         if self._fellows.lowest_in_domain():
--- a/hemlockspoke/tier/fellows.py
+++ b/hemlockspoke/tier/fellows.py
@@ -29,12 +29,13 @@
 class Fellows:
     """Chooses the daemons to keep streams to, and finds one by place."""
 
-    __slots__ = ("_all", "_network", "domain", "vm")
+    __slots__ = ("_all", "_hubs", "_network", "domain", "vm")
 
-    def __init__(self, vm, failure_domain, network):
+    def __init__(self, vm, failure_domain, network, hubs):
         self.vm = vm
         self.domain = failure_domain
         self._network = network
+        self._hubs = hubs
         self._all = {}
 
     def set_all(self, fellows):
@@ -56,7 +57,8 @@
             if domain == self.domain:
                 groups[domain] = sorted(names)[:DOMAIN_PEERS]
             else:
-                groups[domain] = rank(self.vm, names)[:DELEGATES_PER_DOMAIN]
+                hubs = rank(self.vm, self._hubs(domain))
+                groups[domain] = hubs[:DELEGATES_PER_DOMAIN]
         return groups
 
     def knows(self, vm):
@@ -74,9 +76,10 @@
         """Return the daemons of the own failure domain with an open stream."""
         return self._connected_in(self.domain)
 
-    def in_domain(self, domain):
-        """Return the daemons of a failure domain with an open stream, best first."""
-        return rank(self.vm, self._connected_in(domain))
+    def hubs(self, domain):
+        """Return the hubs of a failure domain with an open stream, best first."""
+        connected = set(self._connected_in(domain))
+        return rank(self.vm, [vm for vm in self._hubs(domain) if vm in connected])
 
     def _connected_in(self, domain):
         return [
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -134,7 +134,8 @@
         """
         desk = self._tier.desk
         wanted = math.ceil(len(services) / PARTS_PER_DAEMON)
-        if domain == desk.domain:
+        is_hub = self._tier.directory.parts.is_hub()
+        if domain == desk.domain and is_hub:
             gatherers = [None, *desk.helpers(domain, wanted - 1)]
         elif len(services) >= MIN_PARTS:
             gatherers = desk.helpers(domain, wanted) or [None]
--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -54,6 +54,12 @@
   Scenario: connections of all daemons stay within what a server accepts
     Then for any fleet the connections to a server are fewer than its cap
 
+  Scenario: the hubs of all regions reach a server that accepts few connections
+    # Guards against hedges that no daemon may send across regions.
+    Given 12 daemons in each of 2 failure domains of 3 regions
+    Then each daemon near a server that accepts 58 connections may open one
+    And each hub of the other regions may open one
+
   Scenario: requests of all daemons to a cold server stay within what it bears
     Then for any fleet the cold requests in a second are fewer than the bound
 
--- a/tests/features/steps/edge_decisions_steps.py
+++ b/tests/features/steps/edge_decisions_steps.py
@@ -198,8 +198,11 @@
     members = {
         region: [f"{region}{n}" for n in range(fleet[region])] for region in fleet
     }
+    regions = {region: region for region in fleet}
     parts = [
-        Apportionment(vm, region) for region, names in members.items() for vm in names
+        Apportionment(vm, region, regions)
+        for region, names in members.items()
+        for vm in names
     ]
     for part in parts:
         part.set_members(members)
@@ -230,8 +233,8 @@
 def step_cold_server(context):
     bounds = Bounds(cold_overshoot=1.5, cold_slack=5.0)
     context.clock = ManualClock()
-    directory = Directory(None, context.clock, "e1", "a", {"a1": "a"}, bounds)
-    directory.set_members({"a": ["e1", "e2"]})
+    directory = Directory(None, context.clock, "e1", "a1", {"a1": "a"}, bounds)
+    directory.set_members({"a1": ["e1", "e2"]})
     limits = ServiceLimits("shard", 50, cold_per_s=10.0)
     directory.adopt_routing(RoutingTable(1, [], [limits]))
     address = Address("127.0.0.1", 1)
@@ -269,12 +272,12 @@
 
 @then("9 daemons that know of no other stay within what a server accepts")
 def step_unknowing(context):
-    assert 9 * Apportionment("e1", "a").connections("s1", "a", 26) <= 26
+    assert 9 * Apportionment("e1", "a", {}).connections("s1", "a", 26) <= 26
 
 
 @then("they save no more extra arrivals than 9 daemons may")
 def step_unknowing_extra(context):
-    count = Apportionment("e1", "a").count
+    count = Apportionment("e1", "a", {}).count
     load = ExtraLoad(ManualClock(), BOUNDS, count, fresh=False)
     assert 9 * load.window_limit() <= SLACK
 
--- a/tests/features/steps/edge_timing_steps.py
+++ b/tests/features/steps/edge_timing_steps.py
@@ -4,6 +4,7 @@
 
 from hemlockspoke.address import Address
 from hemlockspoke.clock import ManualClock
+from hemlockspoke.tier.apportion import Apportionment
 from hemlockspoke.tier.feed import Change, Feed, Page
 from hemlockspoke.tier.upstreams import ServerEntry, Upstream
 from tests.features.steps.edge_decisions_steps import FakePool
@@ -76,3 +77,39 @@
 def step_newest(context, lag_ms):
     oldest = 1 + int((context.clock.now_ms() - lag_ms) / context.source._period_ms)
     assert context.sink.revision >= oldest
+
+
+@given(
+    "{daemons:d} daemons in each of {domains:d} failure domains of {regions:d} regions"
+)
+def step_large_fleet(context, daemons, domains, regions):
+    region_of = {f"{r}{d}": f"{r}" for r in range(regions) for d in range(domains)}
+    members = {
+        domain: [f"vm-{domain}-{n}" for n in range(daemons)] for domain in region_of
+    }
+    context.region_of = region_of
+    context.parts = {}
+    for domain, names in members.items():
+        for vm in names:
+            part = context.parts[vm] = Apportionment(vm, domain, region_of)
+            part.set_members(members)
+    context.members = members
+
+
+@then("each daemon near a server that accepts {cap:d} connections may open one")
+def step_near(context, cap):
+    context.limits = {
+        vm: part.connections("s1", "00", cap) for vm, part in context.parts.items()
+    }
+    assert sum(context.limits.values()) <= cap
+    for domain in ("00", "01"):
+        assert all(context.limits[vm] >= 1 for vm in context.members[domain])
+
+
+@then("each hub of the other regions may open one")
+def step_far_hubs(context):
+    some = context.parts["vm-00-0"]
+    for domain, region in context.region_of.items():
+        if region != "0":
+            assert some.hubs(domain)
+            assert all(context.limits[vm] >= 1 for vm in some.hubs(domain))
