Ask a hub near the second server for parts that stay out

Cause: a hedge across regions opens a connection first: two round trips of 40 ms before the work begins, too late for an aim of 108 or 148 ms. Change: when a second server must be asked to answer by the aim, the daemon that puts the answer together asks hubs near the second servers for all missing parts, unless a quarter of them is missing. Estimates count the way of a new connection. Such answers are reported one by one, so that none is lost where reports overlap. Found beside it: daemons of two test processes shared hosts, so that the port of the metrics was taken; each process now uses hosts of its own.

--- a/hemlockspoke/http1/connection.py
+++ b/hemlockspoke/http1/connection.py
@@ -220,6 +220,10 @@
         """Return whether a request would be sent without waiting for another."""
         return bool(self._idle) or len(self._open) + self._connecting < self.limit
 
+    def has_idle(self):
+        """Return whether a connection is open and free."""
+        return bool(self._idle)
+
     def _take_idle(self, fresh_only):
         now_ms = self._clock.now_ms()
         while self._idle:
--- a/hemlockspoke/messages.py
+++ b/hemlockspoke/messages.py
@@ -288,8 +288,10 @@
     """Asks a daemon near the servers to gather parts of a query.
 
     ``services`` lists ``[shard, [server, ...]]``: the shards wanted, and the servers
-    of each that the query may be sent to. ``aim_in_ms`` and ``remaining_ms`` count
-    from the sending. ``headers`` are those of the caller.
+    of each that the query may be sent to. ``aim_in_ms``, ``remaining_ms`` and
+    ``report_in_ms``, when a first report is wanted, count from the sending.
+    ``headers`` are those of the caller. ``repeat`` tells that another server of each
+    shard has the query already; each answer is then reported by itself.
     """
 
     __slots__ = (
@@ -303,6 +305,8 @@
         "top_k",
         "aim_in_ms",
         "remaining_ms",
+        "report_in_ms",
+        "repeat",
     )
 
 
--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -9,10 +9,7 @@
 import logging
 
 from hemlockspoke.messages import GatherCancel, GatherParts, GatherRequest
-from hemlockspoke.tier.attempt import Work
-from hemlockspoke.tier.delivery import Delivery
-from hemlockspoke.tier.journal import describe_sends, printable
-from hemlockspoke.tier.merge import greatest_records
+from hemlockspoke.tier.gathered import GatheredParts
 
 logger = logging.getLogger(__name__)
 
@@ -26,6 +23,8 @@
 SUSPECT_MS = 1500.0
 # Part of the gathering daemon's time after which it sends what it has.
 FIRST_REPORT_PART = 0.45
+# Before this part hardly any server has answered.
+EARLIEST_REPORT_PART = 0.2
 # What the first report may take over a round trip, for a busy moment of either daemon.
 FIRST_REPORT_ALLOWANCE_MS = 25.0
 # Left to the asking daemon to read a report and to answer.
@@ -112,143 +111,18 @@
         self._desk.forget(self)
 
 
-class _GatheredHere:
-    """Parts that this daemon gathers for another one."""
+def first_report_ms(aim_in_ms, report_ms, start_ms):
+    """Return the time until the first report, in time for ``report_ms`` if it can be.
 
-    __slots__ = (
-        "_deliveries",
-        "_desk",
-        "_failed",
-        "_finished",
-        "_message",
-        "_parts",
-        "_peer",
-        "_query_id",
-        "_resolved",
-        "_started_ms",
-        "_timers",
-        "_top_k",
-        "attempt_id",
-    )
-
-    def __init__(self, desk, peer, message):
-        self._desk = desk
-        self._peer = peer
-        self._message = message
-        self._query_id = message.query_id
-        self._top_k = message.top_k
-        self._parts = []
-        self._started_ms = desk.clock.now_ms()
-        self._failed = []
-        self._resolved = 0
-        self._finished = False
-        self._timers = []
-        self._deliveries = []
-        self.attempt_id = None
-
-    def start(self, tier, route, timing):
-        """Send the sub-queries."""
-        message = self._message
-        now_ms = tier.clock.now_ms()
-        headers = [(bytes(name), bytes(value)) for name, value in message.headers]
-        self.attempt_id = tier.codec.read_caller(headers).attempt_id
-        work = Work(
-            message.method,
-            message.target,
-            headers,
-            b"",
-            self.attempt_id,
-            now_ms + message.remaining_ms,
-            True,
-        )
-        aim_ms = now_ms + message.aim_in_ms
-        self._deliveries = [
-            Delivery(
-                tier,
-                service,
-                route,
-                work,
-                timing,
-                aim_ms,
-                self._delivered,
-                only=frozenset(allowed),
-            )
-            for service, allowed in message.services
-        ]
-        first_ms = FIRST_REPORT_PART * message.aim_in_ms
-        call_later = tier.clock.call_later
-        self._timers = [
-            call_later(first_ms, self._report, False),
-            call_later(max(first_ms, message.aim_in_ms), self._at_aim),
-            call_later(message.remaining_ms, self._report, True),
-        ]
-        # An empty report at once tells the asking daemon that this one lives.
-        self._report(last=False)
-        for delivery in self._deliveries:
-            if not self._finished:
-                delivery.start()
-
-    def _delivered(self, delivery, result):
-        if self._finished:
-            return
-        self._resolved += 1
-        if result.answered:
-            took_ms = self._desk.clock.now_ms() - self._started_ms
-            self._parts.append((delivery.service, result.attempt, took_ms))
-        else:
-            self._failed.append([delivery.service, result.may_have_run])
-        if self._resolved == len(self._deliveries):
-            self._report(last=True)
-
-    def _at_aim(self):
-        """Report what came since the first report; late parts still count later."""
-        if not self._finished and (self._parts or self._failed):
-            self._report(last=False)
-
-    def _report(self, last):
-        if self._finished:
-            return
-        parts, self._parts = self._parts, []
-        failed, self._failed = self._failed, []
-        bodies = [attempt.response.body for _, attempt, _ in parts]
-        report = GatherParts(
-            query_id=self._query_id,
-            services=[service for service, _, _ in parts],
-            proofs=[attempt.marks.proof for _, attempt, _ in parts],
-            took_ms=[round(took_ms) for _, _, took_ms in parts],
-            records=greatest_records(bodies, self._top_k),
-            failed=failed,
-            last=last,
-        )
-        self._desk.send(self._peer, report)
-        if last:
-            self._end("reported")
-            for delivery in self._deliveries:
-                delivery.abandon()
-
-    def cancel(self):
-        """Stop: nobody waits for the parts."""
-        if not self._finished:
-            self._end("cancelled")
-            for delivery in self._deliveries:
-                delivery.cancel()
-
-    def _end(self, outcome):
-        self._finished = True
-        sends = describe_sends(self._deliveries)
-        if sends:
-            logger.info(
-                "gathered for a peer",
-                extra={
-                    "request": printable(self.attempt_id),
-                    "for_peer": self._peer,
-                    "outcome": outcome,
-                    "sends": sends,
-                },
-            )
-        for timer in self._timers:
-            timer.cancel()
-        self._desk.gathered(self._peer, self._query_id)
+    >>> first_report_ms(100.0, 60.0, 0.0), first_report_ms(100.0, None, 0.0)
+    (60.0, 45.0)
+    >>> first_report_ms(100.0, 60.0, 50.0)
+    45.0
+    """
+    usual_ms = FIRST_REPORT_PART * aim_in_ms
+    if report_ms is None or report_ms - start_ms < EARLIEST_REPORT_PART * aim_in_ms:
+        return usual_ms
+    return report_ms - start_ms
 
 
 class DelegationDesk:
@@ -312,8 +186,21 @@
         """Ask a daemon that has reported again."""
         self._suspects.pop(peer, None)
 
-    def ask(self, peer, request, allowed, domain, rtt_ms, gather):
-        """Hand parts of a query to a daemon of a domain; None if it is not reached."""
+    def ask(
+        self,
+        peer,
+        request,
+        allowed,
+        domain,
+        rtt_ms,
+        gather,
+        report_ms=None,
+        repeat=False,
+    ):
+        """Hand parts of a query to a daemon of a domain; None if it is not reached.
+
+        ``report_ms`` is the time of the clock at which a first report is useful.
+        """
         now_ms = self.clock.now_ms()
         query_id = next(self._ids)
         route = request.route
@@ -330,6 +217,8 @@
             top_k=route.top_k,
             aim_in_ms=aim_in_ms,
             remaining_ms=max(1.0, request.caller_deadline_ms - now_ms - rtt_ms),
+            report_in_ms=first_report_ms(aim_in_ms, report_ms, now_ms + way_ms),
+            repeat=repeat,
         )
         if not self.send(peer, message):
             return None
@@ -377,7 +266,7 @@
             )
             self.send(vm, report)
             return
-        gathering = _GatheredHere(self, vm, message)
+        gathering = GatheredParts(self, vm, message)
         self._here[vm, message.query_id] = gathering
         gathering.start(self._tier, route, self._timings.of(route))
 
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -115,6 +115,17 @@
         """Return the attempts that have not ended."""
         return [attempt for attempt in self.attempts if attempt.in_flight]
 
+    def leave_to_other(self, upstream):
+        """Let another daemon send the request to a server; False if it may not.
+
+        From now on no server gets it from here that has not got it yet.
+        """
+        used = self._servers | {upstream}
+        if upstream in self._servers or len(used) > self._max_attempts:
+            return False
+        self._only = {u.server_id for u in self._servers}
+        return True
+
     def cancel(self):
         """End all attempts at once: the caller has gone."""
         self.done = True
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -3,14 +3,17 @@
 import math
 
 from hemlockspoke.tier.attempt import Work
-from hemlockspoke.tier.delegation import MIN_PARTS, PARTS_PER_DAEMON
 from hemlockspoke.tier.delivery import Delivery
+from hemlockspoke.tier.gather_plan import GatherPlan
 from hemlockspoke.tier.merge import greatest_records
 from hemlockspoke.tier.replies import Refusal
 
 # After the aim an answer is worth little; callers of a late one rather wait this
 # part of the aim for the missing parts.
 LATE_PATIENCE = 0.5
+# If more parts than this are missing, their servers are short of room rather than
+# paused, and more load makes that worse.
+MAX_SECOND_PART = 0.25
 NO_ANSWER_IN_TIME = "no answer in time"
 
 
@@ -45,8 +48,11 @@
         "_needed",
         "_on_answer",
         "_parts",
+        "_plan",
         "_ran",
         "_request",
+        "_second_ms",
+        "_second_timer",
         "_shards",
         "_sources",
         "_tier",
@@ -69,7 +75,11 @@
         self._waiting = set()
         self._ran = False
         self._finished = False
+        self._plan = None
         self._aim_timer = None
+        self._second_timer = None
+        # When second servers are asked, of the clock, or None if they are not.
+        self._second_ms = None
         self._deadline_timer = None
         self._shards = len(request.route.shards)
         # The tolerance keeps 0.9 of 10 shards from becoming 10 by rounding.
@@ -103,62 +113,59 @@
         request, desk = self._request, self._tier.desk
         if desk is None or request.http.body:
             return services
-        groups = self._by_domain(services)
+        plan = self._plan = GatherPlan(self._tier, request)
+        clock = self._tier.clock
+        now_ms = clock.now_ms()
+        second_in_ms = plan.second_in_ms(now_ms)
+        if second_in_ms is not None:
+            self._second_ms = now_ms + second_in_ms
+            self._second_timer = clock.call_later(second_in_ms, self._ask_second)
         here = []
-        for domain, group in groups.items():
-            rtt_ms = max((s[0].rtt_ms for s in group.values() if s), default=0.0)
-            for helper, chunk in self._divide(domain, list(group)):
+        for domain, group in plan.by_domain().items():
+            rtt_ms = plan.rtt_ms(group)
+            for helper, chunk in plan.divide(domain, group):
                 # Both daemons send to the same servers, so that no more of them
                 # get the request than the route allows.
-                allowed = {
-                    service: [server.server_id for server in group[service]]
-                    for service in chunk
-                }
-                parts = None
-                if helper is not None:
-                    parts = desk.ask(helper, request, allowed, domain, rtt_ms, self)
-                if parts is None:
+                allowed = plan.allowed(chunk)
+                if helper is None or not self._ask(helper, allowed, domain, rtt_ms):
                     here.extend(chunk)
-                    continue
-                self._delegated.append(parts)
-                self._allowed.update(allowed)
-                for service in chunk:
-                    self._add_source(service)
+                else:
+                    self._allowed.update(allowed)
         return here
 
-    def _divide(self, domain, services):
-        """Return parts of the services, each with the daemon that gathers it.
-
-        No daemon stands for this one. Sending many sub-queries at once takes a
-        daemon longer than its servers need, so several share them.
+    def _ask(self, helper, allowed, domain, rtt_ms, repeat=False):
+        """Have a daemon gather services; False if it is not reached."""
+        request = self._request
+        parts = self._tier.desk.ask(
+            helper, request, allowed, domain, rtt_ms, self, self._second_ms, repeat
+        )
+        if parts is None:
+            return False
+        self._delegated.append(parts)
+        for service in allowed:
+            self._add_source(service)
+        return True
+
+    def _ask_second(self):
+        """Have the missing parts gathered from other servers as well.
+
+        A daemon near those servers has connections to them, while a hedge from here
+        would first have to open one across regions.
         """
-        desk = self._tier.desk
-        wanted = math.ceil(len(services) / PARTS_PER_DAEMON)
-        is_hub = self._tier.directory.parts.is_hub()
-        if domain == desk.domain and is_hub:
-            gatherers = [None, *desk.helpers(domain, wanted - 1)]
-        elif len(services) >= MIN_PARTS:
-            gatherers = desk.helpers(domain, wanted) or [None]
-        else:
-            gatherers = [None]
-        size = math.ceil(len(services) / len(gatherers))
-        return [
-            (gatherer, services[number * size : (number + 1) * size])
-            for number, gatherer in enumerate(gatherers)
-        ]
-
-    def _by_domain(self, services):
-        """Return services with their best servers by failure domain."""
-        request, directory = self._request, self._tier.directory
-        own_domain = self._tier.desk.domain
-        route = request.route
-        work_ms = request.timing.usual_work_ms
-        groups = {}
-        for service in services:
-            best = directory.best(service, route.regions, work_ms, route.max_attempts)
-            domain = best[0].entry.failure_domain if best else own_domain
-            groups.setdefault(domain, {})[service] = best
-        return groups
+        if self._finished or len(self._waiting) > MAX_SECOND_PART * self._shards:
+            return
+        here = {delivery.service: delivery for delivery in self._deliveries}
+        for domain, group in self._plan.second_choices(self._waiting).items():
+            allowed = {}
+            for service, server in group.items():
+                delivery = here.get(service)
+                if delivery is None or delivery.leave_to_other(server):
+                    allowed[service] = [server.server_id]
+            for helper in self._tier.desk.helpers(domain, 1):
+                if allowed:
+                    rtt_ms = max(group[service].rtt_ms for service in allowed)
+                    self._ask(helper, allowed, domain, rtt_ms, repeat=True)
+                    self._tier.metrics.count("hedges.delegated", len(allowed))
 
     def _add_source(self, service):
         """Take that one more delivery or daemon may answer for a service."""
@@ -230,9 +237,9 @@
         if self._finished:
             return
         self._ran = True
-        if message.services:
+        covered = frozenset(message.services)
+        if not covered <= self._answered:
             # Its records are merged, so they replace single parts of its services.
-            covered = frozenset(message.services)
             self._parts = [p for p in self._parts if not p.services & covered]
             self._add_parts(covered, message.proofs, message.records)
         unsent = []
@@ -338,7 +345,7 @@
     def _end(self, keep=True):
         """Stop the timers, and what nobody waits for any longer."""
         self._finished = True
-        for timer in (self._aim_timer, self._deadline_timer):
+        for timer in (self._aim_timer, self._second_timer, self._deadline_timer):
             if timer is not None:
                 timer.cancel()
         for parts in self._delegated:
--- a/hemlockspoke/tier/upstreams.py
+++ b/hemlockspoke/tier/upstreams.py
@@ -191,7 +191,9 @@
     def answer_ms(self, now_ms, work_ms):
         """Return the expected time to an answer by speed and load alone."""
         load = 1.0 + self.outstanding / max(1, self.entry.slots)
-        return self.rtt_ms + work_ms * self.slowness(now_ms) * load
+        # A new connection takes a round trip before the request can leave.
+        trips = 1.0 if self.pool.has_idle() else 2.0
+        return trips * self.rtt_ms + work_ms * self.slowness(now_ms) * load
 
     def expected_ms(self, now_ms, work_ms):
         """Return the expected time to an answer, with its risks."""
--- /dev/null
+++ b/tests/edge_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised runs of the platform's daemons as processes, with faults from outside."""
--- /dev/null
+++ b/tests/edge_soak/processes.py
@@ -0,0 +1,143 @@
+"""The platform's daemons as processes, between stand-ins behind proxies."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from twisted.internet import reactor
+
+from tests.edge_soak.proxy import LoopbackProxy
+from tests.platform_world import PlatformWorld
+from tests.reactor_thread import in_reactor
+
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+# The platform restarts a process that has ended after a short delay.
+RESTART_DELAY_S = 0.3
+GRACE_S = 4.0
+
+
+class DaemonProcess:
+    """One daemon: its settings file, its process and its log."""
+
+    def __init__(self, vm, folder, settings_text):
+        self.vm = vm
+        self.settings = folder / f"{vm}.conf"
+        self.settings.write_text(settings_text)
+        self.log = folder / f"{vm}.log"
+        self.process = None
+        # Set while the process is expected to end, or not to run.
+        self.disturbed = False
+        self.starts = 0
+
+    def start(self):
+        """Start the process; it writes its log to a file."""
+        self.starts += 1
+        environment = {
+            "HEMLOCKSPOKE_SETTINGS": str(self.settings),
+            "PATH": os.environ["PATH"],
+            "PYTHONPATH": os.environ.get("PYTHONPATH", str(Path.cwd())),
+        }
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "hemlockspoke.platform.edge"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number):
+        """Send a signal to the process if it runs."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def kill_and_restart(self):
+        """End the process at once, and start it again as the platform does."""
+        self.signal(signal.SIGKILL)
+        self.process.wait(STOP_TIMEOUT_S)
+        time.sleep(RESTART_DELAY_S)
+        self.start()
+
+    def terminate_and_restart(self):
+        """Ask the process to stop, and start it again; return its exit code."""
+        self.signal(signal.SIGTERM)
+        try:
+            code = self.process.wait(GRACE_S)
+        except subprocess.TimeoutExpired:
+            self.signal(signal.SIGKILL)
+            code = self.process.wait(STOP_TIMEOUT_S)
+        time.sleep(RESTART_DELAY_S)
+        self.start()
+        return code
+
+    def stop(self):
+        """End the process for good."""
+        if self.process is not None:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGKILL)
+            self.process.wait(STOP_TIMEOUT_S)
+
+
+class ProcessWorld(PlatformWorld):
+    """A platform whose daemons are processes, with a proxy on each way to it.
+
+    The ways are those of each daemon to the store, and of all daemons to a server.
+    """
+
+    def __init__(self, **options):
+        self.proxies = {}
+        self.store_proxies = {}
+        self._folder = tempfile.TemporaryDirectory(prefix="hemlockspoke-soak-")
+        self.folder = Path(self._folder.name)
+        super().__init__(**options)
+
+    def add_server(self, server_id, service, shard, zone, announce=True):
+        """Start a server behind a proxy, and write its entry."""
+        super().add_server(server_id, service, shard, zone, announce=False)
+        server = self.servers[server_id]
+        proxy = in_reactor(LoopbackProxy, reactor, self.clock, server.address)
+        self.proxies[server_id] = proxy
+        if announce:
+            self.announce(server_id)
+
+    def announce(self, server_id, state="ready"):
+        """Write the entry of a server, with the address of its proxy."""
+        address = self.proxies[server_id].address
+        entry = self.servers[server_id].entry(state, address=address)
+        self.put("servers", server_id, entry)
+
+    def add_daemon(self, vm, zone="a1", first_start=True, bounds=None):
+        """Start a daemon whose way to the store has a proxy."""
+        proxy = in_reactor(LoopbackProxy, reactor, self.clock, self.store.address)
+        self.store_proxies[vm] = proxy
+        bounds = {"grace_s": GRACE_S, **(bounds or {})}
+        text, host, ports = self.settings_text(
+            vm, zone, first_start, bounds, proxy.address
+        )
+        daemon = DaemonProcess(vm, self.folder, text)
+        self.daemons[vm] = daemon
+        self.addresses[vm] = host, ports
+        daemon.start()
+        return daemon
+
+    def wait_ready(self, *vms):
+        """Wait until daemons say that they are ready."""
+        for vm in vms or self.daemons:
+            end = time.monotonic() + READY_TIMEOUT_S
+            while self.ready_status(vm) != 200:
+                assert time.monotonic() < end, f"{vm} is not ready"
+                time.sleep(0.05)
+
+    def stop(self):
+        """End the processes that this world has started, and close everything."""
+        for daemon in self.daemons.values():
+            daemon.stop()
+        self.daemons.clear()
+        for proxy in [*self.proxies.values(), *self.store_proxies.values()]:
+            in_reactor(proxy.stop)
+        super().stop()
+        self._folder.cleanup()
--- a/tests/features/steps/edge_decisions_steps.py
+++ b/tests/features/steps/edge_decisions_steps.py
@@ -145,6 +145,9 @@
 
     connect_ms = None
 
+    def has_idle(self):
+        return True
+
     def free(self):
         return True
 
--- /dev/null
+++ b/tests/features/steps/edge_soak_steps.py
@@ -0,0 +1,15 @@
+"""Steps on soaks of the platform's daemons as processes."""
+
+from behave import then, when
+
+from tests.edge_soak.run import run
+
+
+@when("daemons run as processes for {duration_s:d} s with seed {seed:d}")
+def step_soak(context, duration_s, seed):
+    context.findings = run(seed, duration_s)
+
+
+@then("their callers and servers have found nothing")
+def step_nothing(context):
+    assert not context.findings, "\n".join(context.findings)
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import os
 import socket
 
 from twisted.internet import reactor
@@ -137,15 +138,27 @@
         }
 
     def add_daemon(self, vm, zone="a1", first_start=True, bounds=None):
-        """Start a daemon and wait until it is ready."""
+        """Start a daemon."""
+        text, host, ports = self.settings_text(vm, zone, first_start, bounds)
+        settings = parse_settings(text)
+        daemon = in_reactor(build, settings, reactor)
+        in_reactor(daemon.start)
+        self.daemons[vm] = daemon
+        self.addresses[vm] = host, ports
+        return daemon
+
+    def settings_text(self, vm, zone, first_start, bounds=None, store=None):
+        """Return a settings file for a new daemon, its host and its ports."""
         number = next(_numbers)
-        host = f"127.0.{number // 200}.{10 + number % 200}"
+        # Daemons of processes that run at the same time have hosts of their own,
+        # since the port of the metrics is the same on all.
+        network = 1 + os.getpid() % 250
+        host = f"127.{network}.{number // 200}.{10 + number % 200}"
         ports = {name: free_port(host) for name in ("frontend", "ready", "peer")}
         bound_lines = "\n".join(
             f"bounds.{name}={value}" for name, value in (bounds or {}).items()
         )
-        text = f"""
-node_name={vm}
+        text = f"""node_name={vm}
 zone={zone}
 region={ZONES[zone]}
 ip={host}
@@ -153,7 +166,7 @@
 listen_addrs.frontend={host}:{ports["frontend"]}
 listen_addrs.ready={host}:{ports["ready"]}
 internal_ports={ports["peer"]},{ports["peer"]}
-platform.address={self.store.address}
+platform.address={store or self.store.address}
 bootstrap={"true" if first_start else "false"}
 bounds.retry_budget_ratio=0.2
 bounds.retry_slack=100
@@ -161,12 +174,7 @@
 bounds.drain_ms=2000
 {bound_lines}
 """
-        settings = parse_settings(text)
-        daemon = in_reactor(build, settings, reactor)
-        in_reactor(daemon.start)
-        self.daemons[vm] = daemon
-        self.addresses[vm] = host, ports
-        return daemon
+        return text, host, ports
 
     def wait_ready(self, *vms):
         """Wait until daemons can route requests."""
@@ -179,9 +187,20 @@
         wait_until(lambda: len(network.connected()) >= count)
 
     def request(
-        self, vm, target, attempt, method=b"GET", body=b"", budget_ms=1500, extra=()
+        self,
+        vm,
+        target,
+        attempt,
+        method=b"GET",
+        body=b"",
+        budget_ms=1500,
+        extra=(),
+        pool=None,
     ):
-        """Send a request as a caller does and return its ``Reply``."""
+        """Send a request as a caller does and return its ``Reply``.
+
+        It goes on a connection of ``pool`` if one is given, else on a new one.
+        """
         host, ports = self.addresses[vm]
         return in_reactor(
             self._send,
@@ -195,21 +214,30 @@
                 *extra,
             ],
             body,
+            pool,
         )
 
+    def caller_pool(self, vm):
+        """Return a pool that keeps a caller's connection to a daemon."""
+        host, ports = self.addresses[vm]
+        address = Address(host, ports["frontend"])
+        return ConnectionPool(reactor, self.clock, address, 1)
+
     def ready_status(self, vm):
         """Return what the balancer's ready call gets."""
         host, ports = self.addresses[vm]
         address = Address(host, ports["ready"])
         return in_reactor(self._send, address, b"GET", b"/api/ready", [], b"").status
 
-    def _send(self, address, method, target, headers, body):
+    def _send(self, address, method, target, headers, body, pool=None):
         done = Deferred()
-        pool = ConnectionPool(reactor, self.clock, address, 1)
+        kept = pool is not None
+        pool = pool or ConnectionPool(reactor, self.clock, address, 1)
 
         def responded(response):
             done.callback(Reply(response.status, response.headers, response.body))
-            pool.close_when_done()
+            if not kept:
+                pool.close_when_done()
 
         def lost(loss, detail):
             done.callback(Reply(None, [], detail.encode()))
