--- a/tests/features/edge_peers.feature
+++ b/tests/features/edge_peers.feature
@@ -73,6 +73,15 @@
     When a caller sends a query to "e1"
     Then no shard has run the query on more than 2 servers
 
+  Scenario: a hedge that this daemon may not send is sent by one near the server
+    # Guards against parts that stay out where servers accept few connections.
+    Given the daemon "e3" runs in "b1" beside "e1"
+    And the server "s0-a1" is "hang"
+    And "e1" may open no connection to "s0-b1"
+    When a caller sends a query to "e1"
+    Then it gets 200 with 4 proofs and 0 parts missing
+    And no shard has run the query on more than 2 servers
+
   Scenario: nothing is sent for a query that has been answered
     # Guards against requests that leave when their connection opens late.
     Given shard 0 has only the server "s0-a1"
--- a/tests/features/steps/edge_peers_steps.py
+++ b/tests/features/steps/edge_peers_steps.py
@@ -148,6 +148,12 @@
         assert len(used) <= limit, [server.server_id for server in used]
 
 
+@given('"{vm}" may open no connection to "{server}"')
+def step_no_connection(context, vm, server):
+    directory = context.world.daemons[vm].directory
+    directory.upstreams[server].pool.limit = 0
+
+
 class LateReactor:
     """The reactor, except that connections are opened later."""
 
