Print the cause of a failed scenario at the end of a test run

Cause: one scenario of edge_requests ended with an error in one run, and the progress format shows no trace of it; it passed in the next 6 runs. Its cause is not known; the next failure will show it.

--- a/tests/run.py
+++ b/tests/run.py
@@ -32,6 +32,14 @@
         return failed
 
 
+def print_cause(scenario):
+    """Print why a scenario did not pass, which the progress format leaves out."""
+    for step in scenario.all_steps:
+        if step.status not in (Status.passed, Status.skipped, Status.untested):
+            print(f"{step.filename}:{step.line}: {step.name}: {step.status.name}")
+            print(step.error_message)
+
+
 def main(arguments):
     """Run behave and judge its scenarios; return the exit status."""
     config = Configuration(["--format=progress", *arguments, "tests/features"])
@@ -46,9 +54,11 @@
                 continue
             elif scenario.name in listed:
                 red.append(scenario.name)
+                print_cause(scenario)
             else:
                 failed += 1
                 print(f"FAILED: {feature.filename}: {scenario.name}")
+                print_cause(scenario)
     for name in red:
         print(f"known red, see {KNOWN_RED_FILE}: {name}")
     print(f"{passed} passed, {failed} failed")
