Trust a reader of the store through a pause of the own process

Cause: after a pause longer than 1 s the timer judged the heartbeats of peers before those that had arrived were read, so a daemon read the store beside its reader. Ruled out: a scenario that stops all daemons of a test process, since the store's stand-in stops with them and the reader's own watch runs out of time as well. Before: the new scenario reads the store. After: it does not, until the peer has been silent for 1 s.

--- a/hemlockspoke/tier/relay.py
+++ b/hemlockspoke/tier/relay.py
@@ -122,6 +122,7 @@
         "_clock",
         "_contacts",
         "_domain_peers",
+        "_due_ms",
         "_hold_until_ms",
         "_kinds",
         "_max_age_ms",
@@ -141,6 +142,7 @@
         self._contacts = {}
         self._stopped = False
         self._hold_until_ms = 0.0
+        self._due_ms = 0.0
         self.leaving = False
 
     def follow(self, followed, feed):
@@ -155,6 +157,7 @@
         than the lowest time to hear from the one that reads.
         """
         self._hold_until_ms = self._clock.now_ms() + hold_ms
+        self._due_ms = self._clock.now_ms()
         self._tick()
 
     def lead(self):
@@ -176,13 +179,25 @@
     def _tick(self):
         if self._stopped:
             return
+        self._forgive_pause()
         contact = self._contact()
         for vm in self._domain_peers():
             self._send(vm, contact)
         for followed in self._kinds.values():
             self._choose_reader(followed)
+        self._due_ms = self._clock.now_ms() + CONTACT_MS
         self._clock.call_later(CONTACT_MS, self._tick)
 
+    def _forgive_pause(self):
+        """Take no daemon for silent because this process did not run.
+
+        Heartbeats that arrived meanwhile are read after the timers that are due.
+        """
+        late_ms = self._clock.now_ms() - self._due_ms
+        if late_ms > CONTACT_MS:
+            for contact in self._contacts.values():
+                contact.heard_ms += late_ms
+
     def _contact(self):
         kinds = [
             [
--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -88,6 +88,14 @@
       | 22    | 25       | 20    |
       | 10    | 18       | 20    |
 
+  Scenario: a pause of the own process ends no trust in a peer
+    # Guards against two readers of the store after each pause of a daemon.
+    Given a daemon that takes the news of a peer
+    When its process does not run for 1500 ms
+    Then it does not read the store itself
+    When the peer sends nothing for 1500 ms
+    Then it reads the store itself
+
   Scenario: the platform's names stay in one folder
     # Guards against decisions that depend on the users' way of speaking.
     Then no module outside the platform's folder holds a name of its wire
--- a/tests/features/steps/edge_timing_steps.py
+++ b/tests/features/steps/edge_timing_steps.py
@@ -4,10 +4,12 @@
 
 from hemlockspoke.address import Address
 from hemlockspoke.clock import ManualClock
+from hemlockspoke.messages import StoreContact
 from hemlockspoke.tier.apportion import Apportionment
 from hemlockspoke.tier.feed import Change, Feed, Page
+from hemlockspoke.tier.relay import FollowedKind, Relay
 from hemlockspoke.tier.upstreams import ServerEntry, Upstream
-from tests.features.steps.edge_decisions_steps import FakePool
+from tests.features.steps.edge_decisions_steps import FakePool, IdleFeed, NullSink
 
 
 @given("a server that has not been measured")
@@ -114,3 +116,39 @@
         if region != "0":
             assert some.hubs(domain)
             assert all(context.limits[vm] >= 1 for vm in some.hubs(domain))
+
+
+@given("a daemon that takes the news of a peer")
+def step_taking_news(context):
+    clock = context.clock = ManualClock()
+    followed = FollowedKind("servers", clock, NullSink())
+    followed.replace([], 20)
+    context.feed = IdleFeed()
+    relay = Relay(clock, "e1", lambda vm, message: True, lambda: ["e0"], 60_000)
+    relay.follow(followed, context.feed)
+    contact = StoreContact(kinds=[["servers", 20, 0, True]], leaving=False)
+    relay.receive("e0", contact)
+    relay.start()
+    clock.advance(500.0)
+    assert not context.feed.active
+
+
+@when("its process does not run for {pause_ms:d} ms")
+def step_not_running(context, pause_ms):
+    context.clock.jump(float(pause_ms))
+    context.clock.advance(0.0)
+
+
+@when("the peer sends nothing for {silence_ms:d} ms")
+def step_silent_peer(context, silence_ms):
+    context.clock.advance(float(silence_ms))
+
+
+@then("it does not read the store itself")
+def step_not_reading(context):
+    assert not context.feed.active
+
+
+@then("it reads the store itself")
+def step_reading(context):
+    assert context.feed.active
