Forget the times of routes that no version has any more

Cause: Timings kept an entry for each route ever served, so a daemon that follows many changes of the configuration grew without bound. Found by reading.

--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -180,6 +180,7 @@
         self._ports.append(port)
 
     def _configured(self, table):
+        self._timings.keep(table.routes)
         if table.caller_limits is not None:
             self._site.limits = table.caller_limits
 
--- a/hemlockspoke/tier/timing.py
+++ b/hemlockspoke/tier/timing.py
@@ -81,3 +81,9 @@
         if timing is None:
             timing = self._by_route[route.key()] = RouteTiming()
         return timing
+
+    def keep(self, routes):
+        """Forget all but these routes."""
+        keys = {route.key() for route in routes}
+        for key in [key for key in self._by_route if key not in keys]:
+            del self._by_route[key]
