--- a/hemlockspoke/request_story.py
+++ b/hemlockspoke/request_story.py
@@ -123,15 +123,21 @@
 }
 
 
+# Why a request was not sent, or not sent again.
+_REASONS = ("extra load", "no server", "no other server", "no hedge")
+
+
 def describe_blame(send):
     """Return what one logged send says against its server, or an empty text.
 
     >>> describe_blame("s1 i-7 not_run 12 ms status 503")
     's1 was refused by i-7 (status 503)'
+    >>> describe_blame("s1 no hedge: needs 85 of 57 ms")
+    's1 no hedge: needs 85 of 57 ms'
     """
     words = send.split()
     if len(words) < 4 or words[2] not in _BLAME:
-        return send if "extra load" in send or "no server" in send else ""
+        return send if any(reason in send for reason in _REASONS) else ""
     service, server, verdict = words[:3]
     detail = " ".join(words[5:]) or "no reason given"
     return f"{service} " + _BLAME[verdict].format(server=server, detail=detail)
