--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 DURATION_S ?= 60
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: install demo test lint format bench soak slopes clean
+.PHONY: install demo test lint format bench soak edge-soak slopes clean
 
 install: $(VENV)/.installed
 
@@ -34,6 +34,9 @@
 soak: install
 	$(BIN)/python -m tests.soak --seed $(SEED) --duration-s $(DURATION_S)
 
+edge-soak: install
+	$(BIN)/python -m tests.edge_soak.run --seed $(SEED) --duration-s $(DURATION_S)
+
 slopes: install
 	$(BIN)/python -m tests.bench.slopes
 
