--- a/hemlockspoke/platform/store.py
+++ b/hemlockspoke/platform/store.py
@@ -1,10 +1,8 @@
 """Calls to the platform's object API."""
 
-import json
 from urllib.parse import quote, urlencode
 
-from hemlockspoke.http1.connection import ConnectionPool, Exchange
-from hemlockspoke.http1.messages import encode_request
+from hemlockspoke.http1.json_calls import JsonCalls
 
 # The store answers in some ms; ten times slowed answers are still waited for.
 CALL_TIMEOUT_MS = 1200
@@ -12,64 +10,19 @@
 MAX_CONNECTIONS = 8
 
 
-class StoreReply:
-    """Status and decoded body of a call; ``status`` is None without an answer."""
-
-    __slots__ = ("body", "detail", "status")
-
-    def __init__(self, status, body=None, detail=""):
-        self.status = status
-        self.body = body
-        self.detail = detail
-
-
 class StoreCalls:
-    """Sends calls, each on a connection of its own for the time that it takes.
+    """The calls that a daemon makes; ``on_reply`` takes a ``JsonReply``."""
 
-    A call without an answer in time closes its connection, since nothing can
-    follow on it, and the idle ones, which mostly have gone silent with it.
-    """
-
-    __slots__ = ("_clock", "_host", "_metrics", "_pool")
+    __slots__ = ("_calls", "_metrics")
 
     def __init__(self, reactor, clock, address, metrics, bind_host=None):
-        self._clock = clock
         self._metrics = metrics
-        self._pool = ConnectionPool(reactor, clock, address, MAX_CONNECTIONS, bind_host)
-        self._host = str(address).encode()
+        self._calls = JsonCalls(reactor, clock, address, MAX_CONNECTIONS, bind_host)
 
     def call(self, method, path, on_reply, body=None, timeout_ms=CALL_TIMEOUT_MS):
-        """Send a call; ``on_reply(StoreReply)`` is called exactly once."""
-        data = self._encode(method, path, body)
-        state = {}
-
-        def finish(reply):
-            state["timer"].cancel()
-            on_reply(reply)
-
-        def responded(response):
-            finish(StoreReply(response.status, decode_body(response.body)))
-
-        def lost(loss, detail):
-            finish(StoreReply(None, detail=detail))
-
-        def timed_out():
-            self._pool.drop_idle()
-            exchange.cancel()
-            on_reply(StoreReply(None, detail=f"no answer in {timeout_ms:.0f} ms"))
-
-        exchange = Exchange(lambda: data, responded, lost)
-        state["timer"] = self._clock.call_later(timeout_ms, timed_out)
+        """Send a call and count it."""
         self._metrics.count(f"store.{method.lower()}")
-        self._pool.submit(exchange)
-
-    def _encode(self, method, path, body):
-        headers = [(b"Host", self._host)]
-        data = b""
-        if body is not None:
-            data = json.dumps(body).encode()
-            headers.append((b"Content-Type", b"application/json"))
-        return encode_request(method.encode(), path.encode(), headers, data)
+        self._calls.call(method, path, on_reply, timeout_ms, body)
 
     def list(self, kind, after, on_reply, stale=False):
         """Read a page of the objects of a kind.
@@ -96,11 +49,3 @@
             path, method = f"/api/objects/{kind}/{quote(name, safe='')}", "PUT"
             meta["revision"] = revision
         self.call(method, path, on_reply, body={"meta": meta, "spec": spec})
-
-
-def decode_body(content):
-    """Return the JSON value of a body, or None if it is not JSON."""
-    try:
-        return json.loads(content) if content else None
-    except ValueError:
-        return None
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -330,6 +330,8 @@
     parser.add_argument("--daemons", type=int, default=4)
     parser.add_argument("--keep-logs", help="a folder for the logs of a failed run")
     options = parser.parse_args()
+    # A run that is told to stop ends the processes that it has started.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = f"{options.keep_logs}/{seed}" if options.keep_logs else None
