--- a/hemlockspoke/adapters/http_store.py
+++ b/hemlockspoke/adapters/http_store.py
@@ -15,7 +15,6 @@
     parse_vms,
     put_result,
 )
-from hemlockspoke.address import Address
 from hemlockspoke.errors import StoreError, StoreErrorKind
 from hemlockspoke.http1.json_calls import JsonCalls
 from hemlockspoke.ports import Store
@@ -40,7 +39,7 @@
     @classmethod
     def from_config(cls, settings, clock, reactor):
         """Build from ``platform_address``, ``vm`` and ``timings`` of the settings."""
-        address = Address.parse(settings.platform_address)
+        address = settings.platform_address
         return cls(
             calls=JsonCalls(reactor, clock, address, MAX_CONNECTIONS),
             vm=settings.vm,
--- a/tests/features/steps/http_store_steps.py
+++ b/tests/features/steps/http_store_steps.py
@@ -11,6 +11,7 @@
 from twisted.internet import reactor
 
 from hemlockspoke.adapters.http_store import HttpStore
+from hemlockspoke.address import Address
 from hemlockspoke.clock import ReactorClock
 from tests.reactor_thread import in_reactor, wait_until
 from tests.standins.platform import Platform
@@ -23,7 +24,7 @@
     context.platform = Platform(reactor)
     port = in_reactor(context.platform.listen)
     settings = SimpleNamespace(
-        platform_address=f"127.0.0.1:{port}",
+        platform_address=Address("127.0.0.1", port),
         vm=vm,
         timings=SimpleNamespace(store_timeout_ms=n),
     )
