Give the daemons of tests different ports

Cause: the ports of a daemon were chosen one after another, each free again before the next was chosen; 3 of 6,000 daemons got one port twice and could not listen.

--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -1,5 +1,6 @@
 """A small platform in one process: store, servers and the real daemons."""
 
+import contextlib
 import itertools
 import json
 import os
@@ -26,11 +27,14 @@
 _numbers = itertools.count(1)
 
 
-def free_port(host):
-    """Return a port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+def free_ports(host, count):
+    """Return different ports that nothing listens on."""
+    # Held until all are chosen: one that is free again may be chosen twice.
+    with contextlib.ExitStack() as held:
+        probes = [held.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [probe.getsockname()[1] for probe in probes]
 
 
 class Reply:
@@ -154,7 +158,8 @@
         # since the port of the metrics is the same on all.
         network = 1 + os.getpid() % 250
         host = f"127.{network}.{number // 200}.{10 + number % 200}"
-        ports = {name: free_port(host) for name in ("frontend", "ready", "peer")}
+        names = ("frontend", "ready", "peer")
+        ports = dict(zip(names, free_ports(host, len(names)), strict=True))
         bound_lines = "\n".join(
             f"bounds.{name}={value}" for name, value in (bounds or {}).items()
         )
