Group the product's modules into folders by what they decide

Cause: 60 modules stood flat in one folder, so the tree did not show the system. Change: config, members, limits, queries and orders are folders of their own; what all parts use stays at the root.

--- /dev/null
+++ b/hemlockspoke/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, documents and the configuration in force."""
--- a/hemlockspoke/audit.py
+++ b/hemlockspoke/config/audit.py
@@ -10,10 +10,10 @@
 
 from expression import Error, Ok
 
-from hemlockspoke.document_check import check_document
-from hemlockspoke.document_data import stored_data
-from hemlockspoke.fleet import FLEET_KEY, SERVICE_PREFIX
-from hemlockspoke.yaml_reader import read_yaml
+from hemlockspoke.config.document_check import check_document
+from hemlockspoke.config.document_data import stored_data
+from hemlockspoke.config.fleet import FLEET_KEY, SERVICE_PREFIX
+from hemlockspoke.config.yaml_reader import read_yaml
 
 # Entries that always stay in the object, unless they are too large.
 KEPT_ENTRIES = 50
--- a/hemlockspoke/config_sync.py
+++ b/hemlockspoke/config/config_sync.py
@@ -4,9 +4,9 @@
 
 from twisted.internet.defer import Deferred, ensureDeferred, gatherResults
 
-from hemlockspoke.config_exchange import ConfigExchange
-from hemlockspoke.configuration import PREFIXES
-from hemlockspoke.fleet import FLEET_KEY, SERVICE_PREFIX
+from hemlockspoke.config.config_exchange import ConfigExchange
+from hemlockspoke.config.configuration import PREFIXES
+from hemlockspoke.config.fleet import FLEET_KEY, SERVICE_PREFIX
 from hemlockspoke.rendezvous import rank
 
 logger = logging.getLogger(__name__)
--- a/hemlockspoke/configuration.py
+++ b/hemlockspoke/config/configuration.py
@@ -6,8 +6,8 @@
 from expression import Error, Ok
 
 from hemlockspoke.address import Address
+from hemlockspoke.config.fleet import FLEET_KEY, SERVICE_PREFIX, Fleet
 from hemlockspoke.findings import Finding, Findings
-from hemlockspoke.fleet import FLEET_KEY, SERVICE_PREFIX, Fleet
 from hemlockspoke.ports import StoredObject
 from hemlockspoke.registry import Registry
 
@@ -32,7 +32,7 @@
 def check_service(key, value):
     """Parse a stored service object with the check of the command line."""
     # Imported here so that daemons without documents do not load the YAML reader.
-    from hemlockspoke.document_check import check_document
+    from hemlockspoke.config.document_check import check_document
 
     if not isinstance(value, dict) or not isinstance(value.get("text"), str):
         return refused(key, type(value).__name__, "a map with the document's text")
--- a/hemlockspoke/document_check.py
+++ b/hemlockspoke/config/document_check.py
@@ -2,7 +2,7 @@
 
 from expression import Error, Ok
 
-from hemlockspoke.document import (
+from hemlockspoke.config.document import (
     Index,
     OrderEndpoint,
     QueryPolicy,
@@ -11,8 +11,8 @@
     Shard,
     UpstreamClass,
 )
-from hemlockspoke.document_data import data_root
-from hemlockspoke.fields import (
+from hemlockspoke.config.document_data import data_root
+from hemlockspoke.config.fields import (
     INVALID,
     AddressCheck,
     Choice,
@@ -24,9 +24,9 @@
     Text,
     Whole,
 )
-from hemlockspoke.hedging import hedge_policies
+from hemlockspoke.config.yaml_reader import Reading, read_yaml
+from hemlockspoke.queries.hedging import hedge_policies
 from hemlockspoke.registry import Registry
-from hemlockspoke.yaml_reader import Reading, read_yaml
 
 # Ten minutes: a caller that waits longer has lost its connection.
 MAX_DEADLINE_MS = 600_000
--- a/hemlockspoke/document_data.py
+++ b/hemlockspoke/config/document_data.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from hemlockspoke.yaml_nodes import (
+from hemlockspoke.config.yaml_nodes import (
     NO_VALUE,
     YamlEntry,
     YamlList,
@@ -39,7 +39,7 @@
 def plain_value(node):
     """Return the value of a node as JSON has it.
 
-    >>> from hemlockspoke.yaml_reader import read_yaml
+    >>> from hemlockspoke.config.yaml_reader import read_yaml
     >>> plain_value(read_yaml("slots: [1, 2]").root)
     {'slots': [1, 2]}
     """
--- a/hemlockspoke/fields.py
+++ b/hemlockspoke/config/fields.py
@@ -9,7 +9,7 @@
 from abc import ABC, abstractmethod
 
 from hemlockspoke.address import ADDRESS_FORM, Address
-from hemlockspoke.yaml_nodes import YamlList, YamlMap, YamlScalar
+from hemlockspoke.config.yaml_nodes import YamlList, YamlMap, YamlScalar
 
 # Names become parts of store keys and of metric names.
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
--- a/hemlockspoke/perform_edit.py
+++ b/hemlockspoke/config/perform_edit.py
@@ -7,7 +7,7 @@
 
 from expression import Error, Ok
 
-from hemlockspoke.audit import entries_of
+from hemlockspoke.config.audit import entries_of
 from hemlockspoke.errors import StoreErrorKind
 from hemlockspoke.ports import StoredObject
 
--- a/hemlockspoke/settings.py
+++ b/hemlockspoke/config/settings.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok
 
 from hemlockspoke.address import Address
-from hemlockspoke.fields import (
+from hemlockspoke.config.fields import (
     INVALID,
     AddressCheck,
     Choice,
@@ -16,8 +16,8 @@
     Record,
     Whole,
 )
+from hemlockspoke.config.yaml_reader import read_yaml
 from hemlockspoke.findings import Finding, Findings
-from hemlockspoke.yaml_reader import read_yaml
 
 __all__ = ["Address", "Settings", "Timings"]
 
--- a/hemlockspoke/yaml_reader.py
+++ b/hemlockspoke/config/yaml_reader.py
@@ -9,8 +9,7 @@
 from ruamel.yaml.error import YAMLError
 from ruamel.yaml.nodes import MappingNode, ScalarNode
 
-from hemlockspoke.findings import Finding, Findings
-from hemlockspoke.yaml_nodes import (
+from hemlockspoke.config.yaml_nodes import (
     NO_VALUE,
     YamlEntry,
     YamlList,
@@ -19,6 +18,7 @@
     YamlScalar,
     scalar_types,
 )
+from hemlockspoke.findings import Finding, Findings
 
 TAG_PREFIX = "tag:yaml.org,2002:"
 
--- a/hemlockspoke/daemon.py
+++ b/hemlockspoke/daemon.py
@@ -10,8 +10,8 @@
 
 from hemlockspoke.adapters.json_logs import configure_logs
 from hemlockspoke.clock import ReactorClock
+from hemlockspoke.config.settings import Settings
 from hemlockspoke.errors import HumanReadableError
-from hemlockspoke.settings import Settings
 
 logger = logging.getLogger(__name__)
 
--- a/hemlockspoke/desired_holders.py
+++ b/hemlockspoke/limits/desired_holders.py
@@ -1,7 +1,7 @@
 """The VMs that should hold the shares of each group of servers."""
 
+from hemlockspoke.limits.shares import MAX_HOLDERS
 from hemlockspoke.rendezvous import rank
-from hemlockspoke.shares import MAX_HOLDERS
 
 
 def region_of(group):
--- a/hemlockspoke/held_server.py
+++ b/hemlockspoke/limits/held_server.py
@@ -2,13 +2,13 @@
 
 import logging
 
-from hemlockspoke.cold_start import COLD, ColdStart, LatencyStep
 from hemlockspoke.errors import UpstreamErrorKind as Kind
-from hemlockspoke.gate import Gate
-from hemlockspoke.holder_work import log_defect
+from hemlockspoke.limits.cold_start import COLD, ColdStart, LatencyStep
+from hemlockspoke.limits.gate import Gate
+from hemlockspoke.limits.holder_work import log_defect
 from hemlockspoke.messages import CatalogUpdate, ServerState
+from hemlockspoke.queries.served_indexes import ServedIndexes
 from hemlockspoke.requests import Share
-from hemlockspoke.served_indexes import ServedIndexes
 
 logger = logging.getLogger(__name__)
 
--- a/hemlockspoke/holder.py
+++ b/hemlockspoke/limits/holder.py
@@ -1,9 +1,9 @@
 """Executes sub-queries and orders on the servers in which this daemon has shares."""
 
-from hemlockspoke.held_server import HeldServer
-from hemlockspoke.holder_work import OrderWork, SubQuery
+from hemlockspoke.limits.held_server import HeldServer
+from hemlockspoke.limits.holder_work import OrderWork, SubQuery
 from hemlockspoke.messages import OrderAnswer, SubAnswerBatch, SubStatus
-from hemlockspoke.order_memory import OrderMemory
+from hemlockspoke.orders.order_memory import OrderMemory
 from hemlockspoke.requests import Share
 
 GAUGE_MS = 1000
--- a/hemlockspoke/server_groups.py
+++ b/hemlockspoke/limits/server_groups.py
@@ -1,8 +1,8 @@
 """Which servers of the documents in force belong to which group."""
 
+from hemlockspoke.limits.shares import ServerLimit
 from hemlockspoke.rendezvous import group_of
 from hemlockspoke.requests import Share
-from hemlockspoke.shares import ServerLimit
 
 
 class ServerGroups:
--- a/hemlockspoke/share_confirmation.py
+++ b/hemlockspoke/limits/share_confirmation.py
@@ -4,7 +4,10 @@
 
 from twisted.internet.defer import Deferred, inlineCallbacks
 
-from hemlockspoke.membership import REGISTRATION_PREFIX, registration_incarnation
+from hemlockspoke.members.membership import (
+    REGISTRATION_PREFIX,
+    registration_incarnation,
+)
 
 logger = logging.getLogger(__name__)
 
--- a/hemlockspoke/share_keeper.py
+++ b/hemlockspoke/limits/share_keeper.py
@@ -1,10 +1,10 @@
 """One daemon's shares in one group: plan, lower, write, read back."""
 
 from hemlockspoke.errors import StoreErrorKind
+from hemlockspoke.limits.share_plan import GroupPlan, plan_group
+from hemlockspoke.limits.share_rules import check_proposal
+from hemlockspoke.limits.shares import SHARE_PREFIX, GroupShares, fits, lower_of
 from hemlockspoke.requests import Share
-from hemlockspoke.share_plan import GroupPlan, plan_group
-from hemlockspoke.share_rules import check_proposal
-from hemlockspoke.shares import SHARE_PREFIX, GroupShares, fits, lower_of
 
 # Spreads the writes of daemons that react to the same change.
 WAKE_JITTER_MS = 100
--- a/hemlockspoke/share_manager.py
+++ b/hemlockspoke/limits/share_manager.py
@@ -5,15 +5,18 @@
 
 from twisted.internet.defer import Deferred
 
-from hemlockspoke.desired_holders import HolderPool, by_region
-from hemlockspoke.fleet import FLEET_KEY, SERVICE_PREFIX
-from hemlockspoke.membership import REGISTRATION_PREFIX, registration_incarnation
+from hemlockspoke.config.fleet import FLEET_KEY, SERVICE_PREFIX
+from hemlockspoke.limits.desired_holders import HolderPool, by_region
+from hemlockspoke.limits.server_groups import ServerGroups
+from hemlockspoke.limits.share_confirmation import ShareConfirmation
+from hemlockspoke.limits.share_keeper import ShareKeeper
+from hemlockspoke.limits.shares import SHARE_PREFIX, ShareView, fits, is_empty
+from hemlockspoke.members.membership import (
+    REGISTRATION_PREFIX,
+    registration_incarnation,
+)
 from hemlockspoke.rendezvous import group_of
 from hemlockspoke.requests import Share
-from hemlockspoke.server_groups import ServerGroups
-from hemlockspoke.share_confirmation import ShareConfirmation
-from hemlockspoke.share_keeper import ShareKeeper
-from hemlockspoke.shares import SHARE_PREFIX, ShareView, fits, is_empty
 
 logger = logging.getLogger(__name__)
 
--- a/hemlockspoke/share_plan.py
+++ b/hemlockspoke/limits/share_plan.py
@@ -1,7 +1,6 @@
 """Plans the changes that one daemon makes to the shares of a group."""
 
-from hemlockspoke.requests import Share
-from hemlockspoke.shares import (
+from hemlockspoke.limits.shares import (
     MAX_HOLDERS,
     GroupShares,
     HolderShare,
@@ -12,6 +11,7 @@
     lower_of,
     subtract,
 )
+from hemlockspoke.requests import Share
 
 
 def largest_part(limit, holder_count):
--- a/hemlockspoke/share_rules.py
+++ b/hemlockspoke/limits/share_rules.py
@@ -1,8 +1,8 @@
 """Checks a proposed share object against the old one by the rules R1 to R5."""
 
 from hemlockspoke.findings import Finding, Findings
+from hemlockspoke.limits.shares import MAX_HOLDERS, fits, is_empty, subtract, total
 from hemlockspoke.requests import Share
-from hemlockspoke.shares import MAX_HOLDERS, fits, is_empty, subtract, total
 
 
 def check_proposal(old, new, view):
--- /dev/null
+++ b/hemlockspoke/members/__init__.py
@@ -0,0 +1,1 @@
+"""The VMs of the system and the peers that a daemon chooses."""
--- a/hemlockspoke/peer_choice.py
+++ b/hemlockspoke/members/peer_choice.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from hemlockspoke.shares import SHARE_PREFIX
+from hemlockspoke.limits.shares import SHARE_PREFIX
 
 # Half of the 5 KB/s that control may use, at 44 bytes a second for the heartbeats of
 # an idle stream, lasts for 58 streams. A fleet up to this size is a full mesh.
--- a/hemlockspoke/node.py
+++ b/hemlockspoke/node.py
@@ -7,23 +7,23 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from hemlockspoke.address import Address
-from hemlockspoke.catalog import Catalog
-from hemlockspoke.config_sync import ConfigSync
-from hemlockspoke.configuration import Configuration
-from hemlockspoke.fleet import FLEET_KEY
-from hemlockspoke.holder import Holder
+from hemlockspoke.config.config_sync import ConfigSync
+from hemlockspoke.config.configuration import Configuration
+from hemlockspoke.config.fleet import FLEET_KEY
 from hemlockspoke.invariants import Invariants
-from hemlockspoke.membership import Membership
+from hemlockspoke.limits.holder import Holder
+from hemlockspoke.limits.share_manager import ShareManager
+from hemlockspoke.limits.shares import SHARE_PREFIX
+from hemlockspoke.members.membership import Membership
+from hemlockspoke.members.peer_choice import PeerChoice
+from hemlockspoke.members.registration import Registration
 from hemlockspoke.message_dispatch import Dispatcher, connect_parts
-from hemlockspoke.order_claims import OrderClaims
-from hemlockspoke.orders import OrderEngine
+from hemlockspoke.orders.order_claims import OrderClaims
+from hemlockspoke.orders.orders import OrderEngine
 from hemlockspoke.pause import Pause
-from hemlockspoke.peer_choice import PeerChoice
-from hemlockspoke.query import QueryEngine
-from hemlockspoke.registration import Registration
-from hemlockspoke.routing import Router
-from hemlockspoke.share_manager import ShareManager
-from hemlockspoke.shares import SHARE_PREFIX
+from hemlockspoke.queries.catalog import Catalog
+from hemlockspoke.queries.query import QueryEngine
+from hemlockspoke.queries.routing import Router
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/hemlockspoke/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders, each of which runs at most once."""
--- a/hemlockspoke/orders.py
+++ b/hemlockspoke/orders/orders.py
@@ -12,10 +12,10 @@
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, ensureDeferred
 
-from hemlockspoke import order_claims
 from hemlockspoke.errors import StoreErrorKind
 from hemlockspoke.messages import AttemptAnswer, AttemptQuery, OrderSend
-from hemlockspoke.order_attempt import (
+from hemlockspoke.orders import order_claims
+from hemlockspoke.orders.order_attempt import (
     FINAL_STATES,
     Attempt,
     AttemptState,
@@ -24,7 +24,7 @@
     not_run,
     unknown_outcome,
 )
-from hemlockspoke.order_replies import PendingReplies, Reply
+from hemlockspoke.orders.order_replies import PendingReplies, Reply
 from hemlockspoke.requests import OrderResult
 
 logger = logging.getLogger(__name__)
--- a/hemlockspoke/dispatch.py
+++ b/hemlockspoke/queries/dispatch.py
@@ -2,8 +2,8 @@
 
 from collections import deque
 
-from hemlockspoke.fanout import SubQuery, choose_hedge_route, choose_route
 from hemlockspoke.messages import Cancel, SubQueryBatch, SubStatus
+from hemlockspoke.queries.fanout import SubQuery, choose_hedge_route, choose_route
 
 # Wait for a token of the extra-load budget before the next look.
 TOKEN_WAIT_MS = 10.0
--- a/hemlockspoke/query.py
+++ b/hemlockspoke/queries/query.py
@@ -6,11 +6,11 @@
 from expression import Error
 from twisted.internet.defer import Deferred
 
-from hemlockspoke.admission import Admission, Admitted
-from hemlockspoke.budget import ExtraLoadBudget
-from hemlockspoke.hedging import hedge_policies
-from hemlockspoke.query_problems import deadline_too_short, overloaded, refusal
-from hemlockspoke.query_task import Answers, HolderLost, Query
+from hemlockspoke.limits.admission import Admission, Admitted
+from hemlockspoke.queries.budget import ExtraLoadBudget
+from hemlockspoke.queries.hedging import hedge_policies
+from hemlockspoke.queries.query_problems import deadline_too_short, overloaded, refusal
+from hemlockspoke.queries.query_task import Answers, HolderLost, Query
 
 # A plan that was complete within this time has probably lost a part to a share on
 # its way to another holder; later, the part is taken for lost.
--- a/hemlockspoke/query_task.py
+++ b/hemlockspoke/queries/query_task.py
@@ -3,11 +3,15 @@
 from expression import Error, Ok
 from twisted.internet.defer import Deferred
 
-from hemlockspoke.dispatch import TOKEN_WAIT_MS, Dispatch
-from hemlockspoke.fanout import HOLDER_LOST, GroupState, Merge
-from hemlockspoke.hedging import Progress
 from hemlockspoke.messages import SubStatus
-from hemlockspoke.query_problems import coverage_too_low, no_snapshot, overloaded
+from hemlockspoke.queries.dispatch import TOKEN_WAIT_MS, Dispatch
+from hemlockspoke.queries.fanout import HOLDER_LOST, GroupState, Merge
+from hemlockspoke.queries.hedging import Progress
+from hemlockspoke.queries.query_problems import (
+    coverage_too_low,
+    no_snapshot,
+    overloaded,
+)
 from hemlockspoke.requests import QueryAnswer
 from hemlockspoke.task import Task, handles
 
--- a/hemlockspoke/routing.py
+++ b/hemlockspoke/queries/routing.py
@@ -6,7 +6,7 @@
 
 import itertools
 
-from hemlockspoke.fleet import FLEET_KEY, SERVICE_PREFIX
+from hemlockspoke.config.fleet import FLEET_KEY, SERVICE_PREFIX
 
 SHARE_PREFIX = "shares/"
 
--- a/hemlockspoke/ui/audit_command.py
+++ b/hemlockspoke/ui/audit_command.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from hemlockspoke.fleet import FLEET_KEY
+from hemlockspoke.config.fleet import FLEET_KEY
 from hemlockspoke.ui.options import AsJson, Platform
 from hemlockspoke.ui.output import format_time, print_table, show
 from hemlockspoke.ui.store_access import StoreReader
--- a/hemlockspoke/ui/changes.py
+++ b/hemlockspoke/ui/changes.py
@@ -7,8 +7,8 @@
 
 from hemlockspoke.adapters.blocking_http import NoReply, exchange
 from hemlockspoke.address import Address
-from hemlockspoke.audit import Author
-from hemlockspoke.perform_edit import (
+from hemlockspoke.config.audit import Author
+from hemlockspoke.config.perform_edit import (
     NotApplied,
     RaceLost,
     ResultUnknown,
--- a/hemlockspoke/ui/service_commands.py
+++ b/hemlockspoke/ui/service_commands.py
@@ -5,10 +5,10 @@
 
 import typer
 
-from hemlockspoke.audit import ServiceApply, entries_of, stored_text, text_diff
-from hemlockspoke.document_check import check_document
-from hemlockspoke.fleet import SERVICE_PREFIX
-from hemlockspoke.settings import unreadable
+from hemlockspoke.config.audit import ServiceApply, entries_of, stored_text, text_diff
+from hemlockspoke.config.document_check import check_document
+from hemlockspoke.config.fleet import SERVICE_PREFIX
+from hemlockspoke.config.settings import unreadable
 from hemlockspoke.ui.audit_command import Diffs, show_entries
 from hemlockspoke.ui.changes import change
 from hemlockspoke.ui.exits import CommandFailed, ExitCode
--- a/hemlockspoke/ui/settings_commands.py
+++ b/hemlockspoke/ui/settings_commands.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from hemlockspoke.settings import Settings
+from hemlockspoke.config.settings import Settings
 from hemlockspoke.ui.exits import CommandFailed
 from hemlockspoke.ui.options import AsJson
 from hemlockspoke.ui.output import show
--- a/hemlockspoke/ui/status_command.py
+++ b/hemlockspoke/ui/status_command.py
@@ -7,7 +7,7 @@
 
 from hemlockspoke.adapters.blocking_http import NoReply, exchange
 from hemlockspoke.address import Address
-from hemlockspoke.fleet import FLEET_KEY, SERVICE_PREFIX
+from hemlockspoke.config.fleet import FLEET_KEY, SERVICE_PREFIX
 from hemlockspoke.ui.exits import CommandFailed, ExitCode
 from hemlockspoke.ui.options import AsJson, parse_address
 from hemlockspoke.ui.output import format_age, print_table, show
--- a/hemlockspoke/ui/store_access.py
+++ b/hemlockspoke/ui/store_access.py
@@ -1,10 +1,10 @@
 """Reads of the store that commands share."""
 
 from hemlockspoke.adapters.blocking_store import BlockingStore
-from hemlockspoke.audit import archive_prefix, entries_of, stored_text
-from hemlockspoke.document_check import check_document
+from hemlockspoke.config.audit import archive_prefix, entries_of, stored_text
+from hemlockspoke.config.document_check import check_document
+from hemlockspoke.config.fleet import FLEET_KEY, SERVICE_PREFIX, Fleet
 from hemlockspoke.errors import StoreErrorKind
-from hemlockspoke.fleet import FLEET_KEY, SERVICE_PREFIX, Fleet
 from hemlockspoke.ui.exits import CommandFailed, ExitCode
 
 STORE_TIMEOUT_MS = 2000
--- a/hemlockspoke/ui/vm_commands.py
+++ b/hemlockspoke/ui/vm_commands.py
@@ -4,7 +4,7 @@
 
 import typer
 
-from hemlockspoke.audit import VmEdit
+from hemlockspoke.config.audit import VmEdit
 from hemlockspoke.ui.changes import change
 from hemlockspoke.ui.exits import CommandFailed, ExitCode
 from hemlockspoke.ui.options import AsJson, Force, Platform, Who, Why
--- a/tests/bench/hedging.py
+++ b/tests/bench/hedging.py
@@ -10,8 +10,8 @@
 import sys
 from collections import deque
 
-from hemlockspoke.hedging import hedge_policies
 from hemlockspoke.messages import Cancel, SubAnswerBatch
+from hemlockspoke.queries.hedging import hedge_policies
 from hemlockspoke.requests import QueryRequest
 from tests.fuzz.query_fakes import SERVICE, Tier, make_document
 
--- a/tests/bench/slope_configuration.py
+++ b/tests/bench/slope_configuration.py
@@ -5,9 +5,9 @@
 import random
 
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.config_exchange import ConfigExchange
-from hemlockspoke.configuration import Configuration
-from hemlockspoke.document_check import check_document
+from hemlockspoke.config.config_exchange import ConfigExchange
+from hemlockspoke.config.configuration import Configuration
+from hemlockspoke.config.document_check import check_document
 from hemlockspoke.ports import NullMetrics
 from tests.bench.slope_fit import (
     Figure,
--- a/tests/bench/slope_members.py
+++ b/tests/bench/slope_members.py
@@ -6,13 +6,13 @@
 
 from hemlockspoke.adapters.peer_stream import PeerProtocol, TcpPeerNetwork
 from hemlockspoke.clock import ManualClock
+from hemlockspoke.config.settings import Timings
+from hemlockspoke.limits.share_plan import plan_group
+from hemlockspoke.limits.shares import GroupShares, ServerLimit, ShareView
+from hemlockspoke.members.peer_choice import PeerChoice
 from hemlockspoke.messages import Cancel, Hello, Ping, Pong, encode
-from hemlockspoke.peer_choice import PeerChoice
 from hemlockspoke.ports import NullMetrics
 from hemlockspoke.requests import Share
-from hemlockspoke.settings import Timings
-from hemlockspoke.share_plan import plan_group
-from hemlockspoke.shares import GroupShares, ServerLimit, ShareView
 from tests.bench.slope_fit import Measured, cpu_us, measurements, memory_bytes, over
 from tests.bench.slope_world import ControlWorld, share_value, vm_list, vm_name
 
--- a/tests/bench/slope_memory.py
+++ b/tests/bench/slope_memory.py
@@ -2,10 +2,10 @@
 
 from types import SimpleNamespace
 
-from hemlockspoke.catalog import Catalog
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.configuration import Configuration
+from hemlockspoke.config.configuration import Configuration
 from hemlockspoke.messages import CatalogUpdate
+from hemlockspoke.queries.catalog import Catalog
 from hemlockspoke.requests import Share
 from tests.bench.slope_fit import Measured, measurements, memory_bytes, over
 from tests.bench.slope_world import (
--- a/tests/bench/slope_orders.py
+++ b/tests/bench/slope_orders.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import ensureDeferred, succeed
 
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.order_claims import Claim, ClaimRecord, OrderClaims
+from hemlockspoke.orders.order_claims import Claim, ClaimRecord, OrderClaims
 from hemlockspoke.ports import NullMetrics
 from tests.bench.slope_fit import Measured, cpu_once_us, cpu_us, measurements, over
 from tests.fakes.store import FakeStore
--- a/tests/bench/slope_upstream.py
+++ b/tests/bench/slope_upstream.py
@@ -15,7 +15,7 @@
 
 from hemlockspoke.adapters.http_upstream import HttpUpstreamClients
 from hemlockspoke.clock import ReactorClock
-from hemlockspoke.document import Server, UpstreamClass
+from hemlockspoke.config.document import Server, UpstreamClass
 from hemlockspoke.ports import UpstreamRequest
 from tests.bench.slope_fit import Figure, Measured, measurements
 from tests.reactor_thread import in_reactor
--- a/tests/bench/slope_world.py
+++ b/tests/bench/slope_world.py
@@ -5,17 +5,17 @@
 from twisted.internet.defer import succeed
 
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.configuration import Configuration
-from hemlockspoke.document import UpstreamClass
-from hemlockspoke.document_data import stored_data
+from hemlockspoke.config.configuration import Configuration
+from hemlockspoke.config.document import UpstreamClass
+from hemlockspoke.config.document_data import stored_data
+from hemlockspoke.config.yaml_reader import read_yaml
 from hemlockspoke.invariants import Invariants
-from hemlockspoke.membership import Membership
+from hemlockspoke.limits.share_manager import ShareManager
+from hemlockspoke.members.membership import Membership
 from hemlockspoke.messages import decode, encode
 from hemlockspoke.pause import Pause
 from hemlockspoke.ports import ListedVm, NullMetrics, PeerNetwork, VmList
 from hemlockspoke.requests import Share
-from hemlockspoke.share_manager import ShareManager
-from hemlockspoke.yaml_reader import read_yaml
 from tests.bench.slope_wire import FRAME_HEADER_BYTES
 from tests.fakes.store import FakeStore
 from tests.layout import IndexLayout, Layout
--- a/tests/fakes/configuration_world.py
+++ b/tests/fakes/configuration_world.py
@@ -9,9 +9,9 @@
 from expression import Error, Ok
 from twisted.internet.defer import CancelledError, Deferred
 
-from hemlockspoke import document_check
-from hemlockspoke.config_sync import ConfigSync
-from hemlockspoke.configuration import Configuration
+from hemlockspoke.config import document_check
+from hemlockspoke.config.config_sync import ConfigSync
+from hemlockspoke.config.configuration import Configuration
 from hemlockspoke.errors import StoreError, StoreErrorKind
 from hemlockspoke.findings import Finding, Findings
 from hemlockspoke.ports import (
--- a/tests/fakes/holder_side.py
+++ b/tests/fakes/holder_side.py
@@ -6,11 +6,11 @@
 from twisted.internet.defer import Deferred
 
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.document import Server, ServiceDocument, UpstreamClass
+from hemlockspoke.config.document import Server, ServiceDocument, UpstreamClass
+from hemlockspoke.config.fleet import Fleet
 from hemlockspoke.errors import UpstreamError, UpstreamErrorKind
-from hemlockspoke.fleet import Fleet
-from hemlockspoke.holder import Holder
 from hemlockspoke.invariants import Invariants
+from hemlockspoke.limits.holder import Holder
 from hemlockspoke.ports import (
     NullMetrics,
     OrderReply,
--- a/tests/features/steps/command_line_steps.py
+++ b/tests/features/steps/command_line_steps.py
@@ -12,8 +12,8 @@
 from typer.testing import CliRunner
 
 from hemlockspoke.adapters.blocking_store import BlockingStore
-from hemlockspoke.audit import Author, VmEdit
-from hemlockspoke.perform_edit import perform_edit, run_steps
+from hemlockspoke.config.audit import Author, VmEdit
+from hemlockspoke.config.perform_edit import perform_edit, run_steps
 from hemlockspoke.ui.application import application
 from tests.documents import GOOD_DOCUMENT
 from tests.fake_http import FakeHttp
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -7,7 +7,7 @@
 from hypothesis.stateful import run_state_machine_as_test
 
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.configuration import Configuration
+from hemlockspoke.config.configuration import Configuration
 from hemlockspoke.messages import Versions
 from tests.fakes.configuration_world import (
     BAD_TEXT,
--- a/tests/features/steps/document_data_steps.py
+++ b/tests/features/steps/document_data_steps.py
@@ -5,10 +5,10 @@
 
 from behave import given, then, when
 
-from hemlockspoke import document_check
-from hemlockspoke.document_check import check_document
-from hemlockspoke.document_data import stored_data
-from hemlockspoke.yaml_reader import read_yaml
+from hemlockspoke.config import document_check
+from hemlockspoke.config.document_check import check_document
+from hemlockspoke.config.document_data import stored_data
+from hemlockspoke.config.yaml_reader import read_yaml
 
 CHANGES = {
     "the digest is altered": lambda data: data.update(text_digest="0"),
--- a/tests/features/steps/documents_steps.py
+++ b/tests/features/steps/documents_steps.py
@@ -9,14 +9,14 @@
 from ruamel.yaml import YAML
 from ruamel.yaml.compat import StringIO
 
-from hemlockspoke.document_check import (
+from hemlockspoke.config.document_check import (
     DOCUMENT,
     QUERY_POLICY,
     SERVER,
     UPSTREAM_CLASS,
     check_document,
 )
-from hemlockspoke.settings import SETTINGS, TIMING_CHECKS, Settings, Timings
+from hemlockspoke.config.settings import SETTINGS, TIMING_CHECKS, Settings, Timings
 from tests.documents import GOOD_DOCUMENT
 
 EXAMPLES = Path("examples")
--- a/tests/features/steps/edits_steps.py
+++ b/tests/features/steps/edits_steps.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from twisted.internet.defer import inlineCallbacks, succeed
 
-from hemlockspoke.audit import (
+from hemlockspoke.config.audit import (
     Author,
     DomainEdit,
     ServiceApply,
@@ -14,8 +14,8 @@
     archive_prefix,
     entries_of,
 )
-from hemlockspoke.fleet import Fleet
-from hemlockspoke.perform_edit import (
+from hemlockspoke.config.fleet import Fleet
+from hemlockspoke.config.perform_edit import (
     Accepted,
     NotApplied,
     RaceLost,
--- a/tests/features/steps/exchange_steps.py
+++ b/tests/features/steps/exchange_steps.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.config_exchange import ConfigExchange
-from hemlockspoke.configuration import Configuration
+from hemlockspoke.config.config_exchange import ConfigExchange
+from hemlockspoke.config.configuration import Configuration
 from hemlockspoke.messages import ObjectPush, decode, encode
 from hemlockspoke.ports import NullMetrics
 
--- a/tests/features/steps/holder_http_steps.py
+++ b/tests/features/steps/holder_http_steps.py
@@ -9,9 +9,9 @@
 
 from hemlockspoke.adapters.http_upstream import HttpUpstreamClients
 from hemlockspoke.clock import ReactorClock
-from hemlockspoke.document import Server
-from hemlockspoke.holder import Holder
+from hemlockspoke.config.document import Server
 from hemlockspoke.invariants import Invariants
+from hemlockspoke.limits.holder import Holder
 from hemlockspoke.messages import Cancel, SubQueryBatch
 from hemlockspoke.ports import NullMetrics
 from hemlockspoke.requests import Share
--- a/tests/features/steps/holder_steps.py
+++ b/tests/features/steps/holder_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, step, then, when
 
-from hemlockspoke.document import Server
+from hemlockspoke.config.document import Server
 from hemlockspoke.errors import UpstreamErrorKind
 from hemlockspoke.messages import OrderSend, ServerState, SubQueryBatch
 from hemlockspoke.requests import Share
--- a/tests/features/steps/peer_choice_steps.py
+++ b/tests/features/steps/peer_choice_steps.py
@@ -3,9 +3,9 @@
 from behave import given, then, when
 
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.configuration import Configuration
-from hemlockspoke.membership import Membership
-from hemlockspoke.peer_choice import PeerChoice
+from hemlockspoke.config.configuration import Configuration
+from hemlockspoke.members.membership import Membership
+from hemlockspoke.members.peer_choice import PeerChoice
 
 GONE_MARGIN_MS = 2000
 
--- a/tests/features/steps/query_steps.py
+++ b/tests/features/steps/query_steps.py
@@ -4,9 +4,9 @@
 
 from behave import given, then, when
 
-from hemlockspoke.fleet import Fleet
-from hemlockspoke.hedging import hedge_policies
+from hemlockspoke.config.fleet import Fleet
 from hemlockspoke.messages import Cancel
+from hemlockspoke.queries.hedging import hedge_policies
 from tests.fuzz.query_fakes import INDEX, SERVICE, Tier, make_document
 
 
--- a/tests/features/steps/shares_steps.py
+++ b/tests/features/steps/shares_steps.py
@@ -4,15 +4,15 @@
 
 from behave import given, then, when
 
-from hemlockspoke.requests import Share
-from hemlockspoke.share_rules import check_proposal
-from hemlockspoke.shares import (
+from hemlockspoke.limits.share_rules import check_proposal
+from hemlockspoke.limits.shares import (
     GroupShares,
     HolderShare,
     ServerLimit,
     ServerShares,
     ShareView,
 )
+from hemlockspoke.requests import Share
 from tests.fuzz.share_fakes import service_value
 from tests.fuzz.share_world import ShareWorld
 
--- a/tests/features/steps/upstream_http_steps.py
+++ b/tests/features/steps/upstream_http_steps.py
@@ -12,7 +12,7 @@
 
 from hemlockspoke.adapters.http_upstream import HttpUpstreamClients
 from hemlockspoke.clock import ReactorClock
-from hemlockspoke.document import Server
+from hemlockspoke.config.document import Server
 from hemlockspoke.ports import UpstreamRequest
 from tests.reactor_thread import in_reactor, wait_until
 from tests.standins.upstream import StandIn
--- a/tests/features/steps/version_check_steps.py
+++ b/tests/features/steps/version_check_steps.py
@@ -7,12 +7,12 @@
 from twisted.internet.defer import Deferred, succeed
 
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.config_sync import ConfigSync
-from hemlockspoke.configuration import Configuration
-from hemlockspoke.membership import Membership
+from hemlockspoke.config.config_sync import ConfigSync
+from hemlockspoke.config.configuration import Configuration
+from hemlockspoke.config.settings import Timings
+from hemlockspoke.members.membership import Membership
 from hemlockspoke.messages import Digest
 from hemlockspoke.ports import ListedVm, NullMetrics, VmList
-from hemlockspoke.settings import Timings
 from tests.documents import GOOD_DOCUMENT
 from tests.fakes.store import FakeStore
 
--- a/tests/fuzz/order_world.py
+++ b/tests/fuzz/order_world.py
@@ -7,12 +7,12 @@
 from twisted.internet.defer import Deferred, succeed
 
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.document import OrderEndpoint, QueryPolicy, ServiceDocument
+from hemlockspoke.config.document import OrderEndpoint, QueryPolicy, ServiceDocument
 from hemlockspoke.errors import StoreError, StoreErrorKind
 from hemlockspoke.invariants import Invariants
 from hemlockspoke.messages import AttemptAnswer, AttemptQuery, OrderAnswer
-from hemlockspoke.order_claims import OrderClaims
-from hemlockspoke.orders import OrderEngine
+from hemlockspoke.orders.order_claims import OrderClaims
+from hemlockspoke.orders.orders import OrderEngine
 from hemlockspoke.ports import NullMetrics, StoredObject
 from hemlockspoke.requests import OrderRequest
 
--- a/tests/fuzz/query_fakes.py
+++ b/tests/fuzz/query_fakes.py
@@ -3,16 +3,22 @@
 import random
 from types import SimpleNamespace
 
-from hemlockspoke.catalog import Catalog
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.document import Index, QueryPolicy, Server, ServiceDocument, Shard
-from hemlockspoke.fleet import Fleet
+from hemlockspoke.config.document import (
+    Index,
+    QueryPolicy,
+    Server,
+    ServiceDocument,
+    Shard,
+)
+from hemlockspoke.config.fleet import Fleet
 from hemlockspoke.invariants import Invariants
 from hemlockspoke.messages import CatalogUpdate, SubAnswerBatch, SubQueryBatch
 from hemlockspoke.ports import NullMetrics
-from hemlockspoke.query import QueryEngine
+from hemlockspoke.queries.catalog import Catalog
+from hemlockspoke.queries.query import QueryEngine
+from hemlockspoke.queries.routing import Router
 from hemlockspoke.requests import QueryRequest
-from hemlockspoke.routing import Router
 
 SERVICE = "laurentide"
 INDEX = "bins"
--- a/tests/fuzz/query_machine.py
+++ b/tests/fuzz/query_machine.py
@@ -14,7 +14,7 @@
 )
 from twisted.internet.defer import CancelledError
 
-from hemlockspoke.fleet import Fleet
+from hemlockspoke.config.fleet import Fleet
 from hemlockspoke.messages import Cancel, SubAnswerBatch, SubQueryBatch, SubStatus
 from hemlockspoke.requests import QueryRequest
 from tests.fuzz.query_fakes import INDEX, SERVICE, Tier, make_document
--- a/tests/fuzz/share_fakes.py
+++ b/tests/fuzz/share_fakes.py
@@ -5,17 +5,17 @@
 from expression import Error, Ok
 from twisted.internet.defer import Deferred, succeed
 
-from hemlockspoke.document import (
+from hemlockspoke.config.document import (
     QueryPolicy,
     Server,
     ServiceDocument,
     UpstreamClass,
 )
+from hemlockspoke.config.fleet import FLEET_KEY, SERVICE_PREFIX, Fleet
 from hemlockspoke.errors import StoreError, StoreErrorKind
-from hemlockspoke.fleet import FLEET_KEY, SERVICE_PREFIX, Fleet
+from hemlockspoke.limits.shares import subtract, total
 from hemlockspoke.ports import ListedVm, StoredObject, VmList
 from hemlockspoke.requests import Share
-from hemlockspoke.shares import subtract, total
 
 MAX_DEADLINE_MS = 5000
 
--- a/tests/fuzz/share_fuzz_world.py
+++ b/tests/fuzz/share_fuzz_world.py
@@ -1,9 +1,9 @@
 """The fleet of ``ShareWorld`` with faults, and the oracle of what must hold."""
 
+from hemlockspoke.limits.shares import add, fits, subtract, total
 from hemlockspoke.ports import VmList
 from hemlockspoke.rendezvous import group_of, rank
 from hemlockspoke.requests import Share
-from hemlockspoke.shares import add, fits, subtract, total
 from tests.fuzz.share_fakes import MAX_DEADLINE_MS, service_value
 from tests.fuzz.share_world import PAUSE_LIMIT_MS, ShareDaemon, ShareWorld
 
--- a/tests/fuzz/share_world.py
+++ b/tests/fuzz/share_world.py
@@ -3,12 +3,12 @@
 import random
 
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.fleet import FLEET_KEY
+from hemlockspoke.config.fleet import FLEET_KEY
 from hemlockspoke.invariants import Invariants
-from hemlockspoke.membership import Membership
+from hemlockspoke.limits.share_manager import ShareManager
+from hemlockspoke.members.membership import Membership
 from hemlockspoke.pause import Pause
 from hemlockspoke.ports import NullMetrics
-from hemlockspoke.share_manager import ShareManager
 from tests.fuzz.share_fakes import (
     FakeConfiguration,
     FakePlatform,
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -1,6 +1,6 @@
 """Layouts of test deployments: failure domains, servers and their document."""
 
-from hemlockspoke.document import Server, UpstreamClass
+from hemlockspoke.config.document import Server, UpstreamClass
 
 DEMO_DOMAINS = {"mtl-a": "mtl", "qc-a": "qc", "sag-a": "sag"}
 
