Log a settings file that is gone once, not with every look

Cause: the look at the file each second logged that it was not there, in tests whose file had been removed. Reading it, which follows a change, says so once.

--- a/hemlockspoke/platform/settings.py
+++ b/hemlockspoke/platform/settings.py
@@ -1,14 +1,11 @@
 """Reads the settings file that the platform places on each machine."""
 
-import logging
 import os
 
 from hemlockspoke.address import Address
 from hemlockspoke.errors import HumanReadableError
 from hemlockspoke.tier.edge_settings import Bounds, EdgeSettings
 
-logger = logging.getLogger(__name__)
-
 # deploy/system.toml names the same port to those who fetch the metrics.
 METRICS_PORT = 9464
 DEFAULTS = Bounds()
@@ -27,8 +24,8 @@
     """Return what changes with the file, or None if there is none."""
     try:
         status = os.stat(path)
-    except OSError as error:
-        logger.warning("settings not found", extra={"reason": str(error)})
+    except OSError:
+        # Reading the file, which follows a change, tells why it is not there.
         return None
     return status.st_mtime_ns, status.st_size, status.st_ino
 
