--- a/hemlockspoke/limits/held_server.py
+++ b/hemlockspoke/limits/held_server.py
@@ -1,17 +1,14 @@
 """One server in which this daemon has a share."""
 
-import logging
-
 from hemlockspoke.errors import UpstreamErrorKind as Kind
-from hemlockspoke.limits.cold_start import COLD, ColdStart, LatencyStep
+from hemlockspoke.limits.cold_start import ColdStart, LatencyStep
 from hemlockspoke.limits.gate import Gate
 from hemlockspoke.limits.holder_work import log_defect
-from hemlockspoke.messages import CatalogUpdate, ServerState
+from hemlockspoke.limits.state_announcer import StateAnnouncer
+from hemlockspoke.messages import CatalogUpdate
 from hemlockspoke.queries.served_indexes import ServedIndexes
 from hemlockspoke.requests import Share
 
-logger = logging.getLogger(__name__)
-
 # After a refusal for draining a status of another state is believed only if a
 # status has said "draining" before, or after this time, since statuses lag.
 DRAIN_RECHECK_MS = 60_000
@@ -19,10 +16,6 @@
 # Status polls in a row without a reply after which a server counts as unreachable.
 FAILED_POLLS = 3
 
-# How often the gate's state is repeated to the other holders; well within the time
-# for which a proof holds.
-STATE_REPEAT_MS = 2000
-
 NO_SHARE = Share()
 
 
@@ -46,13 +39,11 @@
         "_said_draining",
         "_sequence",
         "_served",
-        "_state_due_ms",
-        "_state_sequence",
         "_stopped",
         "_timings",
         "_verified_by",
         "_peer_sequences",
-        "_announced",
+        "_announcer",
         "_answered_poll",
         "_unannounced",
         "client",
@@ -75,6 +66,7 @@
         self._timings = timings
         ramp_successes = server.upstream_class.ramp_successes
         self.cold_start = ColdStart(ramp_successes, timings.proof_ttl_ms)
+        self._announcer = StateAnnouncer(self.name, self.cold_start, hooks, clock)
         self.step = LatencyStep()
         self.gate = Gate(clock, self.cold_start, self.step)
         self.out = not hooks.permits(self.name)
@@ -86,9 +78,6 @@
         self._served = ServedIndexes()
         # Starting from the time of day, sequences also rise over a restart.
         self._sequence = clock.wall_ms()
-        self._state_sequence = clock.wall_ms()
-        self._announced = None
-        self._state_due_ms = 0.0
         self._peer_sequences = {}
         self._poll_timer = None
         self._polling = False
@@ -277,54 +266,24 @@
     def _note_incarnation_of_reply(self, incarnation, epoch):
         now_ms = self._clock.now_ms()
         if self.cold_start.note_reply(incarnation, epoch, now_ms):
-            self._announce_trouble("a new incarnation")
+            self._announcer.announce_trouble("a new incarnation")
 
     def _connection_lost(self):
         self.cold_start.suspect()
 
-    # Cold start, as told to the other holders
-
     def _trouble(self, detail):
         self.cold_start.fall()
-        self._announce_trouble(detail)
-
-    def _announce_trouble(self, detail):
-        self._hooks.count("gate.cold")
-        logger.debug("gate is cold", extra={"server": self.name, "reason": detail})
-        self._state_sequence += 1
-        self._announced = COLD
-        self._send_state()
+        self._announcer.announce_trouble(detail)
 
     def _announce_change(self, was_proven):
         """Tell the other holders of a step of the ramp or of a new proof."""
+        if self._proves():
+            self._announcer.announce_change(was_proven)
+
+    def _proves(self):
+        """Return whether what this holder says proves that the server is warm."""
         share = self.gate.share or NO_SHARE
-        if not share.cold_start_slots or self._restricted():
-            return
-        if self._announced != self.cold_start.state:
-            self._announced = self.cold_start.state
-            self._state_sequence += 1
-            self._send_state()
-        elif not was_proven:
-            self._send_state()
-
-    def _repeat_state(self):
-        share = self.gate.share or NO_SHARE
-        proves = share.cold_start_slots and not self._restricted()
-        if self._clock.now_ms() < self._state_due_ms:
-            return
-        if proves or self._announced == COLD == self.cold_start.state:
-            self._send_state()
-
-    def _send_state(self):
-        self._state_due_ms = self._clock.now_ms() + STATE_REPEAT_MS
-        self._hooks.send_state(
-            ServerState(
-                server=self.name,
-                incarnation=self.cold_start.incarnation or "",
-                state=self.cold_start.state,
-                sequence=self._state_sequence,
-            )
-        )
+        return bool(share.cold_start_slots) and not self._restricted()
 
     # Status
 
@@ -335,7 +294,7 @@
 
     def _poll(self):
         self._schedule_poll(self._timings.status_poll_ms)
-        self._repeat_state()
+        self._announcer.repeat(self._proves())
         if not self._polling:
             self._polling = True
             self._poll_number += 1
@@ -373,7 +332,7 @@
         self._reached()
         restarted = self.cold_start.note_status(status.incarnation)
         if restarted:
-            self._announce_trouble("a new incarnation")
+            self._announcer.announce_trouble("a new incarnation")
         if status.state == "draining":
             self._said_draining = True
             self._begin_drain()
