Keep to the allowed servers when a second daemon is silent

Cause: a service that this daemon sends itself had no list of allowed servers. When the daemon asked to hedge it was taken for silent, the request went out once more from here, to any server, so a shard could run it on three where two are allowed. Change: from the moment a second daemon is asked, all later sends keep to the servers that have the request or may get it, and nothing is sent again while the first daemon is at work on it. The new scenario of edge_peers fails before (three servers of shard 0) and passes after.

--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -116,15 +116,17 @@
         return [attempt for attempt in self.attempts if attempt.in_flight]
 
     def leave_to_other(self, upstream):
-        """Let another daemon send the request to a server; False if it may not.
+        """Let another daemon send the request to a server.
 
-        From now on no server gets it from here that has not got it yet.
+        From now on no server gets it from here that has not got it yet. Return the
+        ids of all servers that may have it then, or None if that would be too many.
         """
-        used = self._servers | {upstream}
-        if upstream in self._servers or len(used) > self._max_attempts:
-            return False
-        self._only = {u.server_id for u in self._servers}
-        return True
+        used = {u.server_id for u in self._servers}
+        allowed = used | {upstream.server_id}
+        if upstream.server_id in used or len(allowed) > self._max_attempts:
+            return None
+        self._only = used
+        return allowed
 
     def cancel(self):
         """End all attempts at once: the caller has gone."""
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -163,8 +163,7 @@
         for domain, group in self._plan.second_choices(self._waiting).items():
             allowed = {}
             for service, server in group.items():
-                delivery = here.get(service)
-                if delivery is None or delivery.leave_to_other(server):
+                if self._may_ask(here.get(service), service, server):
                     allowed[service] = [server.server_id]
             for helper in self._tier.desk.helpers(domain, 1):
                 if allowed:
@@ -172,6 +171,18 @@
                     self._ask(helper, allowed, domain, rtt_ms, repeat=True)
                     self._tier.metrics.count("hedges.delegated", len(allowed))
 
+    def _may_ask(self, delivery, service, server):
+        """Return whether another daemon may send to a server of a service."""
+        if delivery is None:
+            # Handed over: the daemon that gathers it knows the same servers.
+            return True
+        allowed = delivery.leave_to_other(server)
+        if allowed is None:
+            return False
+        # Whatever is sent for the service later keeps to these as well.
+        self._allowed[service] = allowed
+        return True
+
     def _add_source(self, service):
         """Take that one more delivery or daemon may answer for a service."""
         self._sources[service] += 1
@@ -270,7 +281,9 @@
         if not self._finished:
             self._tier.metrics.count("delegation.silent")
             self._ran = True
-            self._send_here(sorted(services), sent_before=True)
+            # Where the silent daemon was asked second, the first is still at work.
+            alone = [s for s in sorted(services) if self._sources[s] == 1]
+            self._send_here(alone, sent_before=True)
 
     def delegate_lost(self, services):
         """Take that a daemon will not report."""
--- a/tests/features/edge_peers.feature
+++ b/tests/features/edge_peers.feature
@@ -82,6 +82,17 @@
     Then it gets 200 with 4 proofs and 0 parts missing
     And no shard has run the query on more than 2 servers
 
+  Scenario: a silent second daemon leads to no third server
+    # Guards against servers beyond those that the route allows when the daemon
+    # that was asked to hedge is taken for dead.
+    Given the daemon "e3" runs in "b1" beside "e1"
+    And every shard has a third server, in "b1"
+    And every server of shard 0 is "hang"
+    And "e1" may send to "b1" only after 200 ms, and then prefers the third servers
+    And "e3" reports late
+    When a caller sends a query to "e1"
+    Then no shard has run the query on more than 2 servers
+
   Scenario: nothing is sent for a query that has been answered
     # Guards against requests that leave when their connection opens late.
     Given shard 0 has only the server "s0-a1"
--- a/tests/features/steps/edge_peers_steps.py
+++ b/tests/features/steps/edge_peers_steps.py
@@ -154,6 +154,54 @@
     directory.upstreams[server].pool.limit = 0
 
 
+@given('every server of shard {shard:d} is "{behaviour}"')
+def step_shard_servers(context, shard, behaviour):
+    for server in shards(context):
+        if server.service == f"shard-{shard}":
+            server.behaviour = behaviour
+
+
+@given('every shard has a third server, in "{zone}"')
+def step_third(context, zone):
+    world = context.world
+    names = [f"s{number}-third" for number in range(len(world.shards))]
+    for number, (name, service) in enumerate(zip(names, world.shards, strict=True)):
+        world.add_server(name, service, number, zone)
+    for daemon in world.daemons.values():
+        known = daemon.directory.upstreams
+        wait_until(lambda known=known: all(name in known for name in names))
+
+
+@given(
+    '"{vm}" may send to "{zone}" only after {delay_ms:d} ms, '
+    "and then prefers the third servers"
+)
+def step_far_later(context, vm, zone, delay_ms):
+    directory = context.world.daemons[vm].directory
+    far = [
+        upstream
+        for upstream in directory.upstreams.values()
+        if upstream.entry.failure_domain == zone
+    ]
+    limits = [upstream.pool.limit for upstream in far]
+    send = context.world.daemons[vm]._front.handle
+
+    def lift():
+        for upstream, limit in zip(far, limits, strict=True):
+            upstream.pool.limit = limit
+        for upstream in directory.upstreams.values():
+            if not upstream.server_id.endswith("third"):
+                upstream.overdue += 5
+
+    def handle(request):
+        for upstream in far:
+            upstream.pool.limit = 0
+        reactor.callLater(delay_ms / 1000, lift)
+        send(request)
+
+    context.world.daemons[vm]._site.handle = handle
+
+
 class LateReactor:
     """The reactor, except that connections are opened later."""
 
