--- a/hemlockspoke/request_story.py
+++ b/hemlockspoke/request_story.py
@@ -88,7 +88,9 @@
         summary = CAUSES.get(outcome, "{outcome}: {reason}").format(
             outcome=outcome, reason=fields.get("reason", "")
         )
-        blamed = sorted({blame for send in sends if (blame := describe_blame(send))})
+        blamed = {blame for send in sends if (blame := describe_blame(send))}
+        # Servers that failed the request come before what kept a hedge back.
+        blamed = sorted(blamed, key=lambda blame: (is_reason(blame), blame))
         if blamed:
             summary += "; " + "; ".join(blamed)
         return summary
@@ -127,6 +129,11 @@
 _REASONS = ("extra load", "no server", "no other server", "no hedge")
 
 
+def is_reason(send):
+    """Return whether a logged send says why nothing was sent."""
+    return any(reason in send for reason in _REASONS)
+
+
 def describe_blame(send):
     """Return what one logged send says against its server, or an empty text.
 
@@ -137,7 +144,7 @@
     """
     words = send.split()
     if len(words) < 4 or words[2] not in _BLAME:
-        return send if any(reason in send for reason in _REASONS) else ""
+        return send if is_reason(send) else ""
     service, server, verdict = words[:3]
     detail = " ".join(words[5:]) or "no reason given"
     return f"{service} " + _BLAME[verdict].format(server=server, detail=detail)
