Work out a daemon's share when the members change, not with every request

Cause: the share of extra arrivals was summed over all members and hubs for each sub-query, several times; it changes only with the list of daemons.

--- a/hemlockspoke/tier/apportion.py
+++ b/hemlockspoke/tier/apportion.py
@@ -40,7 +40,7 @@
     (14, 4)
     """
 
-    __slots__ = ("_domain", "_hubs", "_members", "_regions", "_vm")
+    __slots__ = ("_domain", "_hubs", "_members", "_regions", "_share", "_vm")
 
     def __init__(self, vm, domain, regions):
         self._vm = vm
@@ -48,6 +48,7 @@
         self._regions = regions
         self._members = None
         self._hubs = {}
+        self._share = 1.0 / ASSUMED_MEMBERS
 
     def set_members(self, members):
         """Take the names of all daemons by failure domain; tell if they changed."""
@@ -59,6 +60,10 @@
             domain: rank(domain, names)[: max(MIN_HUBS, int(HUB_PART * len(names)))]
             for domain, names in members.items()
         }
+        # Asked for with every request, while daemons come and go seldom.
+        hubs = sum(len(names) for names in self._hubs.values())
+        total = self.count() + (HUB_WEIGHT - 1) * hubs
+        self._share = (HUB_WEIGHT if self.is_hub() else 1) / max(1, total)
         return True
 
     def hubs(self, domain):
@@ -77,11 +82,7 @@
 
     def share(self):
         """Return this daemon's part of a limit on what all daemons send."""
-        if self._members is None:
-            return 1.0 / ASSUMED_MEMBERS
-        hubs = sum(len(names) for names in self._hubs.values())
-        total = self.count() + (HUB_WEIGHT - 1) * hubs
-        return (HUB_WEIGHT if self.is_hub() else 1) / max(1, total)
+        return self._share
 
     def connections(self, server_id, domain, limit):
         """Return how many connections this daemon may have to a server."""
--- a/tests/edge_soak/callers.py
+++ b/tests/edge_soak/callers.py
@@ -17,13 +17,12 @@
 class Outcome:
     """One request and what came of it."""
 
-    __slots__ = ("attempt", "path", "sent_s", "status", "took_ms", "version", "vm")
+    __slots__ = ("attempt", "path", "sent_s", "status", "took_ms", "vm")
 
-    def __init__(self, attempt, path, vm, version, sent_s, status, took_ms):
+    def __init__(self, attempt, path, vm, sent_s, status, took_ms):
         self.attempt = attempt
         self.path = path
         self.vm = vm
-        self.version = version
         self.sent_s = sent_s
         self.status = status
         self.took_ms = took_ms
@@ -70,14 +69,13 @@
         """Send one request and check its answer."""
         attempt = f"soak{next(self._numbers)}"
         method, body = (b"POST", b"two tonnes") if path == ORDER_PATH else (b"GET", b"")
-        version = self._world.version
         sent_s = time.monotonic()
         reply = self._world.request(
             vm, f"{path}x", attempt, method, body, CALLER_BUDGET_MS, pool=pool
         )
         status = reply.status
         took_ms = (time.monotonic() - sent_s) * 1000
-        outcome = Outcome(attempt, path, vm, version, sent_s, status, took_ms)
+        outcome = Outcome(attempt, path, vm, sent_s, status, took_ms)
         self.outcomes.append(outcome)
         if status == 200:
             self._check(outcome, reply)
--- a/tests/edge_soak/processes.py
+++ b/tests/edge_soak/processes.py
@@ -32,11 +32,9 @@
         self.process = None
         # Set while the process is expected to end, or not to run.
         self.disturbed = False
-        self.starts = 0
 
     def start(self):
         """Start the process; it writes its log to a file."""
-        self.starts += 1
         environment = {
             "HEMLOCKSPOKE_SETTINGS": str(self.settings),
             "PATH": os.environ["PATH"],
--- a/tests/edge_soak/proxy.py
+++ b/tests/edge_soak/proxy.py
@@ -5,7 +5,7 @@
 
 from hemlockspoke.registry import Registry
 
-# Each takes the proxy and tells whether bytes pass towards the target and back.
+# Each takes a source of random numbers and returns the ``Passage`` of connections.
 modes = Registry("proxy mode")
 
 
