Build the work of a caller's request in one place; drop a field nobody reads

Cause: Gather and Forward each spelled out the same seven arguments, and a registered daemon still held its region after parts have been gathered by failure domain.

--- a/hemlockspoke/tier/attempt.py
+++ b/hemlockspoke/tier/attempt.py
@@ -52,6 +52,20 @@
         self.idempotent = idempotent
         self._head = None
 
+    @classmethod
+    def from_request(cls, request, idempotent):
+        """Build from a caller's ``TierRequest``."""
+        http = request.http
+        return cls(
+            http.method,
+            http.target,
+            http.headers,
+            http.body,
+            request.attempt_id,
+            request.caller_deadline_ms,
+            idempotent,
+        )
+
     def encode(self, codec, remaining_ms, server_id):
         """Return the bytes for one server; a query is encoded for many in turn."""
         if self._head is None:
--- a/hemlockspoke/tier/fellows.py
+++ b/hemlockspoke/tier/fellows.py
@@ -17,13 +17,12 @@
 class Fellow:
     """A registered daemon."""
 
-    __slots__ = ("address", "failure_domain", "region", "vm")
+    __slots__ = ("address", "failure_domain", "vm")
 
-    def __init__(self, vm, address, failure_domain, region):
+    def __init__(self, vm, address, failure_domain):
         self.vm = vm
         self.address = address
         self.failure_domain = failure_domain
-        self.region = region
 
 
 class Fellows:
@@ -89,7 +88,7 @@
         ]
 
 
-def decode_fellow(name, spec, failure_domains):
+def decode_fellow(name, spec):
     """Return the daemon of a registration, or None if it is malformed."""
     try:
         domain = spec["failure_domain"]
@@ -97,4 +96,4 @@
     except (KeyError, TypeError, ValueError):
         logger.warning("malformed registration", extra={"peer": name})
         return None
-    return Fellow(name, address, domain, failure_domains.get(domain, ""))
+    return Fellow(name, address, domain)
--- a/hemlockspoke/tier/forward.py
+++ b/hemlockspoke/tier/forward.py
@@ -27,16 +27,7 @@
         """Send the request, and watch the time."""
         request = self._request
         route = request.route
-        http = request.http
-        work = Work(
-            http.method,
-            http.target,
-            http.headers,
-            http.body,
-            request.attempt_id,
-            request.caller_deadline_ms,
-            route.idempotent,
-        )
+        work = Work.from_request(request, route.idempotent)
         self._delivery = Delivery(
             self._tier,
             self._service,
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -85,16 +85,7 @@
         # The tolerance keeps 0.9 of 10 shards from becoming 10 by rounding.
         needed = request.route.min_coverage * self._shards - 1e-9
         self._needed = max(1, math.ceil(needed))
-        http = request.http
-        self._work = Work(
-            http.method,
-            http.target,
-            http.headers,
-            http.body,
-            request.attempt_id,
-            request.caller_deadline_ms,
-            True,
-        )
+        self._work = Work.from_request(request, idempotent=True)
 
     def start(self):
         """Send a sub-query for each shard, and watch the time."""
--- a/hemlockspoke/tier/members.py
+++ b/hemlockspoke/tier/members.py
@@ -110,9 +110,7 @@
         fellows = []
         now_ms = self._clock.wall_ms()
         for change in changes:
-            fellow = decode_fellow(
-                change.name, change.spec, self._settings.failure_domains
-            )
+            fellow = decode_fellow(change.name, change.spec)
             if fellow is None or fellow.vm == self._settings.vm:
                 continue
             renewed_ms = change.spec.get("renewed_ms")
