Limit the bytes of answers; take no cut reply for a whole one

Cause: a server in trouble may send bytes without end in a head or a body, or stop in its head. ResponseParser had no limit, so such bytes took the daemon's memory and, for one header line, its processor (each chunk is appended to the line so far). A 101 left feed() as an exception. The upstream client of hemlockspoked kept header lines without a limit. The command line took a reply that was cut in its head or body for a whole one with status 200, as http.client ends a head at the end of the connection and a read with a limit doesn't report a short body.

Change: 64 KB for all bytes that are not body, plus 8 for each byte of the body, 1 MB for a body, 8 MB for one of the store; beyond that the answer is malformed, its connection is aborted, the request may have run. One log line and one count (servers.malformed) for each. The body is one buffer: a list of chunks of 16 bytes took four times their size. The command line needs a length and a whole body.

Ruled out: a cut head or body of the daemon's own connections to servers; every prefix of three framed answers and of answers that end with their connection is tested, and passed before as well.

--- a/hemlockspoke/adapters/blocking_http.py
+++ b/hemlockspoke/adapters/blocking_http.py
@@ -56,12 +56,33 @@
     try:
         connection.request(method, path, content, headers)
         response = connection.getresponse()
-        reply_content = response.read(MAX_REPLY_BYTES)
+        reply_content = _read_body(response)
     except (OSError, HTTPException) as error:
         raise NoReply(_error_detail(error), sent=True) from error
     return HttpReply(response.status, _parse_json(reply_content))
 
 
+def _read_body(response):
+    """Return the complete body of an ``http.client`` response.
+
+    Raises ``NoReply`` if it has no length or is too long, and ``HTTPException`` if it
+    ends early.
+    """
+    if response.chunked:
+        content = response.read(MAX_REPLY_BYTES)
+        if not response.isclosed():
+            raise NoReply("the reply is too long", sent=True)
+        return content
+    # ``http.client`` takes the end of the connection for the end of the head, so a
+    # reply that is cut off there looks like a complete one without a length.
+    if response.length is None:
+        raise NoReply("the reply has no length", sent=True)
+    if response.length > MAX_REPLY_BYTES:
+        raise NoReply("the reply is too long", sent=True)
+    # Only a read without a limit reports a body that ends early.
+    return response.read()
+
+
 def _parse_json(content):
     try:
         return json.loads(content)
--- a/hemlockspoke/adapters/http_connection.py
+++ b/hemlockspoke/adapters/http_connection.py
@@ -16,6 +16,11 @@
 # A reply within this limit fits into one frame between daemons, even if it is longer as
 # msgpack than as JSON. A longer one might not.
 MAX_REPLY_BYTES = 1024 * 1024
+# Limit on the bytes received before the head is complete, interim replies included.
+MAX_HEAD_BYTES = 65_536
+# Limit on the bytes of a whole reply. It exceeds the limit on the body, as a body may
+# come in small chunks; a reply that goes on beyond it may have no end.
+MAX_RECEIVED_BYTES = 4 * MAX_REPLY_BYTES
 
 
 def header_line(name, value):
@@ -83,6 +88,8 @@
         self.closing = False
         self.requests_sent = 0
         self.last_received_ms = 0.0
+        self._received_bytes = 0
+        self._head_complete = False
         self._owner = owner
         self._clock = clock
         self._abort_timer = None
@@ -94,6 +101,11 @@
     def dataReceived(self, data):
         self.last_received_ms = self._clock.now_ms()
         super().dataReceived(data)
+        self._received_bytes += len(data)
+        limit = MAX_RECEIVED_BYTES if self._head_complete else MAX_HEAD_BYTES
+        if self.call is not None and self._received_bytes > limit:
+            self.closing = True
+            self.transport.abortConnection()
 
     def send(self, call, request):
         """Send ``request``.
@@ -102,6 +114,8 @@
         """
         self.call = call
         self.requests_sent += 1
+        self._received_bytes = 0
+        self._head_complete = False
         finished = self.request(request)
         finished.addCallbacks(self._headers_received, self._request_failed)
 
@@ -122,6 +136,8 @@
         self._owner.connection_closed(self)
 
     def _headers_received(self, response):
+        self._head_complete = True
+
         def on_body(content):
             self._body_received(response.code, content)
 
--- a/hemlockspoke/http1/connection.py
+++ b/hemlockspoke/http1/connection.py
@@ -6,7 +6,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from hemlockspoke.http1.response_parser import ResponseParser
+from hemlockspoke.http1.response_parser import MAX_BODY_BYTES, ResponseParser
 
 # A connection normally opens within two round trips between regions; a longer wait
 # means a lost packet or an unreachable host.
@@ -27,7 +27,7 @@
     UNSENT = "unsent"
     # The connection was lost; the server may have read the request.
     BROKEN = "broken"
-    # The received bytes are not an HTTP response.
+    # The received bytes are not an HTTP response within the limits.
     MALFORMED = "malformed"
 
 
@@ -38,7 +38,8 @@
     sent, so that their remaining time is accurate. Exactly one of
     ``on_response(response)`` and ``on_failure(failure, detail)`` is called, unless the
     exchange is cancelled. With ``fresh_only`` no connection is used that has been
-    idle for over a quarter of its limit, since the server may be closing it.
+    idle for over a quarter of its limit, since the server may be closing it. A response
+    with a body of over ``max_body_bytes`` is malformed.
     """
 
     __slots__ = (
@@ -48,6 +49,7 @@
         "encode",
         "fresh_only",
         "head_only",
+        "max_body_bytes",
         "on_failure",
         "on_response",
         "sent_ms",
@@ -55,7 +57,13 @@
     )
 
     def __init__(
-        self, encode, on_response, on_failure, fresh_only=False, head_only=False
+        self,
+        encode,
+        on_response,
+        on_failure,
+        fresh_only=False,
+        head_only=False,
+        max_body_bytes=MAX_BODY_BYTES,
     ):
         self.encode = encode
         self.size_bytes = 0
@@ -63,6 +71,7 @@
         self.on_failure = on_failure
         self.fresh_only = fresh_only
         self.head_only = head_only
+        self.max_body_bytes = max_body_bytes
         self.sent_ms = None
         self.connection = None
         self.done = False
@@ -113,7 +122,7 @@
     def send(self, exchange, now_ms):
         """Send the request of an exchange."""
         self._exchange = exchange
-        self._parser = ResponseParser(exchange.head_only)
+        self._parser = ResponseParser(exchange.head_only, exchange.max_body_bytes)
         self.idle_since_ms = None
         exchange.connection = self
         exchange.sent_ms = now_ms
@@ -129,9 +138,7 @@
             return
         parser.feed(data)
         if parser.malformed:
-            self._fail_exchange(
-                ExchangeFailure.MALFORMED, "the received bytes are not an HTTP response"
-            )
+            self._fail_exchange(ExchangeFailure.MALFORMED, parser.malformed)
             self.transport.abortConnection()
         elif parser.response is not None:
             self._complete(parser)
--- a/hemlockspoke/http1/json_calls.py
+++ b/hemlockspoke/http1/json_calls.py
@@ -5,6 +5,10 @@
 from hemlockspoke.http1.connection import ConnectionPool, Exchange, ExchangeFailure
 from hemlockspoke.http1.messages import encode_request
 
+# Limit on the body of a reply. A page of a list holds about 1 MB and at most one more
+# object of that size.
+MAX_REPLY_BYTES = 8 * 1024 * 1024
+
 
 class JsonReply:
     """Status and decoded body of a reply; ``status`` is None if there was no reply.
@@ -61,7 +65,9 @@
             detail = f"no answer in {timeout_ms:.0f} ms"
             on_reply(JsonReply(None, detail=detail, sent=sent))
 
-        exchange = Exchange(lambda: data, on_response, on_failure)
+        exchange = Exchange(
+            lambda: data, on_response, on_failure, max_body_bytes=MAX_REPLY_BYTES
+        )
         pending["timer"] = self._clock.call_later(timeout_ms, on_timeout)
         self._pool.submit(exchange)
 
--- a/hemlockspoke/http1/messages.py
+++ b/hemlockspoke/http1/messages.py
@@ -24,6 +24,11 @@
 _BODYLESS_METHODS = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 
 
+def printable(value):
+    """Return the bytes of a header as text, or None."""
+    return value.decode("latin-1") if value is not None else None
+
+
 def end_to_end(headers):
     """Return the headers to forward, in their original order and spelling.
 
--- a/hemlockspoke/http1/response_parser.py
+++ b/hemlockspoke/http1/response_parser.py
@@ -2,25 +2,36 @@
 
 import re
 
-from httptools import HttpParserError, HttpResponseParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from hemlockspoke.http1.messages import Response
 
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
+# Limit on the bytes of a response that are not its body: the head, interim responses,
+# chunk sizes and trailers. A server in trouble may send such bytes without end.
+MAX_OVERHEAD_BYTES = 65_536
+# The size line of a chunk allows for this many bytes more for each byte of the body, so
+# that a body may come in chunks of a few bytes.
+MAX_CHUNK_OVERHEAD = 8
+# Limit on the body. Fifty bodies of this size fit into the memory of a small VM.
+MAX_BODY_BYTES = 1024 * 1024
 
 
 class ResponseParser:
     """Parses one response and detects bytes that follow it.
 
     ``response`` is set once the response is complete. ``has_trailing_data`` is True if
-    bytes followed it, ``malformed`` if the bytes are not an HTTP response. With
-    ``head_only`` the response has no body, as the request was a HEAD.
+    bytes followed it. ``malformed`` is the reason why the bytes are not an HTTP
+    response within the limits, or an empty string; a malformed response is never
+    completed. With ``head_only`` the response has no body, as the request was a HEAD.
     """
 
     __slots__ = (
-        "_body_chunks",
+        "_body",
         "_headers",
+        "_max_body_bytes",
         "_parser",
+        "_received_bytes",
         "_until_close",
         "has_trailing_data",
         "head_only",
@@ -28,30 +39,52 @@
         "response",
     )
 
-    def __init__(self, head_only=False):
+    def __init__(self, head_only=False, max_body_bytes=MAX_BODY_BYTES):
         self.head_only = head_only
+        self._max_body_bytes = max_body_bytes
+        self._received_bytes = 0
         self._parser = HttpResponseParser(self)
         self._headers = []
-        self._body_chunks = []
+        # One buffer, as a list of chunks of a few bytes takes several times their size.
+        self._body = bytearray()
         # True if the headers do not delimit the body, so that a close ends it.
         self._until_close = False
         self.response = None
-        self.malformed = False
+        self.malformed = ""
         self.has_trailing_data = False
 
     def feed(self, data):
         """Parse bytes received on the connection."""
+        if self.malformed:
+            return
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
-        except HttpParserError:
+        except (HttpParserError, HttpParserUpgrade):
             if self.response is None:
-                self.malformed = True
+                self._reject("the received bytes are not an HTTP response")
             else:
                 self.has_trailing_data = True
+        if self.response is None and not self.malformed:
+            self._check_limits()
+
+    def _check_limits(self):
+        body_bytes = len(self._body)
+        overhead_bytes = self._received_bytes - body_bytes
+        allowed_bytes = MAX_OVERHEAD_BYTES + MAX_CHUNK_OVERHEAD * body_bytes
+        if body_bytes > self._max_body_bytes:
+            self._reject(f"the body is longer than {self._max_body_bytes} bytes")
+        elif overhead_bytes > allowed_bytes:
+            self._reject(f"{overhead_bytes} bytes without an end of the head or body")
+
+    def _reject(self, reason):
+        self.malformed = reason
+        self._headers.clear()
+        self._body.clear()
 
     def end(self):
         """Handle a clean close; return whether it completed the response."""
-        if self.response is None and self._until_close:
+        if self.response is None and self._until_close and not self.malformed:
             self._complete(reusable=False)
             return True
         return False
@@ -85,7 +118,7 @@
     def on_body(self, data):
         """Collect a chunk of the body."""
         if self.response is None:
-            self._body_chunks.append(data)
+            self._body += data
 
     def on_message_complete(self):
         """Complete the response; interim (1xx) responses are discarded."""
@@ -93,7 +126,6 @@
             return
         if self._parser.get_status_code() < 200:
             self._headers.clear()
-            self._body_chunks.clear()
             return
         self._complete(
             reusable=self._parser.should_keep_alive() and not self._until_close
@@ -108,7 +140,7 @@
         self.response = Response(
             self._parser.get_status_code(),
             list(self._headers),
-            b"".join(self._body_chunks),
+            bytes(self._body),
             reusable,
             keep_alive_ms,
         )
--- a/hemlockspoke/tier/attempt.py
+++ b/hemlockspoke/tier/attempt.py
@@ -1,9 +1,12 @@
 """One request sent to one server, and its outcome."""
 
+import logging
 from enum import Enum
 
 from hemlockspoke.http1.connection import Exchange, ExchangeFailure
-from hemlockspoke.http1.messages import request_head, request_tail
+from hemlockspoke.http1.messages import printable, request_head, request_tail
+
+logger = logging.getLogger(__name__)
 
 HTTP_MISDIRECTED = 421
 
@@ -84,6 +87,7 @@
         "_counted_overdue",
         "_directory",
         "_exchange",
+        "_metrics",
         "_on_done",
         "_outgoing",
         "_timing",
@@ -101,6 +105,7 @@
         self._clock = tier.clock
         self._codec = tier.codec
         self._directory = tier.directory
+        self._metrics = tier.metrics
         self._outgoing = outgoing
         self._timing = timing
         self._on_done = on_done
@@ -202,6 +207,17 @@
 
     def _on_exchange_failure(self, failure, detail):
         unsent = failure is ExchangeFailure.UNSENT
+        if failure is ExchangeFailure.MALFORMED:
+            self._metrics.count("servers.malformed")
+            logger.warning(
+                "malformed response",
+                extra={
+                    "request": printable(self._outgoing.attempt_id),
+                    "server": self.server.server_id,
+                    "service": self.server.entry.service,
+                    "reason": detail,
+                },
+            )
         now_ms = self._clock.now_ms()
         self.server.record_result(now_ms, failed=True, weight=0.6 if unsent else 0.3)
         self._finish(Verdict.UNSENT if unsent else Verdict.UNKNOWN, detail)
--- a/hemlockspoke/tier/attempt_log.py
+++ b/hemlockspoke/tier/attempt_log.py
@@ -22,8 +22,3 @@
                 f"{attempt.elapsed_ms():.0f} ms {attempt.detail}".rstrip()
             )
     return lines
-
-
-def printable(value):
-    """Return the bytes of a header as text, or None."""
-    return value.decode("latin-1") if value is not None else None
--- a/hemlockspoke/tier/peer_gather.py
+++ b/hemlockspoke/tier/peer_gather.py
@@ -2,9 +2,10 @@
 
 import logging
 
+from hemlockspoke.http1.messages import printable
 from hemlockspoke.messages import GatherReport
 from hemlockspoke.tier.attempt import OutgoingRequest
-from hemlockspoke.tier.attempt_log import describe_attempts, printable
+from hemlockspoke.tier.attempt_log import describe_attempts
 from hemlockspoke.tier.delivery import Delivery
 from hemlockspoke.tier.merge import greatest_records
 
--- a/hemlockspoke/tier/request_handler.py
+++ b/hemlockspoke/tier/request_handler.py
@@ -3,7 +3,8 @@
 import logging
 import random
 
-from hemlockspoke.tier.attempt_log import describe_attempts, printable
+from hemlockspoke.http1.messages import printable
+from hemlockspoke.tier.attempt_log import describe_attempts
 from hemlockspoke.tier.forward import Forward
 from hemlockspoke.tier.gather import Gather
 from hemlockspoke.tier.replies import RETRY_AFTER_START_MS, ErrorReply
