Keep feeds reading through long outages; plan shares once registered

Causes: Feed._retry computed a power of the number of failures, which overflows after 1,025 of them, and the feed never called the store again. A 200 without the fields of a page raised as well and stopped the feed. A restarted hemlockspoked whose registration was applied, but whose reply was lost, planned no shares until the periodic check (up to 37.5 s) if the object had arrived by the watch first.

Change: the delay of a retry doubles up to its maximum. A reply without a page is a failed call.

--- a/hemlockspoke/limits/share_manager.py
+++ b/hemlockspoke/limits/share_manager.py
@@ -256,8 +256,6 @@
             manager.apply()
             manager.schedule_plan()
 
-    # Handlers of changes.
-
     def _object_adopted(self, key):
         if not self._started:
             return
@@ -268,7 +266,7 @@
         elif key == FLEET_KEY:
             self._members_changed()
         elif key == REGISTRATION_PREFIX + self._vm:
-            self._registration_adopted(self.configuration.get(key))
+            self.registration_known()
 
     def _shares_adopted(self, stored):
         group = stored.key[len(SHARE_PREFIX) :]
@@ -309,9 +307,11 @@
             self._plan_if_holder(group)
         self._plan_all()
 
-    def _registration_adopted(self, stored):
+    def registration_known(self):
+        """Plan once the incarnation is known; a later one ends the use of shares."""
         incarnation = self._incarnation()
-        if incarnation is None:
+        stored = self.configuration.get(REGISTRATION_PREFIX + self._vm)
+        if not self._started or incarnation is None or stored is None:
             return
         if registration_incarnation(stored) > incarnation:
             self._confirmation.supersede()
--- a/hemlockspoke/node.py
+++ b/hemlockspoke/node.py
@@ -200,7 +200,10 @@
                 self.dispatcher.send(vm, message)
 
     def _registered(self, key, version, value):
-        self.configuration.adopt(key, version, value)
+        if not self.configuration.adopt(key, version, value):
+            # The reply to the write was lost, and the object arrived by the watch
+            # before the incarnation was known.
+            self.share_manager.registration_known()
 
     def start(self):
         """Start every component."""
--- a/hemlockspoke/platform/feeds.py
+++ b/hemlockspoke/platform/feeds.py
@@ -28,14 +28,14 @@
         """
 
         def decode(reply):
-            body = reply.body
-            if reply.status != HTTP_OK or not isinstance(body, dict):
+            items = page_items(reply, "items")
+            if items is None:
                 on_page(feed_error(reply))
                 return
-            changes = [change for change in map(decode_change, body["items"]) if change]
-            has_more = body.get("more") and changes
+            changes = [change for change in map(decode_change, items) if change]
+            has_more = reply.body.get("more") and changes
             after_name = changes[-1].name if has_more else None
-            on_page(Page(changes, body["current_rev"], after_name))
+            on_page(Page(changes, reply.body["current_rev"], after_name))
 
         self._calls.list(self._kind, after, decode, stale=stale)
 
@@ -46,22 +46,33 @@
         """
 
         def decode(reply):
-            body = reply.body
-            if reply.status != HTTP_OK or not isinstance(body, dict):
+            events = page_items(reply, "events")
+            if events is None:
                 on_page(feed_error(reply))
                 return
             changes = [
-                decode_change(event["object"], event["removed"])
-                for event in body["events"]
+                decode_change(event.get("object"), event.get("removed"))
+                for event in events
+                if isinstance(event, dict)
             ]
-            on_page(Page([change for change in changes if change], body["current_rev"]))
+            changes = [change for change in changes if change]
+            on_page(Page(changes, reply.body["current_rev"]))
 
         self._calls.watch(self._kind, revision, wait_ms, grace_ms, decode)
 
 
+def page_items(reply, field):
+    """Return the items or events of a page, or None if the reply is no page."""
+    body = reply.body if isinstance(reply.body, dict) else {}
+    is_page = isinstance(body.get(field), list) and type(body.get("current_rev")) is int
+    return body[field] if reply.status == HTTP_OK and is_page else None
+
+
 def feed_error(reply):
     """Return the ``FeedError`` for a reply without a page of objects."""
     detail = reply.detail or f"status {reply.status}"
+    if reply.status == HTTP_OK:
+        detail = "the reply has no page of objects"
     return FeedError(detail, history_gone=reply.status == HTTP_GONE)
 
 
--- a/hemlockspoke/tier/feed.py
+++ b/hemlockspoke/tier/feed.py
@@ -74,10 +74,10 @@
 
     __slots__ = (
         "_clock",
-        "_failures",
         "_generation",
         "_kind",
         "_listed_changes",
+        "_retry_ms",
         "_revision",
         "_rng",
         "_sink",
@@ -97,7 +97,7 @@
         self._rng = rng or random.Random()
         self._revision = None
         self._listed_changes = []
-        self._failures = 0
+        self._retry_ms = FIRST_RETRY_MS
         self._watch_started_ms = 0.0
         # Incremented by each pause and resume, to ignore results of earlier calls.
         self._generation = 0
@@ -109,7 +109,7 @@
         self._generation += 1
         self.active = True
         self.lost = False
-        self._failures = 0
+        self._retry_ms = FIRST_RETRY_MS
         self._listed_changes = []
         if revision is None:
             self._list(self._generation, None)
@@ -172,17 +172,17 @@
         self._clock.call_later(delay_ms, self._watch, generation)
 
     def _note_success(self):
-        self._failures = 0
+        self._retry_ms = FIRST_RETRY_MS
         if self.lost:
             self.lost = False
             logger.info("store regained", extra={"feed": self._kind})
 
     def _retry(self, error, function, *args):
-        self._failures += 1
         if not self.lost:
             self.lost = True
             logger.warning(
                 "store lost", extra={"feed": self._kind, "reason": error.detail}
             )
-        delay_ms = min(MAX_RETRY_MS, FIRST_RETRY_MS * 2 ** (self._failures - 1))
-        self._clock.call_later(delay_ms * self._rng.uniform(0.7, 1.0), function, *args)
+        delay_ms = self._retry_ms * self._rng.uniform(0.7, 1.0)
+        self._retry_ms = min(MAX_RETRY_MS, 2 * self._retry_ms)
+        self._clock.call_later(delay_ms, function, *args)
--- a/tests/features/shares.feature
+++ b/tests/features/shares.feature
@@ -96,6 +96,17 @@
     Then each shared server has 2 slots at 2 live holders
     And share daemon 0 holds nothing in the store
 
+  # Guards against a restarted daemon that holds nothing until its periodic check, since
+  # it had read its registration before it knew that this was its own.
+  Scenario: a daemon plans as soon as it knows its incarnation
+    Given 3 share daemons and 4 servers with 2 slots
+    When the share daemons run for 3000 ms
+    And share daemon 2 is restarted and the reply to its registration is lost
+    And the share daemons run for 1000 ms
+    And share daemon 2 learns that it has registered
+    And the share daemons run for 8000 ms
+    Then share daemon 2 holds shares again
+
   Scenario: the holders keep their shares while the store is unavailable
     Given 3 share daemons and 4 servers with 2 slots
     When the share daemons run for 3000 ms
--- a/tests/features/steps/shares_steps.py
+++ b/tests/features/steps/shares_steps.py
@@ -334,3 +334,22 @@
 @then("no share is in the store")
 def step_none_in_store(context):
     assert slots_in_store(context) == 0
+
+
+@when("share daemon {number:d} is restarted and the reply to its registration is lost")
+def step_restart_reply_lost(context, number):
+    context.world.crash(f"vm-{number}")
+    context.world.start(f"vm-{number}", reply_lost=True)
+
+
+@when("share daemon {number:d} learns that it has registered")
+def step_registered(context, number):
+    daemon = context.world.daemons[f"vm-{number}"]
+    daemon.incarnation = daemon.configuration.get(f"vms/vm-{number}").version
+    daemon.shares.registration_known()
+
+
+@then("share daemon {number:d} holds shares again")
+def step_holds_again(context, number):
+    daemon = context.world.daemons[f"vm-{number}"]
+    assert daemon.shares.effective_shares(), daemon.holder.shares
