Answer all that reaches a daemon before it stops

Cause: while a daemon stops it closes idle connections every 50 ms, and took a new connection on which nothing had been sent yet for an idle one; a request that came then was reset. It kept its port open until the process ended, so connections that the kernel had accepted were reset as well, and with callers that connect in a loop it was never idle and cut what was in progress at its time limit.

Change: a connection without a request is kept for 500 ms. When nothing is in progress, or 3.6 s after the signal, the daemon accepts what waits in the kernel, closes its port, and ends once all of it has been answered.

--- a/hemlockspoke/http1/channel.py
+++ b/hemlockspoke/http1/channel.py
@@ -17,6 +17,9 @@
 TCP_INFO_BYTES = 72
 # Used if the kernel provides no measurement.
 DEFAULT_RTT_MS = 4.0
+# Time for which a new connection without a request is kept open while the site is
+# closed: its caller is about to send one.
+NEW_CONNECTION_GRACE_MS = 500.0
 # Pipelined requests queued on one connection before reading pauses.
 MAX_PIPELINED_REQUESTS = 8
 
@@ -116,6 +119,7 @@
         self._timer = None
         self._closing = False
         self._is_first_request = True
+        self._opened_ms = self._clock.now_ms()
         self._reset_message()
 
     def _reset_message(self):
@@ -275,8 +279,10 @@
         return self._current is None and not self._queued and not self._in_message
 
     def close_if_idle(self):
-        """Close the connection unless a request is being read or handled."""
-        if self.idle():
+        """Close the connection unless a request is read, handled or about to come."""
+        age_ms = self._clock.now_ms() - self._opened_ms
+        is_new = self._is_first_request and age_ms < NEW_CONNECTION_GRACE_MS
+        if self.idle() and not is_new:
             self._close()
 
     def connectionLost(self, reason):
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -19,6 +19,9 @@
 
 # The load balancer removes a daemon after two failed ready calls, a second apart.
 ROTATION_LAG_MS = 2600.0
+# Time after which new connections are refused even if requests are still in progress,
+# so that all that were accepted can be answered before the process ends.
+ACCEPT_MS = 3600.0
 # Time reserved at the end of the shutdown time for flushing send buffers.
 SHUTDOWN_RESERVE_MS = 700.0
 SHUTDOWN_POLL_MS = 50.0
@@ -58,6 +61,7 @@
         self._shutdown_started_ms = None
         self._membership = None
         self._ports = []
+        self._caller_port = None
         # Set by the entry point: a function that reads the settings, and one that
         # returns their current version, which costs less.
         self.read_settings = None
@@ -168,7 +172,7 @@
     def start(self):
         """Open the listening ports, then follow the store."""
         settings = self._settings
-        self._listen(settings.caller_address, self._site)
+        self._caller_port = self._listen(settings.caller_address, self._site)
         self._listen(settings.ready_address, self._ready_site)
         if settings.metrics_address is not None:
             self._listen(settings.metrics_address, self._metrics_site)
@@ -185,6 +189,7 @@
             address.port, site, backlog=LISTEN_BACKLOG, interface=address.host
         )
         self._ports.append(port)
+        return port
 
     def _on_configuration(self, table):
         self._timings.retain(table.routes)
@@ -250,12 +255,24 @@
         elapsed_ms = self._clock.now_ms() - self._shutdown_started_ms
         limit_ms = self._settings.bounds.shutdown_ms - SHUTDOWN_RESERVE_MS
         busy = self._site.channels or self._delegation.peer_gather_count()
+        if self._caller_port is not None and (not busy or elapsed_ms >= ACCEPT_MS):
+            self._stop_accepting()
+            busy = True
         if busy and elapsed_ms < limit_ms:
             self._clock.call_later(SHUTDOWN_POLL_MS, self._stop_when_idle)
             return
         logger.info("stopped", extra={"active": self._request_handler.active()})
         self._reactor.stop()
 
+    def _stop_accepting(self):
+        """Accept the connections that wait in the kernel, then close the port.
+
+        A close resets those that still wait, and their requests would be lost.
+        """
+        port, self._caller_port = self._caller_port, None
+        port.doRead()
+        port.stopListening()
+
     def close(self):
         """Close every socket without waiting; used by tests in one process."""
         for port in self._ports:
