Tell late copies of answers without an id; repeat at a server that lost an answer

Causes: a response without the id of its request was taken for the answer to whatever was sent last on its connection. A server that sends a second copy of an answer late, without the id, so gave a caller the answer of another one; a copy of a refusal could say "not run" of an order that runs. A response with the id of another request left its connection in use, though the right answer was still to come on it. Separately, a part was given up once each of its two servers had lost an answer or failed, though an idempotent request may go to the same server again.

Change: on a connection that has carried a request before, a response without an id is no answer if the server's other responses of the kind (refusals, or the rest) have one. A connection with a response to another request is closed. A server may get a request twice, after those that have not been tried; hedges and orders as before.

Ruled out: copies with an id, and bytes on an idle connection; both were caught before. Not to be told apart: copies of the store's replies, which carry no id.

--- a/hemlockspoke/http1/connection.py
+++ b/hemlockspoke/http1/connection.py
@@ -39,7 +39,10 @@
     ``on_response(response)`` and ``on_failure(failure, detail)`` is called, unless the
     exchange is cancelled. With ``fresh_only`` no connection is used that has been
     idle for over a quarter of its limit, since the server may be closing it. A response
-    with a body of over ``max_body_bytes`` is malformed.
+    with a body of over ``max_body_bytes`` is malformed. ``reused_connection`` is True
+    if the connection has carried an earlier request, of which bytes may still arrive.
+    If ``is_own(response)`` is given and returns False, the response belongs to another
+    request, and the connection is not used again.
     """
 
     __slots__ = (
@@ -49,9 +52,11 @@
         "encode",
         "fresh_only",
         "head_only",
+        "is_own",
         "max_body_bytes",
         "on_failure",
         "on_response",
+        "reused_connection",
         "sent_ms",
         "size_bytes",
     )
@@ -64,6 +69,7 @@
         fresh_only=False,
         head_only=False,
         max_body_bytes=MAX_BODY_BYTES,
+        is_own=None,
     ):
         self.encode = encode
         self.size_bytes = 0
@@ -72,6 +78,8 @@
         self.fresh_only = fresh_only
         self.head_only = head_only
         self.max_body_bytes = max_body_bytes
+        self.is_own = is_own or (lambda response: True)
+        self.reused_connection = False
         self.sent_ms = None
         self.connection = None
         self.done = False
@@ -111,6 +119,7 @@
         self._pool = pool
         self._exchange = None
         self._parser = None
+        self._is_used = False
         self.idle_since_ms = None
         self.max_idle_ms = DEFAULT_IDLE_TIMEOUT_MS * IDLE_REUSE_RATIO
 
@@ -125,6 +134,8 @@
         self._parser = ResponseParser(exchange.head_only, exchange.max_body_bytes)
         self.idle_since_ms = None
         exchange.connection = self
+        exchange.reused_connection = self._is_used
+        self._is_used = True
         exchange.sent_ms = now_ms
         data = exchange.encode()
         exchange.size_bytes = len(data)
@@ -146,8 +157,13 @@
     def _complete(self, parser):
         exchange, self._exchange, self._parser = self._exchange, None, None
         response = parser.response
-        is_reusable_size = exchange.size_bytes <= MAX_REUSE_REQUEST_BYTES
-        if response.reusable and not parser.has_trailing_data and is_reusable_size:
+        reusable = (
+            exchange.is_own(response)
+            and response.reusable
+            and not parser.has_trailing_data
+            and exchange.size_bytes <= MAX_REUSE_REQUEST_BYTES
+        )
+        if reusable:
             if response.keep_alive_ms is not None:
                 self.max_idle_ms = response.keep_alive_ms * IDLE_REUSE_RATIO
             self._pool.released(self)
--- a/hemlockspoke/tier/attempt.py
+++ b/hemlockspoke/tier/attempt.py
@@ -124,6 +124,7 @@
             self._on_exchange_failure,
             fresh_only=not outgoing.idempotent,
             head_only=outgoing.method == b"HEAD",
+            is_own=self._is_own,
         )
 
     def start(self):
@@ -142,10 +143,6 @@
         """Return whether the attempt has not ended."""
         return self.verdict is None
 
-    def may_hold_request(self):
-        """Return whether the server may have the request or answered with a failure."""
-        return self.verdict in (None, Verdict.UNKNOWN, Verdict.FAILURE)
-
     def mark_overdue(self):
         """Count the attempt as overdue at its server until the attempt ends."""
         if self.in_flight and not self._counted_overdue:
@@ -184,10 +181,27 @@
         remaining_ms = outgoing.deadline_ms - self._clock.now_ms()
         return outgoing.encode(self._codec, remaining_ms, self.server.server_id)
 
+    def _is_own(self, response):
+        """Return whether a response belongs to this request.
+
+        A server may send a second copy of an earlier response. Without an id it can
+        only be told by its connection, if the server's responses have ids otherwise.
+        """
+        metadata = self.metadata = self._codec.parse_reply_headers(response)
+        echoes = self.server.echoes
+        if metadata.attempt_id is None:
+            may_be_copy = self._exchange.reused_connection
+            return not (may_be_copy and metadata.not_run in echoes)
+        if metadata.attempt_id != self._outgoing.attempt_id:
+            return False
+        echoes.add(metadata.not_run)
+        return True
+
     def _on_response(self, response):
         self.response = response
-        self.metadata = self._codec.parse_reply_headers(response)
-        verdict, detail = classify(response, self.metadata, self._outgoing.attempt_id)
+        verdict, detail = Verdict.UNKNOWN, "response to another attempt"
+        if self._is_own(response):
+            verdict, detail = classify(response, self.metadata)
         now_ms = self._clock.now_ms()
         server = self.server
         if response.status == HTTP_MISDIRECTED:
@@ -235,16 +249,14 @@
             self.server.overdue -= 1
 
 
-def classify(response, metadata, attempt_id):
+def classify(response, metadata):
     """Return the verdict on a response, and a reason unless it is an answer.
 
     >>> from hemlockspoke.http1.messages import Response
     >>> from hemlockspoke.tier.codec import ReplyMetadata
-    >>> classify(Response(200, [], b""), ReplyMetadata(), b"a1")[0]
+    >>> classify(Response(200, [], b""), ReplyMetadata())[0]
     <Verdict.UNKNOWN: 'unknown'>
     """
-    if metadata.attempt_id is not None and metadata.attempt_id != attempt_id:
-        return Verdict.UNKNOWN, "response to another attempt"
     if metadata.not_run or response.status == HTTP_MISDIRECTED:
         return Verdict.NOT_RUN, f"status {response.status}"
     if response.header(b"content-encoding") is not None:
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -13,6 +13,9 @@
 MAX_ARRIVALS = 4
 # Limit on failures to open a connection, for one request.
 MAX_UNSENT = 3
+# Limit on the arrivals of one request at the same server. A server that has lost or
+# failed a request often answers the next one, and a service may have few servers.
+MAX_ARRIVALS_PER_SERVER = 2
 # Interval at which an attempt that waits for a connection looks for another server.
 CONNECTION_RECHECK_MS = 10.0
 # Jitter of the daemon and the network, added to the usual time of a request.
@@ -170,21 +173,18 @@
     def _choose_server(self, for_hedge=False):
         """Return the server for the next attempt, or None.
 
-        Hedges are never sent to a server that is leaving.
+        Servers that have not been tried go first. Hedges are never sent to a server
+        that is leaving.
         """
         now_ms = self._tier.clock.now_ms()
         candidates = self._tier.directory.candidates(self.service, self._regions)
         tried = ()
         if self.attempts:
             tried = {attempt.server for attempt in self.attempts}
-            # Servers that may have the request, or have failed it.
-            excluded = {
-                attempt.server
-                for attempt in self.attempts
-                if attempt.may_hold_request()
-            }
             candidates = [
-                candidate for candidate in candidates if candidate not in excluded
+                candidate
+                for candidate in candidates
+                if candidate not in tried or self._may_send_again(candidate)
             ]
         if len(self._used_servers) >= self._max_servers:
             candidates = [
@@ -212,6 +212,16 @@
             default=None,
         )
 
+    def _may_send_again(self, server):
+        """Return whether a server that has been tried may get the request again."""
+        attempts = [attempt for attempt in self.attempts if attempt.server is server]
+        if any(attempt.in_flight for attempt in attempts):
+            return False
+        arrivals = [
+            attempt for attempt in attempts if attempt.verdict is not Verdict.UNSENT
+        ]
+        return len(arrivals) < MAX_ARRIVALS_PER_SERVER
+
     def _start_attempt(self, hedge=False):
         """Start an attempt; return False if no server or limit allows one."""
         arrival_count = self._arrival_count()
--- a/hemlockspoke/tier/servers.py
+++ b/hemlockspoke/tier/servers.py
@@ -98,6 +98,8 @@
     the clock time until which a leaving server may be used, and None for others.
     ``outstanding`` counts the attempts in progress, ``overdue`` those of them that take
     longer than usual. ``misdirected`` is whether another server answers at the address.
+    ``echoes`` has True if its refusals (responses that say "not run") name the request
+    that they answer, and False if its other responses do.
     """
 
     __slots__ = (
@@ -109,6 +111,7 @@
         "_slowness_updated_ms",
         "_slowness_samples",
         "cold_until_ms",
+        "echoes",
         "entry",
         "leaving_until_ms",
         "listed",
@@ -131,6 +134,7 @@
         self.listed = True
         self.cold_until_ms = 0.0
         self.misdirected = False
+        self.echoes = set()
         self.outstanding = 0
         self.overdue = 0
         self._failure_ratio = 0.0
--- a/tests/features/edge_requests.feature
+++ b/tests/features/edge_requests.feature
@@ -26,6 +26,7 @@
 
   Scenario Outline: a damaged answer reaches no caller
     # Guards against bytes of a broken, foreign or repeated answer in a successful one.
+    # A copy is a late second one of the answer to the connection's earlier request.
     Given the server "item-a1" is "<behaviour>"
     When a caller sends 4 item requests to "e1"
     Then each gets 200 with a proof for its own attempt
@@ -36,10 +37,23 @@
       | garbage   |
       | foreign   |
       | extra     |
+      | copy_with_id |
+      | copy_without_id |
       | reset     |
       | fail      |
       | shed      |
 
+  Scenario Outline: a late copy of an earlier answer is no answer to an order
+    Given every server of items is "<behaviour>"
+    When a caller sends 3 item requests to "e1"
+    And a caller sends an order to "e1"
+    Then no answer to it belongs to another request
+
+    Examples:
+      | behaviour       |
+      | copy_with_id    |
+      | copy_without_id |
+
   Scenario Outline: an order is never sent twice
     # Guards against repeating a request that may have run.
     Given every server of items is "<behaviour>"
@@ -54,6 +68,20 @@
       | garbage   | 502    |
       | hang      | 504    |
 
+  Scenario: a part whose servers both lose its first answer is asked for again
+    # Guards against parts that are given up after two lost answers, though both servers
+    # of the shard run and the request may be repeated.
+    Given both servers of shard 0 are "reset_once"
+    When a caller sends a query to "e1"
+    Then it gets 200 with 3 proofs and 0 parts missing
+    And no server of shard 0 has got it more than 2 times
+
+  Scenario: an order is not sent again to a server that has lost its answer
+    Given every server of items is "reset_once"
+    When a caller sends an order to "e1"
+    Then it gets 502 without a not-run promise
+    And exactly 1 order has run
+
   Scenario: the reply to a refused order promises that it has not run
     Given every server of items is "shed"
     When a caller sends an order to "e1"
--- a/tests/features/steps/edge_requests_steps.py
+++ b/tests/features/steps/edge_requests_steps.py
@@ -252,3 +252,20 @@
         ms for server in item_servers(context) for ms in server.deadlines_ms
     ]
     assert deadlines_ms and max(deadlines_ms) <= limit_ms, deadlines_ms
+
+
+@then("no server of shard {shard:d} has got it more than {count:d} times")
+def step_arrivals(context, shard, count):
+    for domain in ("a1", "b1"):
+        server = context.world.servers[f"s{shard}-{domain}"]
+        assert len(server.received_attempts) <= count, server.received_attempts
+
+
+@then("no answer to it belongs to another request")
+def step_own_order(context):
+    reply = context.reply
+    if reply.status == 200:
+        proof = reply.headers["x-hemlockspoke-server-stamp"].decode()
+        assert proof.endswith("." + context.attempt), (proof, context.attempt)
+    else:
+        step_no_promise(context, 502)
--- a/tests/standins/shard_server.py
+++ b/tests/standins/shard_server.py
@@ -53,6 +53,8 @@
         self.executed_attempts = []
         self.deadlines_ms = []
         self.cancelled = 0
+        # The last answer on each connection.
+        self.last_answers = {}
         self.site = HttpSite(clock, self._handle)
         self._port = reactor.listenTCP(0, self.site, interface="127.0.0.1")
 
@@ -131,6 +133,17 @@
     request.abort()
 
 
+@behaviours.register("reset_once")
+def reset_once(server, request):
+    """Run each request, and reset its connection at its first arrival."""
+    is_first = header(request, ATTEMPT_HEADER) not in server.executed_attempts
+    headers = server.run(request)
+    if is_first:
+        request.abort()
+    else:
+        request.respond(200, headers, server.body)
+
+
 @behaviours.register("fail")
 def fail(server, request):
     """Run the request and answer with status 500."""
@@ -151,6 +164,32 @@
     write_raw(request, data + data)
 
 
+def send_after_copy(server, request, headers, with_id):
+    """Send a second copy of the connection's last answer, then the answer."""
+    channel = request._channel
+    copy = server.last_answers.get(channel, b"")
+    data = encode_response(200, headers, server.body, close=False)
+    named = [header for header in headers if with_id or header[0] != ATTEMPT_HEADER]
+    server.last_answers[channel] = encode_response(200, named, server.body, close=False)
+    if copy:
+        write_raw(request, copy)
+        server.clock.call_later(5, channel.transport.write, data)
+    else:
+        request.respond(200, headers, server.body)
+
+
+@behaviours.register("copy_with_id")
+def copy_with_id(server, request):
+    """Send a late second copy of the last answer before each answer."""
+    send_after_copy(server, request, server.run(request), with_id=True)
+
+
+@behaviours.register("copy_without_id")
+def copy_without_id(server, request):
+    """Send a late second copy that doesn't name its request."""
+    send_after_copy(server, request, server.run(request), with_id=False)
+
+
 @behaviours.register("foreign")
 def foreign(server, request):
     """Run the request and send the answer of another attempt."""
