Concentrate hubs and extra load; let calls follow failure domains

The minimum of one token a daemon added up to more than the slack in larger fleets. - When the daemon that reads the store lost it, all others of its failure domain began to call it. After a restart each daemon wrote its registration, read the list at full price, and started watches that it paused some ms later. - A daemon that started while the store was away tried its first list again after 10 s.

Change: one daemon in six is a hub, six at least in a failure domain. 0.7 of the slack of a shard is divided among hubs, 0.3 among the others; that of other services among all. Where there is less than one for each, the rank decides who gets one. Without a reader the next by name begins, 400 ms later each. A daemon that starts again reads a stale list and writes only what is not there; its first watch waits for 200 ms; a failed first list is read again after 1 s. Streams inside a failure domain go to hubs and to the eight lowest names.

Measured: edge_fleet.feature, 8 of 9 scenarios failed before.

--- a/hemlockspoke/tier/apportion.py
+++ b/hemlockspoke/tier/apportion.py
@@ -21,12 +21,13 @@
 # daemons of its own region need more, as they also gather its answers for others.
 MIN_REMOTE_FRACTION = 0.25
 # Fraction of the daemons of a failure domain that are hubs, but at least MIN_HUBS. A
-# query of 90 shards occupies three hubs at once, and some may be down or busy.
-HUB_FRACTION = 0.5
+# query of 90 shards occupies three hubs at once, and some may be down or busy. With
+# more hubs each sees a server too rarely to notice that it has turned slow or dark.
+HUB_FRACTION = 0.16
 MIN_HUBS = 6
-# Hubs send most requests to the servers of shards, so the share of a hub in the extra
-# load is this many times that of another daemon.
-HUB_WEIGHT = 3
+# Fraction of the extra load of a shard's service that the hubs divide, as they send
+# most requests of queries. The other daemons divide the rest.
+HUB_EXTRA_FRACTION = 0.7
 
 
 class LimitShares:
@@ -51,7 +52,8 @@
 
     __slots__ = (
         "_domain",
-        "_extra_load_share",
+        "_extra_arrivals",
+        "_gathered_services",
         "_hubs",
         "_regions",
         "_vm",
@@ -64,7 +66,15 @@
         self._regions = regions
         self._vms_by_domain = None
         self._hubs = {}
-        self._extra_load_share = 1.0 / ASSUMED_DAEMONS
+        self._gathered_services = frozenset()
+        # This daemon's share of the extra arrivals by service and total, since it is
+        # read for every request and rarely changes.
+        self._extra_arrivals = {}
+
+    def set_gathered_services(self, services):
+        """Set the services whose answers are parts of queries."""
+        self._gathered_services = frozenset(services)
+        self._extra_arrivals.clear()
 
     def set_members(self, vms_by_domain):
         """Set the VMs of all daemons by failure domain; return whether they changed."""
@@ -76,12 +86,7 @@
             domain: rank(domain, vms)[: max(MIN_HUBS, int(HUB_FRACTION * len(vms)))]
             for domain, vms in vms_by_domain.items()
         }
-        # Computed in advance, as it is read for every request and rarely changes.
-        hub_count = sum(len(vms) for vms in self._hubs.values())
-        total_weight = self.daemon_count() + (HUB_WEIGHT - 1) * hub_count
-        self._extra_load_share = (HUB_WEIGHT if self.is_hub() else 1) / max(
-            1, total_weight
-        )
+        self._extra_arrivals.clear()
         return True
 
     def hubs(self, domain):
@@ -98,9 +103,38 @@
             return ASSUMED_DAEMONS
         return max(1, sum(len(vms) for vms in self._vms_by_domain.values()))
 
-    def extra_load_share(self):
-        """Return this daemon's fraction of the extra load that all daemons may send."""
-        return self._extra_load_share
+    def extra_arrivals(self, service, total):
+        """Return this daemon's share of ``total`` extra arrivals at a service.
+
+        If there is less than one for each daemon, the rank for the service decides
+        which daemons get one, since a part of an arrival is of no use.
+
+        >>> shares = LimitShares("e1", "a1", {"a1": "a"})
+        >>> shares.set_members({"a1": ["e1", "e2", "e3", "e4"]})
+        True
+        >>> shares.extra_arrivals("items", 10), shares.extra_arrivals("items", 0)
+        (2.5, 0.0)
+        """
+        share = self._extra_arrivals.get((service, total))
+        if share is None:
+            share = self._divide_extra_arrivals(service, total)
+            self._extra_arrivals[service, total] = share
+        return share
+
+    def _divide_extra_arrivals(self, service, total):
+        if self._vms_by_domain is None:
+            return total / ASSUMED_DAEMONS
+        vms = [vm for vms in self._vms_by_domain.values() for vm in vms]
+        hubs = [vm for vms in self._hubs.values() for vm in vms]
+        if service in self._gathered_services and len(hubs) < len(vms):
+            if self.is_hub():
+                vms, total = hubs, HUB_EXTRA_FRACTION * total
+            else:
+                vms = sorted(set(vms) - set(hubs))
+                total *= 1.0 - HUB_EXTRA_FRACTION
+        if total >= len(vms):
+            return total / max(1, len(vms))
+        return float(self._vm in rank(service, vms)[: int(total)])
 
     def connection_limit(self, server_id, server_domain, limit):
         """Return how many connections this daemon may open to a server.
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -234,7 +234,7 @@
             return False
         is_extra = arrival_count > 0
         extra_load = self._tier.extra_load
-        reserve = extra_load.hedge_reserve() if hedge else 0.0
+        reserve = extra_load.hedge_reserve(self.service) if hedge else 0.0
         if is_extra and not extra_load.try_spend(self.service, reserve):
             self.reason = "extra load used up"
             self._tier.metrics.count("extra_load.denied")
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -73,6 +73,9 @@
             return False
         previous_version = self.routing.version if self.routing else None
         self.routing = table
+        self.limit_shares.set_gathered_services(
+            service for route in table.routes for service in route.shards
+        )
         self._set_connection_limits()
         logger.info(
             "configuration adopted",
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -80,7 +80,7 @@
         extra_load = ExtraLoad(
             clock,
             bounds,
-            self.directory.limit_shares.extra_load_share,
+            self.directory.limit_shares.extra_arrivals,
             starts_full=settings.first_start,
         )
         tier = TierContext(clock, codec, self.directory, extra_load, metrics)
@@ -152,8 +152,7 @@
             vms_by_domain.setdefault(peer.failure_domain, []).append(peer.vm)
         self.directory.set_members(vms_by_domain)
         self._peers.set_peers(peers)
-        if self._peers.is_lowest_in_domain():
-            self._relay.read_now()
+        self._relay.set_position(self._peers.position_in_domain())
 
     def _peer_message(self, vm, message):
         self._relay.receive(vm, message)
--- a/hemlockspoke/tier/extra_load.py
+++ b/hemlockspoke/tier/extra_load.py
@@ -15,6 +15,9 @@
 BURST_FRACTION = 0.6
 # A smaller burst would never allow an extra arrival, which costs one token.
 MIN_BURST_TOKENS = 1.0
+# Minimum fraction of a daemon's slack that is refilled over a window, for daemons whose
+# slack is little more than one token. The safety margin of the slack covers it.
+MIN_REFILL_FRACTION = 0.2
 # Hedges leave this fraction of the burst, but at most one token, to requests that a
 # server has refused: those cannot be answered without another arrival.
 HEDGE_RESERVE_FRACTION = 0.15
@@ -36,8 +39,8 @@
     In any window a daemon spends at most the saved burst, the refill of one window,
     and what its requests in the window earn. A restarted process may just have spent
     an unknown part of its share, so its buckets start empty; at the first start of
-    the system, with ``starts_full``, they start full. ``share()`` returns this daemon's
-    fraction of the slack.
+    the system, with ``starts_full``, they start full. ``share(service, total)`` returns
+    how many of ``total`` extra arrivals at a service this daemon may send.
     """
 
     __slots__ = (
@@ -57,36 +60,47 @@
         self._started_ms = clock.now_ms()
         self._buckets = {}
 
-    def burst(self):
-        """Return the capacity of a bucket in tokens."""
-        return max(MIN_BURST_TOKENS, BURST_FRACTION * self._slack())
+    def burst(self, service):
+        """Return the capacity of a service's bucket in tokens."""
+        slack = self._slack(service)
+        return max(min(MIN_BURST_TOKENS, slack), BURST_FRACTION * slack)
 
-    def hedge_reserve(self):
+    def _capacity(self, service):
+        """Return how many tokens a bucket holds.
+
+        A daemon without slack can still save what its requests earn.
+        """
+        return max(MIN_BURST_TOKENS, self.burst(service))
+
+    def hedge_reserve(self, service):
         """Return the number of tokens that a hedge must leave in the bucket."""
-        return min(1.0, HEDGE_RESERVE_FRACTION * self.burst())
+        return min(1.0, HEDGE_RESERVE_FRACTION * self.burst(service))
 
-    def window_limit(self):
+    def window_limit(self, service):
         """Return the most tokens spent in a window if no requests earn any."""
-        return self.burst() + self._window_refill()
+        return self.burst(service) + self._window_refill(service)
 
-    def _window_refill(self):
+    def _window_refill(self, service):
         """Return the number of tokens refilled in a window."""
-        return (1.0 - BURST_FRACTION) * self._slack()
+        slack = self._slack(service)
+        return max(slack - self.burst(service), MIN_REFILL_FRACTION * slack)
 
-    def _slack(self):
+    def _slack(self, service):
         """Return this daemon's share of the slack of a window."""
-        return SLACK_FRACTION * self._bounds.extra_load_slack * self._share()
+        return self._share(service, SLACK_FRACTION * self._bounds.extra_load_slack)
 
     def _bucket(self, service):
         """Return the bucket of a service, refilled up to now."""
         now_ms = self._clock.now_ms()
         bucket = self._buckets.get(service)
-        burst = self.burst()
+        capacity = self._capacity(service)
         if bucket is None:
-            start = burst if self._starts_full else 0.0
+            start = self.burst(service) if self._starts_full else 0.0
             bucket = self._buckets[service] = _Bucket(start, self._started_ms)
         windows = (now_ms - bucket.updated_ms) / self._bounds.extra_load_window_ms
-        bucket.tokens = min(burst, bucket.tokens + self._window_refill() * windows)
+        bucket.tokens = min(
+            capacity, bucket.tokens + self._window_refill(service) * windows
+        )
         bucket.updated_ms = now_ms
         return bucket
 
@@ -94,7 +108,7 @@
         """Add the tokens that the first arrival of a request earns."""
         bucket = self._bucket(service)
         earned = RATIO_FRACTION * self._bounds.extra_load_ratio
-        bucket.tokens = min(self.burst(), bucket.tokens + earned)
+        bucket.tokens = min(self._capacity(service), bucket.tokens + earned)
 
     def try_spend(self, service, reserve=0.0):
         """Spend a token if ``reserve`` tokens are left; return whether it was spent."""
@@ -107,4 +121,4 @@
     def refund(self, service):
         """Put back the token of an arrival that did not happen."""
         bucket = self._bucket(service)
-        bucket.tokens = min(self.burst(), bucket.tokens + 1.0)
+        bucket.tokens = min(self._capacity(service), bucket.tokens + 1.0)
--- a/hemlockspoke/tier/feed.py
+++ b/hemlockspoke/tier/feed.py
@@ -141,7 +141,8 @@
         changes, self._listed_changes = self._listed_changes, []
         self._revision = page.revision
         self._sink.replace(changes, page.revision)
-        self._watch(generation)
+        # A daemon that has just started learns meanwhile whether another one reads.
+        self._clock.call_later(WATCH_INTERVAL_MS, self._watch, generation)
 
     def _watch(self, generation):
         if generation == self._generation:
--- a/hemlockspoke/tier/members.py
+++ b/hemlockspoke/tier/members.py
@@ -15,6 +15,9 @@
 # Interval of reads, and the time within which a new daemon is found. The reads may be
 # stale, as the store charges only a tenth of a call for those.
 READ_INTERVAL_MS = 10_000.0
+# Interval of reads that fail until the first one succeeds. Without the list a daemon
+# knows neither its peers nor its shares of the limits.
+FIRST_READ_RETRY_MS = 1000.0
 # Registrations are renewed, so that those of removed VMs expire. The margin between the
 # two times allows for clocks that differ by some seconds.
 RENEW_INTERVAL_MS = 120_000.0
@@ -50,7 +53,9 @@
 
     __slots__ = (
         "_clock",
+        "_listed",
         "_on_members",
+        "_registering",
         "_registrations",
         "_rng",
         "_settings",
@@ -64,13 +69,21 @@
         self._on_members = on_members
         self._rng = rng or random.Random()
         self._timer = None
+        # Whether a list has been read, and whether the registration is kept up to date.
+        self._listed = False
+        self._registering = False
 
     def start(self):
-        """Register, and start reading the list periodically."""
-        self._register(None)
+        """Register, and start reading the list periodically.
+
+        After a restart the list is read first. It mostly has the registration of the
+        VM's earlier process, which is the same, and then nothing is written.
+        """
         first_start = self._settings.first_start
+        if first_start:
+            self._register(None)
         delay_ms = FIRST_START_READ_DELAY_MS if first_start else RESTART_READ_DELAY_MS
-        self._timer = self._clock.call_later(delay_ms, self._read_list, False)
+        self._timer = self._clock.call_later(delay_ms, self._read_list, not first_start)
 
     def read_soon(self):
         """Read the list early, as an unknown daemon has connected."""
@@ -81,6 +94,7 @@
             )
 
     def _register(self, revision):
+        self._registering = True
         settings = self._settings
         spec = {
             "failure_domain": settings.failure_domain,
@@ -107,11 +121,34 @@
         self._registrations.read(stale, self._on_list)
 
     def _on_list(self, changes):
+        delay_ms = READ_INTERVAL_MS
         if changes is not None:
+            self._listed = True
             self._on_members(self._decode(changes))
-        delay_ms = READ_INTERVAL_MS * self._rng.uniform(0.8, 1.2)
+            if not self._registering:
+                self._renew(changes)
+        elif not self._listed:
+            delay_ms = FIRST_READ_RETRY_MS
+        delay_ms *= self._rng.uniform(0.8, 1.2)
         self._timer = self._clock.call_later(delay_ms, self._read_list, True)
 
+    def _renew(self, changes):
+        """Keep the registration that a list has of this VM, or write a new one."""
+        own = [change for change in changes if change.name == self._settings.vm]
+        revision = own[0].revision if own else None
+        spec = own[0].spec if own and isinstance(own[0].spec, dict) else {}
+        renewed_ms = spec.get("renewed_ms")
+        if (
+            spec.get("peer_address") == str(self._settings.peer_address)
+            and spec.get("failure_domain") == self._settings.failure_domain
+            and isinstance(renewed_ms, int)
+            and self._clock.wall_ms() - renewed_ms < RENEW_INTERVAL_MS
+        ):
+            self._registering = True
+            self._clock.call_later(RENEW_INTERVAL_MS, self._register, revision)
+        else:
+            self._register(revision)
+
     def _decode(self, changes):
         peers = []
         now_ms = self._clock.wall_ms()
--- a/hemlockspoke/tier/peer_directory.py
+++ b/hemlockspoke/tier/peer_directory.py
@@ -10,10 +10,10 @@
 # Number of streams to daemons of each other failure domain, over which parts of queries
 # are delegated.
 REMOTE_PEERS_PER_DOMAIN = 3
-# Number of streams to daemons of the same failure domain. In a larger domain some
-# daemons read the store themselves although another daemon could relay its changes to
-# them.
-MAX_DOMAIN_PEERS = 24
+# Number of daemons of the failure domain, those with the lowest names, to which all of
+# the domain keep streams beside its hubs: one of them reads the store for all, and the
+# others can take over.
+READER_CANDIDATES = 8
 
 
 class Peer:
@@ -61,7 +61,8 @@
             vms_by_domain.setdefault(peer.failure_domain, []).append(peer.vm)
         for domain, vms in vms_by_domain.items():
             if domain == self.domain:
-                vms_by_domain[domain] = sorted(vms)[:MAX_DOMAIN_PEERS]
+                hubs = [vm for vm in self._hubs(domain) if vm != self.vm]
+                vms_by_domain[domain] = {*sorted(vms)[:READER_CANDIDATES], *hubs}
             else:
                 hubs = rank(self.vm, self._hubs(domain))
                 vms_by_domain[domain] = hubs[:REMOTE_PEERS_PER_DOMAIN]
@@ -71,9 +72,9 @@
         """Return whether a daemon is in the list of registered daemons."""
         return vm in self._peers_by_vm
 
-    def is_lowest_in_domain(self):
-        """Return whether no daemon of the failure domain has a lower name."""
-        return not any(
+    def position_in_domain(self):
+        """Return how many daemons of the failure domain have a lower name."""
+        return sum(
             peer.vm < self.vm and peer.failure_domain == self.domain
             for peer in self._peers_by_vm.values()
         )
--- a/hemlockspoke/tier/relay.py
+++ b/hemlockspoke/tier/relay.py
@@ -17,6 +17,10 @@
 HEARTBEAT_INTERVAL_MS = 300.0
 # Three missed heartbeats: one may be delayed by high load.
 HEARTBEAT_TIMEOUT_MS = 1000.0
+# If no daemon of the failure domain reads the store, the next one by name begins after
+# this time, so that an outage of the store does not make all of them call it. It allows
+# for a heartbeat of the one before.
+TAKEOVER_STEP_MS = 400.0
 
 
 class FollowedKind:
@@ -25,6 +29,8 @@
     ``objects`` maps names to specifications at ``revision``, which was the store's
     newest at the clock time ``confirmed_ms``. Changes reach ``sink`` in the order of
     the store's revisions, whether this daemon or another one has read them.
+    ``unread_since_ms`` is the clock time since which no daemon of the failure domain is
+    known to read the kind, or None.
     """
 
     __slots__ = (
@@ -35,6 +41,7 @@
         "kind",
         "objects",
         "revision",
+        "unread_since_ms",
     )
 
     def __init__(self, kind, clock, sink):
@@ -45,6 +52,7 @@
         self.objects = {}
         self.revision = None
         self.confirmed_ms = None
+        self.unread_since_ms = None
 
     def replace(self, changes, revision, age_ms=0.0):
         """Replace all objects; return False if the list is older than the state."""
@@ -132,6 +140,7 @@
         "_heartbeats",
         "_kinds",
         "_max_age_ms",
+        "_position",
         "_read_delay_until_ms",
         "_send",
         "_stopped",
@@ -148,6 +157,7 @@
         self._max_age_ms = max_age_ms
         self._kinds = {}
         self._heartbeats = {}
+        self._position = 0
         self._stopped = False
         self._read_delay_until_ms = 0.0
         self._tick_due_ms = 0.0
@@ -168,11 +178,16 @@
         self._tick_due_ms = self._clock.now_ms()
         self._tick()
 
-    def read_now(self):
-        """End the read delay, as this daemon has the lowest name in its domain."""
-        self._read_delay_until_ms = 0.0
-        for followed in self._kinds.values():
-            self._update_reader(followed)
+    def set_position(self, position):
+        """Set how many daemons of the failure domain have a lower name.
+
+        The one with the lowest name reads without delay.
+        """
+        self._position = position
+        if position == 0:
+            self._read_delay_until_ms = 0.0
+            for followed in self._kinds.values():
+                self._update_reader(followed)
 
     def stop(self):
         """Stop reading the store and sending heartbeats."""
@@ -247,8 +262,9 @@
         """Start or stop reading, depending on whether another daemon does."""
         reader = self.reader_of(followed.kind)
         feed = followed.feed
-        delayed = self._clock.now_ms() < self._read_delay_until_ms
-        if reader is None and not feed.active and not delayed:
+        if reader is not None or feed.active:
+            followed.unread_since_ms = None
+        if reader is None and not feed.active and self._may_take_over(followed):
             has_revision = followed.revision is not None
             logger.info(
                 "reading the store",
@@ -264,6 +280,33 @@
             )
             feed.pause()
 
+    def _may_take_over(self, followed):
+        """Return whether it is this daemon's turn to read a kind that no other reads.
+
+        A daemon that knows nothing yet, or that reaches none with a lower name, does
+        not wait for others.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms < self._read_delay_until_ms:
+            return False
+        if followed.revision is None or not self._has_candidate_before():
+            return True
+        if followed.unread_since_ms is None:
+            followed.unread_since_ms = now_ms
+        waited_ms = now_ms - followed.unread_since_ms
+        return waited_ms >= self._position * TAKEOVER_STEP_MS
+
+    def _has_candidate_before(self):
+        """Return whether a daemon with a lower name could read the store instead."""
+        now_ms = self._clock.now_ms()
+        return any(
+            vm < self._vm
+            and vm in self._heartbeats
+            and not self._heartbeats[vm].leaving
+            and now_ms - self._heartbeats[vm].received_ms < HEARTBEAT_TIMEOUT_MS
+            for vm in self._domain_peers()
+        )
+
     def publish(self, followed, changes, since, revision, complete):
         """Relay changes that this daemon has read from the store."""
         if not changes and not complete:
--- /dev/null
+++ b/tests/features/edge_fleet.feature
@@ -0,0 +1,52 @@
+Feature: decisions of daemons in large fleets
+
+  Scenario: the extra arrivals of all daemons of any fleet stay within the slack
+    # Guards against a minimum for each daemon that adds up to more than the slack.
+    Then for any fleet the extra arrivals of a window do not exceed the slack
+
+  Scenario Outline: the slack of a shard goes to the daemons that send its requests
+    # Guards against a slack that is divided until no daemon can repeat a request.
+    Given a fleet of <daemons> daemons in 6 failure domains
+    Then each hub may send at least <tokens> extra arrivals to a shard in a window
+    And each daemon may send one extra arrival to a service that is no shard
+
+    Examples:
+      | daemons | tokens |
+      | 84      | 3      |
+      | 192     | 6      |
+
+  Scenario: an outage of the store does not make all daemons call it
+    # Guards against calls that grow with the number of daemons while the store is down.
+    Given 32 daemons of a failure domain, of which one reads the store
+    When the store fails all calls for 2000 ms
+    Then at most 6 of the daemons have called it
+    When the store is up for 2000 ms
+    Then only the daemon with the lowest name reads it
+
+  Scenario: a daemon that the store turns away is replaced
+    # Guards against a failure domain that follows no changes within 3 s, the shortest
+    # time that a known deployment allows for a change of the configuration.
+    Given 32 daemons of a failure domain, of which one reads the store
+    When the store turns away the 3 daemons with the lowest names for 3000 ms
+    Then all daemons follow the store again
+
+  Scenario: the reading daemon is replaced when it stops
+    Given 32 daemons of a failure domain, of which one reads the store
+    When the daemon with the lowest name is killed, and 2500 ms pass
+    Then all daemons follow the store again
+    And at most 2 of the daemons have called it
+
+  Scenario: a daemon that starts again writes nothing that the store already has
+    # Guards against writes of all daemons at once after a loss of power.
+    Given a daemon that starts again with the same address
+    Then it reads the list of daemons once, and writes nothing
+    And its registration is written again within 130 s
+
+  Scenario: a daemon that starts again at another address registers it
+    Given a daemon that starts again with another address
+    Then it reads the list of daemons once, and writes its address
+
+  Scenario: a daemon that starts while the store is away reads the list when it is back
+    # Guards against a daemon that knows no other for 10 s after the store has returned.
+    Given a daemon that starts again while the store is away for 3000 ms
+    Then it knows the other daemons 1200 ms after the store is back
--- a/tests/features/steps/edge_decisions_steps.py
+++ b/tests/features/steps/edge_decisions_steps.py
@@ -46,7 +46,8 @@
     def check(events):
         clock = ManualClock()
         loads = [
-            ExtraLoad(clock, BOUNDS, lambda: 1 / 9, starts_full=True) for _ in range(9)
+            ExtraLoad(clock, BOUNDS, lambda service, total: total / 9, starts_full=True)
+            for _ in range(9)
         ]
         now_s, first_sends_s, extra_sends_s = 0.0, [], []
         for daemon, is_extra, pause_s in events:
@@ -75,7 +76,9 @@
 
 @given("the extra load of a restarted daemon")
 def step_restarted(context):
-    context.load = ExtraLoad(ManualClock(), BOUNDS, lambda: 1 / 9, starts_full=False)
+    context.load = ExtraLoad(
+        ManualClock(), BOUNDS, lambda service, total: total / 9, starts_full=False
+    )
 
 
 @then("it may send no extra arrival before its requests have earned one")
@@ -299,9 +302,9 @@
 
 @then("the extra arrivals of 9 such daemons stay within the slack")
 def step_extra_without_daemon_list(context):
-    share = LimitShares("e1", "a", {}).extra_load_share
+    share = LimitShares("e1", "a", {}).extra_arrivals
     load = ExtraLoad(ManualClock(), BOUNDS, share, starts_full=False)
-    assert 9 * load.window_limit() <= SLACK
+    assert 9 * load.window_limit("shard") <= SLACK
 
 
 @then("each of {count:d} daemons may hedge a request to a service at once")
@@ -309,14 +312,14 @@
     # 212 is the slack of the largest known deployment.
     bounds = Bounds(extra_load_ratio=RATIO, extra_load_slack=212)
     clock = ManualClock()
-    load = ExtraLoad(clock, bounds, lambda: 1 / count, starts_full=True)
-    assert load.try_spend("shard", load.hedge_reserve())
+    load = ExtraLoad(clock, bounds, lambda _, total: total / count, starts_full=True)
+    assert load.try_spend("shard", load.hedge_reserve("shard"))
 
 
 @then("a daemon that has spent its share has another token after {windows:d} window")
 def step_refilled(context, windows):
     clock = ManualClock()
-    load = ExtraLoad(clock, BOUNDS, lambda: 1 / 9, starts_full=True)
+    load = ExtraLoad(clock, BOUNDS, lambda service, total: total / 9, starts_full=True)
     while load.try_spend("shard"):
         pass
     clock.advance(1000.0 * WINDOW_S * windows)
--- /dev/null
+++ b/tests/features/steps/edge_fleet_steps.py
@@ -0,0 +1,345 @@
+"""Steps on decisions of daemons in large fleets, with manual clocks."""
+
+import random
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from hemlockspoke.clock import ManualClock
+from hemlockspoke.tier.apportion import LimitShares
+from hemlockspoke.tier.edge_settings import Bounds, EdgeSettings
+from hemlockspoke.tier.extra_load import ExtraLoad
+from hemlockspoke.tier.feed import Change, Feed, FeedError, Page
+from hemlockspoke.tier.members import Membership, WriteResult
+from hemlockspoke.tier.relay import FollowedKind, Relay, RelayingSink
+
+REGIONS = {f"{region}{index}": region for region in "abc" for index in "12"}
+SLACK = 430
+SHARD, ITEMS = "shard", "items"
+STEP_MS = 10.0
+
+
+def fleet_members(counts):
+    return {
+        domain: [f"vm-{domain}-{number:04d}" for number in range(count)]
+        for domain, count in zip(REGIONS, counts, strict=True)
+    }
+
+
+def shares_of(members):
+    """Return the limit shares of each daemon by VM."""
+    result = {}
+    for domain, vms in members.items():
+        for vm in vms:
+            shares = result[vm] = LimitShares(vm, domain, REGIONS)
+            shares.set_gathered_services([SHARD])
+            shares.set_members(members)
+    return result
+
+
+def window_limit(shares, service, slack):
+    bounds = Bounds(extra_load_ratio=0.2, extra_load_slack=slack)
+    load = ExtraLoad(ManualClock(), bounds, shares.extra_arrivals)
+    return load.window_limit(service)
+
+
+@then("for any fleet the extra arrivals of a window do not exceed the slack")
+def step_any_fleet(context):
+    counts = st.lists(st.integers(1, 60), min_size=6, max_size=6)
+
+    @hypothesis_settings(max_examples=15, deadline=None)
+    @for_all(counts, st.integers(10, 600), st.sampled_from([SHARD, ITEMS]))
+    def check(counts, slack, service):
+        shares = shares_of(fleet_members(counts)).values()
+        total = sum(window_limit(share, service, slack) for share in shares)
+        assert total <= slack + 1e-6, total
+
+    check()
+
+
+@given("a fleet of {count:d} daemons in 6 failure domains")
+def step_fleet(context, count):
+    context.shares = shares_of(fleet_members([count // 6] * 6))
+
+
+@then("each hub may send at least {count:d} extra arrivals to a shard in a window")
+def step_hubs(context, count):
+    # The slack that the platform states for a fleet of this size.
+    slack = 212 if len(context.shares) < 100 else SLACK
+    context.slack = slack
+    hubs = [shares for shares in context.shares.values() if shares.is_hub()]
+    assert hubs
+    for shares in hubs:
+        assert window_limit(shares, SHARD, slack) >= count
+
+
+@then("each daemon may send one extra arrival to a service that is no shard")
+def step_items(context):
+    for shares in context.shares.values():
+        assert window_limit(shares, ITEMS, context.slack) >= 1.0
+
+
+class FleetStore:
+    """A store that fails the calls of the daemons in ``turned_away``."""
+
+    def __init__(self):
+        self.revision = 1
+        self.turned_away = set()
+        self.callers = set()
+
+
+class DaemonSource:
+    """The store as one daemon reads it."""
+
+    def __init__(self, clock, store, vm):
+        self._clock = clock
+        self._store = store
+        self._vm = vm
+
+    def list_page(self, after, on_page, stale=False):
+        self._answer(on_page)
+
+    def watch(self, revision, wait_ms, grace_ms, on_page):
+        if self._vm in self._store.turned_away:
+            self._answer(on_page)
+        else:
+            self._clock.call_later(200.0, self._answer, on_page)
+
+    def _answer(self, on_page):
+        store = self._store
+        store.callers.add(self._vm)
+        if self._vm in store.turned_away:
+            on_page(FeedError("status 503"))
+        else:
+            on_page(Page([Change("o", {}, revision=store.revision)], store.revision))
+
+
+class KindSink:
+    """Ignores the objects of a kind."""
+
+    def replace(self, changes):
+        pass
+
+    def apply(self, change):
+        pass
+
+
+class RelayFleet:
+    """Relays of one failure domain, connected with each other."""
+
+    def __init__(self, count):
+        self.clock = ManualClock()
+        self.store = FleetStore()
+        self.vms = [f"vm-{number:02d}" for number in range(count)]
+        self.relays = {}
+        self.followed = {}
+        for position, vm in enumerate(self.vms):
+            self._add(vm, position)
+        for relay in self.relays.values():
+            relay.start(1000.0)
+        for position, vm in enumerate(self.vms):
+            self.relays[vm].set_position(position)
+
+    def _add(self, vm, position):
+        clock = self.clock
+
+        def send(peer, message):
+            if peer in self.relays:
+                clock.call_later(1.0, self._deliver, vm, peer, message)
+            return True
+
+        relay = Relay(
+            clock,
+            vm,
+            send,
+            lambda: [peer for peer in self.relays if peer != vm],
+            max_age_ms=4000.0,
+        )
+        followed = self.followed[vm] = FollowedKind("config", clock, KindSink())
+        source = DaemonSource(clock, self.store, vm)
+        sink = RelayingSink(followed, relay)
+        feed = Feed("config", clock, source, sink, 2000.0, random.Random(vm))
+        relay.follow(followed, feed)
+        self.relays[vm] = relay
+
+    def _deliver(self, vm, peer, message):
+        if vm in self.relays and peer in self.relays:
+            self.relays[peer].receive(vm, message)
+
+    def run(self, duration_ms):
+        """Advance the time; the store changes all the while."""
+        for _ in range(int(duration_ms / STEP_MS)):
+            self.store.revision += 1
+            self.clock.advance(STEP_MS)
+
+    def readers(self):
+        """Return the daemons whose feed calls the store."""
+        return [vm for vm in self.relays if self.followed[vm].feed.active]
+
+    def kill(self, vm):
+        """End a daemon without notice."""
+        self.relays.pop(vm).stop()
+        for relay in self.relays.values():
+            relay.peer_lost(vm)
+
+
+@given("{count:d} daemons of a failure domain, of which one reads the store")
+def step_relays(context, count):
+    context.fleet = RelayFleet(count)
+    context.fleet.run(3000)
+    assert context.fleet.readers() == ["vm-00"], context.fleet.readers()
+    context.fleet.store.callers.clear()
+
+
+@when("the store fails all calls for {duration_ms:d} ms")
+def step_down(context, duration_ms):
+    context.fleet.store.turned_away = set(context.fleet.vms)
+    context.fleet.run(duration_ms)
+
+
+@when("the store is up for {duration_ms:d} ms")
+def step_up(context, duration_ms):
+    context.fleet.store.turned_away = set()
+    context.fleet.run(duration_ms)
+
+
+@when(
+    "the store turns away the {count:d} daemons with the lowest names "
+    "for {duration_ms:d} ms"
+)
+def step_turned_away(context, count, duration_ms):
+    context.fleet.store.turned_away = set(context.fleet.vms[:count])
+    context.fleet.run(duration_ms)
+
+
+@when("the daemon with the lowest name is killed, and {duration_ms:d} ms pass")
+def step_killed(context, duration_ms):
+    context.fleet.kill("vm-00")
+    context.fleet.run(duration_ms)
+
+
+@then("at most {count:d} of the daemons have called it")
+def step_callers(context, count):
+    callers = context.fleet.store.callers
+    assert len(callers) <= count, sorted(callers)
+
+
+@then("only the daemon with the lowest name reads it")
+def step_lowest(context):
+    assert context.fleet.readers() == ["vm-00"], context.fleet.readers()
+
+
+@then("all daemons follow the store again")
+def step_follow(context):
+    fleet = context.fleet
+    for vm in fleet.relays:
+        followed = fleet.followed[vm]
+        # One watch, and a heartbeat of the daemon that reads.
+        assert followed.age_ms() <= 1000.0, (vm, followed.age_ms())
+        assert fleet.store.revision - followed.revision <= 60, vm
+
+
+class FakeRegistrations:
+    """Registrations in a store that may be away."""
+
+    def __init__(self, changes):
+        self.changes = changes
+        self.away = False
+        self.reads = 0
+        self.writes = []
+
+    def read(self, stale, on_read):
+        """Read the list."""
+        self.reads += 1
+        on_read(None if self.away else self.changes)
+
+    def write(self, vm, spec, revision, on_written):
+        """Write a registration."""
+        self.writes.append((spec["peer_address"], revision))
+        on_written(WriteResult(True, revision=99, spec=spec))
+
+
+def registration(clock, vm, address):
+    spec = {
+        "failure_domain": "a1",
+        "peer_address": address,
+        "renewed_ms": clock.wall_ms(),
+    }
+    return Change(vm, spec, revision=7)
+
+
+def start_member(context, address, away=False):
+    clock = context.clock = ManualClock()
+    context.registrations = FakeRegistrations(
+        [
+            registration(clock, "e1", "10.0.0.1:7"),
+            registration(clock, "e2", "10.0.0.2:7"),
+        ]
+    )
+    context.registrations.away = away
+    settings = EdgeSettings(
+        vm="e1",
+        failure_domain="a1",
+        region="a",
+        failure_domains=REGIONS,
+        caller_address=None,
+        ready_address=None,
+        peer_address=address,
+        store_address=None,
+    )
+    context.peers = []
+    member = Membership(
+        clock,
+        settings,
+        context.registrations,
+        context.peers.append,
+        random.Random(1),
+    )
+    member.start()
+
+
+@given("a daemon that starts again with the same address")
+def step_same_address(context):
+    start_member(context, "10.0.0.1:7")
+
+
+@given("a daemon that starts again with another address")
+def step_other_address(context):
+    start_member(context, "10.0.0.9:7")
+
+
+@given(
+    "a daemon that starts again while the store is away for {duration_ms:d} ms",
+)
+def step_store_away(context, duration_ms):
+    start_member(context, "10.0.0.1:7", away=True)
+    context.clock.advance(float(duration_ms))
+    assert not context.peers
+    context.registrations.away = False
+
+
+@then("it reads the list of daemons once, and writes nothing")
+def step_writes_nothing(context):
+    context.clock.advance(5000.0)
+    assert context.registrations.reads == 1 and not context.registrations.writes
+
+
+@then("its registration is written again within {seconds:d} s")
+def step_renewed(context, seconds):
+    context.clock.advance(1000.0 * seconds)
+    assert context.registrations.writes == [("10.0.0.1:7", 7)]
+
+
+@then("it reads the list of daemons once, and writes its address")
+def step_writes_address(context):
+    context.clock.advance(5000.0)
+    assert context.registrations.reads == 1
+    assert context.registrations.writes == [("10.0.0.9:7", 7)]
+
+
+@then("it knows the other daemons {delay_ms:d} ms after the store is back")
+def step_knows_others(context, delay_ms):
+    context.clock.advance(float(delay_ms))
+    assert [peer.vm for peer in context.peers[-1]] == ["e2"]
--- a/tests/features/steps/edge_timing_steps.py
+++ b/tests/features/steps/edge_timing_steps.py
@@ -116,7 +116,8 @@
     }
     assert sum(context.limits.values()) <= limit
     assert (
-        sum(share.extra_load_share() for share in context.shares.values()) <= 1.0 + 1e-9
+        sum(share.extra_arrivals("s", 100) for share in context.shares.values())
+        <= 100 + 1e-9
     )
     for domain in ("00", "01"):
         assert all(context.limits[vm] >= 1 for vm in context.members[domain])
