--- a/tests/features/steps/server_bytes_steps.py
+++ b/tests/features/steps/server_bytes_steps.py
@@ -17,24 +17,15 @@
 from hemlockspoke.http1.response_parser import ResponseParser
 from tests.features.steps.upstream_http_steps import connect, request
 from tests.reactor_thread import run_in_reactor, wait_until
-from tests.standins.raw_server import WRITE_BYTES, RawServer
+from tests.standins.raw_server import (
+    CHUNKED,
+    ENDLESS,
+    OK_HEAD,
+    WRITE_BYTES,
+    RawServer,
+)
 
 MAX_FED_BYTES = 16 * 1024 * 1024
-OK_HEAD = b"HTTP/1.1 200 OK\r\n"
-CHUNKED = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
-# Start of an answer, and the bytes that are repeated without end.
-ENDLESS = {
-    "a status line": (b"HTTP/1.1 200 ", b"O"),
-    "a header line": (OK_HEAD + b"X-Long: ", b"x"),
-    "header lines": (OK_HEAD, b"X-More: 1\r\n"),
-    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
-    "a chunk extension": (CHUNKED + b"1;", b"x"),
-    "trailer lines": (CHUNKED + b"1\r\nx\r\n0\r\n", b"X-More: 1\r\n"),
-    "tiny chunks with comments": (CHUNKED, b"1;" + b"c" * 60 + b"\r\nx\r\n"),
-    "a body without a length": (OK_HEAD + b"\r\n", b"x"),
-    "a chunked body": (CHUNKED, b"10\r\n0123456789abcdef\r\n"),
-    "a body with a length": (OK_HEAD + b"Content-Length: 999999999\r\n\r\n", b"x"),
-}
 
 
 def raw_server(context, head, filler=b""):
--- a/tests/standins/raw_server.py
+++ b/tests/standins/raw_server.py
@@ -9,6 +9,21 @@
 
 MAX_SENT_BYTES = 24 * 1024 * 1024
 WRITE_BYTES = 16_000
+OK_HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# Start of an answer, and the bytes that are repeated without end.
+ENDLESS = {
+    "a status line": (b"HTTP/1.1 200 ", b"O"),
+    "a header line": (OK_HEAD + b"X-Long: ", b"x"),
+    "header lines": (OK_HEAD, b"X-More: 1\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "a chunk extension": (CHUNKED + b"1;", b"x"),
+    "trailer lines": (CHUNKED + b"1\r\nx\r\n0\r\n", b"X-More: 1\r\n"),
+    "tiny chunks with comments": (CHUNKED, b"1;" + b"c" * 60 + b"\r\nx\r\n"),
+    "a body without a length": (OK_HEAD + b"\r\n", b"x"),
+    "a chunked body": (CHUNKED, b"10\r\n0123456789abcdef\r\n"),
+    "a body with a length": (OK_HEAD + b"Content-Length: 999999999\r\n\r\n", b"x"),
+}
 
 
 class RawServer:
