Let stand-in servers stop in the head of an answer or never end it

Cause: the soak and the scenarios on faults of servers played no answer that is cut in its head, and none without end; those were only fed to the parser or sent by a raw stand-in.

Change: the stand-in servers of the platform can do both.

--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -215,6 +215,12 @@
         "extra",
         "foreign",
         "garbage",
+        "cut_head",
+        "endless_head",
+        "endless_body",
+        "copy_with_id",
+        "copy_without_id",
+        "reset_once",
     ]
     server.behaviour = soak.rng.choice(faults)
 
--- a/tests/standins/raw_server.py
+++ b/tests/standins/raw_server.py
@@ -26,12 +26,45 @@
 }
 
 
+class EndlessBytes:
+    """Writes the same bytes as fast as the client reads, up to ``MAX_SENT_BYTES``.
+
+    ``on_sent(count)`` is called with the number of bytes of each write.
+    """
+
+    def __init__(self, transport, filler, on_sent=lambda count: None):
+        self._transport = transport
+        self._data = filler * (WRITE_BYTES // len(filler))
+        self._on_sent = on_sent
+        self._sent_bytes = 0
+
+    def resumeProducing(self):
+        """Write the next bytes, as the client has read the earlier ones."""
+        if self._sent_bytes > MAX_SENT_BYTES:
+            self._transport.unregisterProducer()
+            return
+        self._sent_bytes += len(self._data)
+        self._on_sent(len(self._data))
+        self._transport.write(self._data)
+
+    def stopProducing(self):
+        """Do nothing: the connection is closed."""
+
+
+def send_endless(transport, name, on_sent=lambda count: None):
+    """Send the bytes of an entry of ``ENDLESS`` until the client closes."""
+    head, filler = ENDLESS[name]
+    transport.write(head)
+    producer = EndlessBytes(transport, filler, on_sent)
+    transport.registerProducer(producer, streaming=False)
+
+
 class RawServer:
     """Listens on a free port of the loopback interface."""
 
     def __init__(self, reactor, head, filler=b""):
         self.head = head
-        self.filler = filler * (WRITE_BYTES // max(1, len(filler)))
+        self.filler = filler
         self.sent_bytes = 0
         self.open_connections = 0
         self.request_count = 0
@@ -57,7 +90,6 @@
     def __init__(self, server):
         self._server = server
         self._answered = False
-        self._sent_bytes = 0
 
     def connectionMade(self):
         self._server.open_connections += 1
@@ -73,19 +105,10 @@
         server.request_count += 1
         self.transport.write(server.head)
         if server.filler:
-            self.transport.registerProducer(self, streaming=False)
+            producer = EndlessBytes(self.transport, server.filler, self._count_sent)
+            self.transport.registerProducer(producer, streaming=False)
         else:
             self.transport.loseConnection()
 
-    def resumeProducing(self):
-        """Write the next bytes, as the client has read the earlier ones."""
-        server = self._server
-        if self._sent_bytes > MAX_SENT_BYTES:
-            self.transport.unregisterProducer()
-            return
-        self._sent_bytes += len(server.filler)
-        server.sent_bytes += len(server.filler)
-        self.transport.write(server.filler)
-
-    def stopProducing(self):
-        """Do nothing: the connection is closed."""
+    def _count_sent(self, count):
+        self._server.sent_bytes += count
--- a/tests/standins/shard_server.py
+++ b/tests/standins/shard_server.py
@@ -10,6 +10,7 @@
 from hemlockspoke.http1.channel import HttpSite
 from hemlockspoke.http1.messages import encode_response
 from hemlockspoke.registry import Registry
+from tests.standins.raw_server import send_endless
 
 behaviours = Registry("server behaviour")
 
@@ -157,6 +158,27 @@
     write_raw(request, data[: len(data) - 10], close=True)
 
 
+@behaviours.register("cut_head")
+def cut_head(server, request):
+    """Run the request and close the connection in the middle of the answer's head."""
+    data = encode_response(200, server.run(request), server.body, close=False)
+    write_raw(request, data[: data.index(b"\r\n\r\n") - 3], close=True)
+
+
+@behaviours.register("endless_head")
+def endless_head(server, request):
+    """Run the request and send header lines until the connection is closed."""
+    server.run(request)
+    send_endless(request._channel.transport, "header lines")
+
+
+@behaviours.register("endless_body")
+def endless_body(server, request):
+    """Run the request and send a body until the connection is closed."""
+    server.run(request)
+    send_endless(request._channel.transport, "a chunked body")
+
+
 @behaviours.register("extra")
 def extra(server, request):
     """Send the answer twice."""
