Watch from the first page of a list

Cause: a list of the store comes in pages of about 500 objects, and each page is as of its own revision. The feed watched from the revision of the last page, so a server that was removed after its page had been read and before the last one stayed in use for good; the same holds for a server that was added or began to drain.

Change: the watch starts at the revision of the first page. Changes that later pages already show are applied once more, which changes nothing.

Ruled out: registrations, which are read as a whole each 10 s and are not watched.

Measured: edge_feed.feature, "a change between two pages of a list is not missed", failed before.

--- a/hemlockspoke/tier/feed.py
+++ b/hemlockspoke/tier/feed.py
@@ -1,6 +1,6 @@
 """Follows the objects of one kind in the platform's store.
 
-A list gives all objects at one revision; watches then report the changes after it.
+A list gives all objects; watches then report the changes since its first page.
 """
 
 import logging
@@ -77,6 +77,7 @@
         "_generation",
         "_kind",
         "_listed_changes",
+        "_listed_revision",
         "_retry_ms",
         "_revision",
         "_rng",
@@ -96,7 +97,9 @@
         self._wait_ms = wait_ms
         self._rng = rng or random.Random()
         self._revision = None
+        # Changes of the pages of a list so far, and the revision of the first page.
         self._listed_changes = []
+        self._listed_revision = None
         self._retry_ms = FIRST_RETRY_MS
         self._watch_started_ms = 0.0
         # Incremented by each pause and resume, to ignore results of earlier calls.
@@ -134,13 +137,17 @@
             self._retry(page, self._list, generation, None)
             return
         self._note_success()
+        if not self._listed_changes:
+            self._listed_revision = page.revision
         self._listed_changes.extend(page.changes)
         if page.continue_after is not None:
             self._list(generation, page.continue_after)
             return
         changes, self._listed_changes = self._listed_changes, []
-        self._revision = page.revision
-        self._sink.replace(changes, page.revision)
+        # Objects of earlier pages may have changed while later ones were read, so the
+        # watch starts at the first page; changes that are known already are repeated.
+        self._revision = self._listed_revision
+        self._sink.replace(changes, self._revision)
         # A daemon that has just started learns meanwhile whether another one reads.
         self._clock.call_later(WATCH_INTERVAL_MS, self._watch, generation)
 
--- a/tests/features/edge_feed.feature
+++ b/tests/features/edge_feed.feature
@@ -15,3 +15,9 @@
     Then it counts the store as lost
     When the store is back and 1 s passes
     Then the feed has read it
+
+  Scenario: a change between two pages of a list is not missed
+    # Guards against a server that left while the list was read and stays in use.
+    Given a feed whose store lists "s1", then removes it, and then lists "s2"
+    When 1 s pass on its clock
+    Then the feed knows only "s2"
--- a/tests/features/steps/edge_feed_steps.py
+++ b/tests/features/steps/edge_feed_steps.py
@@ -32,20 +32,57 @@
         """Leave a watch waiting."""
 
 
+def item(name, revision):
+    """Return an object as the store lists it."""
+    return {"meta": {"name": name, "revision": revision}, "spec": {}}
+
+
+class PagedStoreCalls:
+    """Lists one object a page, and removes the first one after its page was read."""
+
+    FIRST_PAGE = {"items": [item("s1", 3)], "more": True, "current_rev": 7}
+    LAST_PAGE = {"items": [item("s2", 4)], "more": False, "current_rev": 9}
+    REMOVAL_REVISION = 8
+    REMOVAL = {"object": item("s1", REMOVAL_REVISION), "removed": True}
+
+    def list(self, kind, after, on_reply, stale=False):
+        """Answer with the page after a name."""
+        on_reply(JsonReply(200, self.LAST_PAGE if after else self.FIRST_PAGE))
+
+    def watch(self, kind, revision, wait_ms, grace_ms, on_reply):
+        """Answer with the removal if it is newer than ``revision``."""
+        if revision < self.REMOVAL_REVISION:
+            on_reply(JsonReply(200, {"events": [self.REMOVAL], "current_rev": 9}))
+
+
 class FakeSink:
-    """Records the revisions of complete lists."""
+    """Records the revisions of complete lists, and the names of the objects known."""
 
     def __init__(self):
         self.revisions = []
+        self.names = set()
 
     def replace(self, changes, revision):
         """Record a list."""
         self.revisions.append(revision)
+        self.names = {change.name for change in changes}
+
+    def apply(self, changes, since, revision):
+        """Record the changes that a watch reports."""
+        for change in changes:
+            if change.removed:
+                self.names.discard(change.name)
+            else:
+                self.names.add(change.name)
 
 
 def start_feed(context, reply):
     context.clock = ManualClock()
-    context.calls = FakeStoreCalls(context.clock, reply)
+    follow(context, FakeStoreCalls(context.clock, reply))
+
+
+def follow(context, calls):
+    context.calls = calls
     context.sink = FakeSink()
     source = KindSource(context.calls, "config")
     context.feed = Feed(
@@ -64,6 +101,12 @@
     start_feed(context, WITHOUT_FIELDS)
 
 
+@given('a feed whose store lists "s1", then removes it, and then lists "s2"')
+def step_two_pages(context):
+    context.clock = ManualClock()
+    follow(context, PagedStoreCalls())
+
+
 @when("{seconds:d} s pass on its clock")
 def step_pass(context, seconds):
     for _ in range(seconds):
@@ -91,3 +134,8 @@
 @then("the feed has read it")
 def step_read(context):
     assert context.sink.revisions == [7] and not context.feed.lost
+
+
+@then('the feed knows only "s2"')
+def step_only_second(context):
+    assert context.sink.names == {"s2"}, context.sink.names
