Let daemons that the store turns away call it less; watch later after a restart

After a loss of power half of the daemons began a watch before they had heard of the one that reads.

Change: the delays after failed calls are 6 times as long while another daemon of the failure domain reads, and otherwise 1 + n times, n being the number of daemons with lower names. A daemon that takes over in an outage starts with the long delay. The first watch after a first list waits 1 s. FollowedKind and RelayingSink move to a module of their own.

Ruled out: that the daemon which reads stays the reader whatever its name; its streams reach the others only if it is a hub or among the lowest names.

--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -9,9 +9,10 @@
 from hemlockspoke.tier.directory import Directory
 from hemlockspoke.tier.extra_load import ExtraLoad
 from hemlockspoke.tier.feed import WATCH_GRACE_MS, Feed
+from hemlockspoke.tier.followed_kind import FollowedKind, RelayingSink
 from hemlockspoke.tier.members import Membership
 from hemlockspoke.tier.peer_directory import PeerDirectory
-from hemlockspoke.tier.relay import FollowedKind, Relay, RelayingSink
+from hemlockspoke.tier.relay import Relay
 from hemlockspoke.tier.request_handler import RequestHandler, TierContext
 from hemlockspoke.tier.timing import Timings
 
@@ -274,6 +275,7 @@
 
     def close(self):
         """Close every socket without waiting; used by tests in one process."""
+        self._caller_port = None
         for port in self._ports:
             port.stopListening()
         self._relay.stop()
--- a/hemlockspoke/tier/feed.py
+++ b/hemlockspoke/tier/feed.py
@@ -16,6 +16,9 @@
 # Minimum interval between watches. Each call is charged, so changes in quick succession
 # are read together; changes must be followed within some seconds.
 WATCH_INTERVAL_MS = 200.0
+# Delay of the first watch after a first list. When all daemons start again together,
+# each learns meanwhile that another one reads the store for all.
+FIRST_WATCH_DELAY_MS = 1000.0
 
 
 class Change:
@@ -69,7 +72,8 @@
     A watch is given up after ``wait_ms`` plus ``WATCH_GRACE_MS``, since its connection
     may be broken without an error; then a new one is used. A paused feed ignores the
     result of a call that was in progress. ``active`` is False while the feed is paused,
-    ``lost`` is True from a failed call to the next successful one.
+    ``lost`` is True from a failed call to the next successful one. The delays after
+    failed calls are multiplied by ``retry_factor``.
     """
 
     __slots__ = (
@@ -87,6 +91,7 @@
         "_watch_started_ms",
         "active",
         "lost",
+        "retry_factor",
     )
 
     def __init__(self, kind, clock, source, sink, wait_ms, rng=None):
@@ -106,13 +111,15 @@
         self._generation = 0
         self.active = False
         self.lost = False
+        self.retry_factor = 1.0
 
     def resume(self, revision=None):
         """Watch from a known revision, or start with a list if it is None."""
         self._generation += 1
         self.active = True
         self.lost = False
-        self._retry_ms = FIRST_RETRY_MS
+        # Others have just failed if this feed is to call less often than they do.
+        self._retry_ms = FIRST_RETRY_MS if self.retry_factor <= 1.0 else MAX_RETRY_MS
         self._listed_changes = []
         if revision is None:
             self._list(self._generation, None)
@@ -137,6 +144,7 @@
             self._retry(page, self._list, generation, None)
             return
         self._note_success()
+        is_first = self._revision is None
         if not self._listed_changes:
             self._listed_revision = page.revision
         self._listed_changes.extend(page.changes)
@@ -148,8 +156,8 @@
         # watch starts at the first page; changes that are known already are repeated.
         self._revision = self._listed_revision
         self._sink.replace(changes, self._revision)
-        # A daemon that has just started learns meanwhile whether another one reads.
-        self._clock.call_later(WATCH_INTERVAL_MS, self._watch, generation)
+        delay_ms = FIRST_WATCH_DELAY_MS if is_first else WATCH_INTERVAL_MS
+        self._clock.call_later(delay_ms, self._watch, generation)
 
     def _watch(self, generation):
         if generation == self._generation:
@@ -191,6 +199,6 @@
             logger.warning(
                 "store lost", extra={"feed": self._kind, "reason": error.detail}
             )
-        delay_ms = self._retry_ms * self._rng.uniform(0.7, 1.0)
+        delay_ms = self._retry_ms * self.retry_factor * self._rng.uniform(0.7, 1.0)
         self._retry_ms = min(MAX_RETRY_MS, 2 * self._retry_ms)
         self._clock.call_later(delay_ms, function, *args)
--- /dev/null
+++ b/hemlockspoke/tier/followed_kind.py
@@ -0,0 +1,93 @@
+"""The known state of one kind of store objects, and what keeps it up to date."""
+
+
+class FollowedKind:
+    """The known state of one kind of objects, with its feed and its sink.
+
+    ``objects`` maps names to specifications at ``revision``, which was the store's
+    newest at the clock time ``confirmed_ms``. Changes reach ``sink`` in the order of
+    the store's revisions, whether this daemon or another one has read them.
+    ``unread_since_ms`` is the clock time since which no daemon of the failure domain is
+    known to read the kind, or None.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_sink",
+        "confirmed_ms",
+        "feed",
+        "kind",
+        "objects",
+        "revision",
+        "unread_since_ms",
+    )
+
+    def __init__(self, kind, clock, sink):
+        self.kind = kind
+        self._clock = clock
+        self._sink = sink
+        self.feed = None
+        self.objects = {}
+        self.revision = None
+        self.confirmed_ms = None
+        self.unread_since_ms = None
+
+    def replace(self, changes, revision, age_ms=0.0):
+        """Replace all objects; return False if the list is older than the state."""
+        if self.revision is not None and revision < self.revision:
+            return False
+        self.objects = {change.name: change.spec for change in changes}
+        self._confirm(revision, age_ms)
+        self._sink.replace(changes)
+        return True
+
+    def apply(self, changes, revision, age_ms=0.0):
+        """Apply the changes up to a revision."""
+        for change in changes:
+            if change.removed:
+                self.objects.pop(change.name, None)
+            else:
+                self.objects[change.name] = change.spec
+        self._confirm(revision, age_ms)
+        for change in changes:
+            self._sink.apply(change)
+
+    def _confirm(self, revision, age_ms):
+        self.revision = revision
+        confirmed_ms = self._clock.now_ms() - age_ms
+        self.confirmed_ms = max(self.confirmed_ms or confirmed_ms, confirmed_ms)
+
+    def confirm(self, revision, age_ms):
+        """Record that ``revision`` was the newest one ``age_ms`` ago."""
+        if self.revision is not None and revision >= self.revision:
+            self._confirm(self.revision, age_ms)
+
+    def age_ms(self):
+        """Return how long ago the store confirmed the revision, or infinity."""
+        if self.confirmed_ms is None:
+            return float("inf")
+        return self._clock.now_ms() - self.confirmed_ms
+
+
+class RelayingSink:
+    """Applies what a feed reads, and relays it to the daemons of the failure domain."""
+
+    __slots__ = ("_followed", "_relay")
+
+    def __init__(self, followed, relay):
+        self._followed = followed
+        self._relay = relay
+
+    def replace(self, changes, revision):
+        """Apply a complete list, and relay it."""
+        if self._followed.replace(changes, revision):
+            self._relay.publish(self._followed, changes, 0, revision, complete=True)
+
+    def apply(self, changes, since, revision):
+        """Apply changes reported by a watch, and relay them."""
+        followed = self._followed
+        if revision <= followed.revision:
+            followed.confirm(revision, 0.0)
+            return
+        followed.apply(changes, revision)
+        self._relay.publish(followed, changes, since, revision, complete=False)
--- a/hemlockspoke/tier/relay.py
+++ b/hemlockspoke/tier/relay.py
@@ -21,98 +21,9 @@
 # this time, so that an outage of the store does not make all of them call it. It allows
 # for a heartbeat of the one before.
 TAKEOVER_STEP_MS = 400.0
-
-
-class FollowedKind:
-    """The known state of one kind of objects, with its feed and its sink.
-
-    ``objects`` maps names to specifications at ``revision``, which was the store's
-    newest at the clock time ``confirmed_ms``. Changes reach ``sink`` in the order of
-    the store's revisions, whether this daemon or another one has read them.
-    ``unread_since_ms`` is the clock time since which no daemon of the failure domain is
-    known to read the kind, or None.
-    """
-
-    __slots__ = (
-        "_clock",
-        "_sink",
-        "confirmed_ms",
-        "feed",
-        "kind",
-        "objects",
-        "revision",
-        "unread_since_ms",
-    )
-
-    def __init__(self, kind, clock, sink):
-        self.kind = kind
-        self._clock = clock
-        self._sink = sink
-        self.feed = None
-        self.objects = {}
-        self.revision = None
-        self.confirmed_ms = None
-        self.unread_since_ms = None
-
-    def replace(self, changes, revision, age_ms=0.0):
-        """Replace all objects; return False if the list is older than the state."""
-        if self.revision is not None and revision < self.revision:
-            return False
-        self.objects = {change.name: change.spec for change in changes}
-        self._confirm(revision, age_ms)
-        self._sink.replace(changes)
-        return True
-
-    def apply(self, changes, revision, age_ms=0.0):
-        """Apply the changes up to a revision."""
-        for change in changes:
-            if change.removed:
-                self.objects.pop(change.name, None)
-            else:
-                self.objects[change.name] = change.spec
-        self._confirm(revision, age_ms)
-        for change in changes:
-            self._sink.apply(change)
-
-    def _confirm(self, revision, age_ms):
-        self.revision = revision
-        confirmed_ms = self._clock.now_ms() - age_ms
-        self.confirmed_ms = max(self.confirmed_ms or confirmed_ms, confirmed_ms)
-
-    def confirm(self, revision, age_ms):
-        """Record that ``revision`` was the newest one ``age_ms`` ago."""
-        if self.revision is not None and revision >= self.revision:
-            self._confirm(self.revision, age_ms)
-
-    def age_ms(self):
-        """Return how long ago the store confirmed the revision, or infinity."""
-        if self.confirmed_ms is None:
-            return float("inf")
-        return self._clock.now_ms() - self.confirmed_ms
-
-
-class RelayingSink:
-    """Applies what a feed reads, and relays it to the daemons of the failure domain."""
-
-    __slots__ = ("_followed", "_relay")
-
-    def __init__(self, followed, relay):
-        self._followed = followed
-        self._relay = relay
-
-    def replace(self, changes, revision):
-        """Apply a complete list, and relay it."""
-        if self._followed.replace(changes, revision):
-            self._relay.publish(self._followed, changes, 0, revision, complete=True)
-
-    def apply(self, changes, since, revision):
-        """Apply changes reported by a watch, and relay them."""
-        followed = self._followed
-        if revision <= followed.revision:
-            followed.confirm(revision, 0.0)
-            return
-        followed.apply(changes, revision)
-        self._relay.publish(followed, changes, since, revision, complete=False)
+# Factor for the delays between failed calls of a daemon while another one reads. Those
+# calls only find out whether this daemon can read again.
+STANDBY_RETRY_FACTOR = 6.0
 
 
 class _Heartbeat:
@@ -238,30 +149,46 @@
         return StoreHeartbeat(kinds=kinds, leaving=self.leaving)
 
     def reader_of(self, kind):
-        """Return the daemon that reads a kind for this one, or None."""
-        now_ms = self._clock.now_ms()
+        """Return the daemon that reads a kind for this one, or None.
+
+        Of several daemons that can read, the one with the lowest name does.
+        """
         for vm in sorted(self._domain_peers()):
-            heartbeat = self._heartbeats.get(vm)
             if vm >= self._vm and not self.leaving:
                 return None
-            if heartbeat is None or heartbeat.leaving:
-                continue
-            silence_ms = now_ms - heartbeat.received_ms
-            for heartbeat_kind, _, age_ms, is_reading in heartbeat.kinds:
-                fresh = age_ms + silence_ms < self._max_age_ms
-                if (
-                    heartbeat_kind == kind
-                    and is_reading
-                    and fresh
-                    and silence_ms < HEARTBEAT_TIMEOUT_MS
-                ):
-                    return vm
+            if self._is_reading(vm, kind):
+                return vm
         return None
 
+    def _is_reading(self, vm, kind):
+        """Return whether another daemon reads a kind and passes it on."""
+        heartbeat = self._heartbeats.get(vm)
+        if heartbeat is None or heartbeat.leaving:
+            return False
+        silence_ms = self._clock.now_ms() - heartbeat.received_ms
+        return silence_ms < HEARTBEAT_TIMEOUT_MS and any(
+            heartbeat_kind == kind
+            and is_reading
+            and age_ms + silence_ms < self._max_age_ms
+            for heartbeat_kind, _, age_ms, is_reading in heartbeat.kinds
+        )
+
+    def _retry_factor(self, kind):
+        """Return the factor for the delays between failed calls of this daemon.
+
+        If no daemon reads, it grows with the number of those with lower names, so that
+        the calls of all in a long outage grow much less than their number.
+        """
+        if any(self._is_reading(vm, kind) for vm in self._domain_peers()):
+            return STANDBY_RETRY_FACTOR
+        return 1.0 + self._position
+
     def _update_reader(self, followed):
         """Start or stop reading, depending on whether another daemon does."""
         reader = self.reader_of(followed.kind)
         feed = followed.feed
+        if reader is None:
+            feed.retry_factor = self._retry_factor(followed.kind)
         if reader is not None or feed.active:
             followed.unread_since_ms = None
         if reader is None and not feed.active and self._may_take_over(followed):
--- a/tests/features/edge_fleet.feature
+++ b/tests/features/edge_fleet.feature
@@ -30,6 +30,36 @@
     When the store turns away the 3 daemons with the lowest names for 3000 ms
     Then all daemons follow the store again
 
+  Scenario: daemons that the store turns away leave it to one that it serves
+    # Guards against calls that are refused, and priced, while others get the changes.
+    Given 32 daemons of a failure domain, of which one reads the store
+    When the store turns away the 3 daemons with the lowest names for 3000 ms
+    Then it refuses at most 3 calls of each of them in another 6000 ms
+    And all daemons follow the store again
+    When the store is up for 4000 ms
+    Then only the daemon with the lowest name reads it
+
+  Scenario Outline: calls in a long outage of the store hardly grow with the daemons
+    # Guards against an outage that all daemons meet with calls.
+    Given <daemons> daemons of a failure domain, of which one reads the store
+    When the store fails all calls for 15000 ms
+    Then the daemons have called it at most <rate> times a second
+    When the store is up for 1500 ms
+    Then all daemons follow the store again
+
+    Examples:
+      | daemons | rate |
+      | 8       | 8    |
+      | 32      | 12   |
+      | 128     | 16   |
+
+  Scenario: a loss of power of all daemons makes few of them watch the store
+    # Guards against a watch of each restarted daemon before it hears of the one that
+    # reads for all.
+    Given 32 daemons of a failure domain, of which one reads the store
+    When all daemons lose power and are connected again 300 ms after their start
+    Then at most 2 of the daemons have watched it
+
   Scenario: the reading daemon is replaced when it stops
     Given 32 daemons of a failure domain, of which one reads the store
     When the daemon with the lowest name is killed, and 2500 ms pass
--- a/tests/features/steps/edge_decisions_steps.py
+++ b/tests/features/steps/edge_decisions_steps.py
@@ -16,8 +16,9 @@
 from hemlockspoke.tier.directory import Directory
 from hemlockspoke.tier.edge_settings import Bounds
 from hemlockspoke.tier.extra_load import ExtraLoad
+from hemlockspoke.tier.followed_kind import FollowedKind
 from hemlockspoke.tier.merge import greatest_records, split_records
-from hemlockspoke.tier.relay import FollowedKind, Relay
+from hemlockspoke.tier.relay import Relay
 from hemlockspoke.tier.routes import RoutingTable, ServiceLimits
 from hemlockspoke.tier.servers import ServerEntry, TrackedServer
 
--- a/tests/features/steps/edge_fleet_steps.py
+++ b/tests/features/steps/edge_fleet_steps.py
@@ -1,6 +1,7 @@
 """Steps on decisions of daemons in large fleets, with manual clocks."""
 
 import random
+from collections import Counter
 
 from behave import given, then, when
 from hypothesis import given as for_all
@@ -12,8 +13,9 @@
 from hemlockspoke.tier.edge_settings import Bounds, EdgeSettings
 from hemlockspoke.tier.extra_load import ExtraLoad
 from hemlockspoke.tier.feed import Change, Feed, FeedError, Page
+from hemlockspoke.tier.followed_kind import FollowedKind, RelayingSink
 from hemlockspoke.tier.members import Membership, WriteResult
-from hemlockspoke.tier.relay import FollowedKind, Relay, RelayingSink
+from hemlockspoke.tier.relay import Relay
 
 REGIONS = {f"{region}{index}": region for region in "abc" for index in "12"}
 SLACK = 430
@@ -88,6 +90,8 @@
         self.revision = 1
         self.turned_away = set()
         self.callers = set()
+        self.watchers = set()
+        self.refused_calls = Counter()
 
 
 class DaemonSource:
@@ -102,6 +106,7 @@
         self._answer(on_page)
 
     def watch(self, revision, wait_ms, grace_ms, on_page):
+        self._store.watchers.add(self._vm)
         if self._vm in self._store.turned_away:
             self._answer(on_page)
         else:
@@ -111,6 +116,7 @@
         store = self._store
         store.callers.add(self._vm)
         if self._vm in store.turned_away:
+            store.refused_calls[self._vm] += 1
             on_page(FeedError("status 503"))
         else:
             on_page(Page([Change("o", {}, revision=store.revision)], store.revision))
@@ -135,14 +141,18 @@
         self.vms = [f"vm-{number:02d}" for number in range(count)]
         self.relays = {}
         self.followed = {}
-        for position, vm in enumerate(self.vms):
-            self._add(vm, position)
+        self.connected = True
+        self._start(read_delay_ms=1000.0)
+
+    def _start(self, read_delay_ms):
+        for vm in self.vms:
+            self._add(vm)
         for relay in self.relays.values():
-            relay.start(1000.0)
+            relay.start(read_delay_ms)
         for position, vm in enumerate(self.vms):
             self.relays[vm].set_position(position)
 
-    def _add(self, vm, position):
+    def _add(self, vm):
         clock = self.clock
 
         def send(peer, message):
@@ -154,7 +164,7 @@
             clock,
             vm,
             send,
-            lambda: [peer for peer in self.relays if peer != vm],
+            lambda: [peer for peer in self.relays if peer != vm and self.connected],
             max_age_ms=4000.0,
         )
         followed = self.followed[vm] = FollowedKind("config", clock, KindSink())
@@ -174,6 +184,16 @@
             self.store.revision += 1
             self.clock.advance(STEP_MS)
 
+    def restart(self, connect_ms):
+        """Start all daemons anew; they are connected with each other later."""
+        for relay in self.relays.values():
+            relay.stop()
+        self.connected = False
+        self.store.watchers.clear()
+        self._start(read_delay_ms=0.0)
+        self.run(connect_ms)
+        self.connected = True
+
     def readers(self):
         """Return the daemons whose feed calls the store."""
         return [vm for vm in self.relays if self.followed[vm].feed.active]
@@ -220,6 +240,36 @@
     context.fleet.run(duration_ms)
 
 
+@when(
+    "all daemons lose power and are connected again {delay_ms:d} ms after their start"
+)
+def step_power(context, delay_ms):
+    context.fleet.restart(delay_ms)
+    context.fleet.run(3000)
+
+
+@then(
+    "it refuses at most {count:d} calls of each of them in another {duration_ms:d} ms"
+)
+def step_refused(context, count, duration_ms):
+    refused = context.fleet.store.refused_calls
+    refused.clear()
+    context.fleet.run(duration_ms)
+    assert refused and max(refused.values()) <= count, refused
+
+
+@then("the daemons have called it at most {rate:d} times a second")
+def step_call_rate(context, rate):
+    refused = sum(context.fleet.store.refused_calls.values())
+    assert refused <= rate * 15, refused / 15
+
+
+@then("at most {count:d} of the daemons have watched it")
+def step_watchers(context, count):
+    watchers = context.fleet.store.watchers
+    assert 0 < len(watchers) <= count, sorted(watchers)
+
+
 @then("at most {count:d} of the daemons have called it")
 def step_callers(context, count):
     callers = context.fleet.store.callers
