Ignore SIGHUP until a starting daemon can handle it

Cause: SIGHUP ends a process without a handler, and a daemon sets its handlers after its imports, 0.3 s and more after its start. A change of the settings right after a restart ended it.

Change: the entry point ignores SIGHUP and imports the daemon after that; what builds and runs it is platform/program.py. The version of the settings is taken before they are read, so that a change in between is noticed.

Ruled out: a signal in the first tens of ms, while the interpreter itself starts; no program can handle it.

--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -63,11 +63,11 @@
         self._membership = None
         self._ports = []
         self._caller_port = None
-        # Set by the entry point: a function that reads the settings, and one that
-        # returns their current version, which costs less.
+        # Set by the program: a function that reads the settings, one that returns their
+        # current version, which costs less, and the version of those in force.
         self.read_settings = None
         self.settings_version = None
-        self._applied_settings_version = None
+        self.applied_settings_version = None
         bounds = settings.bounds
         self.directory = Directory(
             reactor,
@@ -213,13 +213,14 @@
 
     def watch_settings(self):
         """Check periodically whether the settings have changed; apply new bounds."""
-        self._applied_settings_version = self.settings_version()
+        if self.applied_settings_version is None:
+            self.applied_settings_version = self.settings_version()
         self._clock.call_later(SETTINGS_CHECK_MS, self._check_settings)
 
     def _check_settings(self):
         version = self.settings_version()
-        if version != self._applied_settings_version:
-            self._applied_settings_version = version
+        if version != self.applied_settings_version:
+            self.applied_settings_version = version
             self._reload()
         self._clock.call_later(SETTINGS_CHECK_MS, self._check_settings)
 
--- a/tests/features/edge_settings.feature
+++ b/tests/features/edge_settings.feature
@@ -35,3 +35,9 @@
     Then it has 7000 ms to stop within 3000 ms
     When a caller sends an item request to "e1"
     Then it gets 200 with the proof and the body of one server
+
+  Scenario: a signal to reload does not end a daemon that is starting
+    # Guards against SIGHUP at a process that has not set a handler yet.
+    Given the process of a daemon is importing its modules
+    When it is told to reload its settings
+    Then it goes on and reports its settings as invalid
--- a/tests/features/edge_soak.feature
+++ b/tests/features/edge_soak.feature
@@ -9,3 +9,8 @@
       | seed |
       | 1    |
       | 2    |
+
+  # A daemon that was starting again was ended by SIGHUP, as it had not set a handler.
+  Scenario: the soak that failed with seed 2025
+    When daemons run as processes for 20 s with seed 2025
+    Then the checks of callers and servers report no findings
--- a/tests/features/steps/edge_settings_steps.py
+++ b/tests/features/steps/edge_settings_steps.py
@@ -1,6 +1,11 @@
 """Steps on the platform's settings file."""
 
+import os
+import signal
+import subprocess
+import sys
 import tempfile
+import time
 from pathlib import Path
 
 from behave import given, then, when
@@ -14,6 +19,11 @@
 from hemlockspoke.tier.edge_settings import Bounds
 from tests.reactor_thread import run_in_reactor, wait_until
 
+# An extension module that the daemon loads while it starts.
+EXTENSION = "_cmsgpack"
+START_TIMEOUT_S = 20.0
+EXIT_INVALID_SETTINGS = 2
+
 VALID_FIELDS = {
     "node_name": "e1",
     "zone": "a1",
@@ -116,3 +126,33 @@
 def step_stop_soon(context, shutdown_ms, limit_ms):
     bounds = context.world.daemons["e1"]._settings.bounds
     wait_until(lambda: bounds.shutdown_ms == shutdown_ms, timeout_s=limit_ms / 1000)
+
+
+@given("the process of a daemon is importing its modules")
+def step_starting(context):
+    context.process = subprocess.Popen(
+        [sys.executable, "-m", "hemlockspoke.platform.edge"],
+        env={**os.environ, "HEMLOCKSPOKE_SETTINGS": "/nonexistent/boot.conf"},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    context.add_cleanup(context.process.kill)
+    maps = Path(f"/proc/{context.process.pid}/maps")
+    deadline_s = time.monotonic() + START_TIMEOUT_S
+    while EXTENSION not in maps.read_text():
+        assert time.monotonic() < deadline_s
+        time.sleep(0.001)
+
+
+@when("it is told to reload its settings")
+def step_hangup(context):
+    context.process.send_signal(signal.SIGHUP)
+
+
+@then("it goes on and reports its settings as invalid")
+def step_goes_on(context):
+    _, errors = context.process.communicate(timeout=START_TIMEOUT_S)
+    assert context.process.returncode == EXIT_INVALID_SETTINGS, (
+        context.process.returncode
+    )
+    assert "/nonexistent/boot.conf" in errors, errors
--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 from twisted.internet import reactor
 
-from hemlockspoke.platform.edge import build
+from hemlockspoke.platform.program import build
 from hemlockspoke.platform.settings import parse_settings
 from tests.platform_world import HOST, PlatformWorld
 from tests.reactor_thread import run_in_reactor, wait_until
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -13,7 +13,7 @@
 from hemlockspoke.clock import ReactorClock
 from hemlockspoke.http1.connection import ConnectionPool, Exchange
 from hemlockspoke.http1.messages import encode_request
-from hemlockspoke.platform.edge import build
+from hemlockspoke.platform.program import build
 from hemlockspoke.platform.settings import parse_settings
 from tests.reactor_thread import run_in_reactor, wait_until
 from tests.standins.object_store import ObjectStore
