Send requests through a hub where the own daemon may connect to no server

A server there accepts 120 connections and 195 daemons share them, so more than half of the daemons refused every request of such a route, for as long as it existed.

Change: such a daemon asks a hub in the failure domain of a server to send the request (ForwardRequest), which answers with the server's response, or with whether the request may have run. The hub acknowledges at once; if it does not, an idempotent request is given to a second hub, with the same servers allowed, and an order is not. A lost stream means that an order may have run. The hub checks the service against its own version of the route. Where a server's connections are fewer than the daemons of its region, the hubs get them first. The messages of the platform's daemons move to tier/messages.py.

Ruled out: one connection for each daemon, opened and closed as needed. The sum over all daemons could exceed what a server accepts, as nothing divides it in time.

--- a/hemlockspoke/request_history.py
+++ b/hemlockspoke/request_history.py
@@ -3,8 +3,9 @@
 The input is log lines of daemons, each a JSON object with the name of its event in
 ``message``. The daemon that a caller is connected to logs ``request`` at the end of
 the request. A daemon that has sent parts of a query to servers for another daemon logs
-``gathered for a peer``. Both lines have the request's id in ``request``, an
-``outcome`` and a list ``sends`` of texts in one of two forms:
+``gathered for a peer``, and one that has sent a whole request ``forwarded for a peer``.
+These lines have the request's id in ``request``, an ``outcome`` and a list ``sends`` of
+texts in one of two forms:
 
     SERVICE SERVER VERDICT DURATION ms [DETAIL]
     SERVICE REASON
@@ -22,7 +23,7 @@
 # Lines of CONTEXT_EVENTS that are at most this much older than the end of a request may
 # explain its result.
 CONTEXT_MS = 10_000
-REQUEST_EVENTS = frozenset({"request", "gathered for a peer"})
+REQUEST_EVENTS = frozenset({"request", "gathered for a peer", "forwarded for a peer"})
 # Events about servers, the store, peers or the daemon itself.
 CONTEXT_EVENTS = frozenset(
     {
--- a/hemlockspoke/tier/apportion.py
+++ b/hemlockspoke/tier/apportion.py
@@ -51,6 +51,7 @@
     """
 
     __slots__ = (
+        "_all_hubs",
         "_domain",
         "_extra_arrivals",
         "_gathered_services",
@@ -66,6 +67,7 @@
         self._regions = regions
         self._vms_by_domain = None
         self._hubs = {}
+        self._all_hubs = set()
         self._gathered_services = frozenset()
         # This daemon's share of the extra arrivals by service and total, since it is
         # read for every request and rarely changes.
@@ -86,6 +88,7 @@
             domain: rank(domain, vms)[: max(MIN_HUBS, int(HUB_FRACTION * len(vms)))]
             for domain, vms in vms_by_domain.items()
         }
+        self._all_hubs = {vm for hubs in self._hubs.values() for vm in hubs}
         self._extra_arrivals.clear()
         return True
 
@@ -192,10 +195,13 @@
     def _connection_share(self, server_id, vms, limit):
         """Return this daemon's share of ``limit`` connections divided among ``vms``.
 
-        If there are fewer connections than VMs, the rank decides which VMs get one.
+        If there are fewer connections than VMs, hubs get one first, as they send for
+        the others; apart from that the rank decides.
         """
         if self._vm not in vms:
             return 0
         if limit >= len(vms):
             return limit // len(vms)
-        return int(self._vm in rank(server_id, vms)[: max(0, limit)])
+        ranked = rank(server_id, vms)
+        ranked.sort(key=lambda vm: vm not in self._all_hubs)
+        return int(self._vm in ranked[: max(0, limit)])
--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -15,7 +15,7 @@
 import itertools
 import logging
 
-from hemlockspoke.messages import GatherCancel, GatherReport, GatherRequest
+from hemlockspoke.tier.messages import GatherCancel, GatherReport, GatherRequest
 from hemlockspoke.tier.peer_gather import PeerGather
 
 logger = logging.getLogger(__name__)
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -10,6 +10,7 @@
 from hemlockspoke.tier.extra_load import ExtraLoad
 from hemlockspoke.tier.feed import WATCH_GRACE_MS, Feed
 from hemlockspoke.tier.followed_kind import FollowedKind, RelayingSink
+from hemlockspoke.tier.forward_manager import ForwardManager
 from hemlockspoke.tier.members import Membership
 from hemlockspoke.tier.peer_directory import PeerDirectory
 from hemlockspoke.tier.relay import Relay
@@ -129,6 +130,8 @@
             self._relay.peer_leaving,
         )
         tier.delegation = self._delegation
+        self._forwarding = ForwardManager(tier, self._timings, self._delegation)
+        tier.forwarding = self._forwarding
         self._network.set_receiver(self._peer_message)
         self._network.set_loss_listener(self._peer_lost)
         self._network.set_connect_listener(self._peer_connected)
@@ -158,6 +161,7 @@
     def _peer_message(self, vm, message):
         self._relay.receive(vm, message)
         self._delegation.receive(vm, message)
+        self._forwarding.receive(vm, message)
 
     def _peer_connected(self, vm):
         logger.info("peer connected", extra={"peer": vm})
@@ -168,6 +172,7 @@
         logger.warning("peer lost", extra={"peer": vm})
         self._relay.peer_lost(vm)
         self._delegation.peer_lost(vm)
+        self._forwarding.peer_lost(vm)
 
     def start(self):
         """Open the listening ports, then follow the store."""
@@ -255,7 +260,10 @@
         self._site.close_idle()
         elapsed_ms = self._clock.now_ms() - self._shutdown_started_ms
         limit_ms = self._settings.bounds.shutdown_ms - SHUTDOWN_RESERVE_MS
-        busy = self._site.channels or self._delegation.peer_gather_count()
+        for_peers = (
+            self._delegation.peer_gather_count() + self._forwarding.peer_forward_count()
+        )
+        busy = self._site.channels or for_peers
         if self._caller_port is not None and (not busy or elapsed_ms >= ACCEPT_MS):
             self._stop_accepting()
             busy = True
--- /dev/null
+++ b/hemlockspoke/tier/messages.py
@@ -0,0 +1,185 @@
+"""Messages between the daemons that run on the platform.
+
+Their wire form is that of ``hemlockspoke.messages``. A request that one daemon has got
+from a caller may be sent to servers by another one: as parts of a query
+(``GatherRequest``) or as a whole (``ForwardRequest``).
+"""
+
+from hemlockspoke.messages import Message, message
+
+
+@message("store_news")
+class StoreChanges(Message):
+    """Changes of the store objects of one kind, relayed by a daemon that has them.
+
+    ``changes`` is a list of ``[name, removed, spec]`` with the changes after revision
+    ``since`` of the store up to ``revision``; ``spec`` is the content of the object.
+    With ``complete`` set, it lists every object instead and ``since`` is 0. ``age_ms``
+    is the time since the store confirmed ``revision`` as its newest one.
+    """
+
+    __slots__ = ("kind", "since", "revision", "changes", "complete", "age_ms")
+
+
+@message("store_contact")
+class StoreHeartbeat(Message):
+    """Heartbeat with the newest state of the store that the sender knows.
+
+    ``kinds`` is a list of ``[kind, revision, age_ms, is_reading]``: the newest revision
+    known of a kind of objects, the time since the store confirmed it, and whether the
+    sender itself reads the kind and reaches the store. ``leaving`` is true if the
+    sender is about to stop.
+    """
+
+    __slots__ = ("kinds", "leaving")
+
+
+@message("store_news_wanted")
+class StoreListRequest(Message):
+    """Requests a ``StoreChanges`` message that lists all objects of one kind."""
+
+    __slots__ = ("kind",)
+
+
+@message("gather_request")
+class GatherRequest(Message):
+    """Asks a daemon to query some shards for a caller of the sender.
+
+    The receiver is in the failure domain of the first server listed for each shard. It
+    sends the query to one server of each shard, with retries and hedges, and reports
+    the answers in ``GatherReport``. The first report is empty and sent immediately, to
+    show that the receiver works on the request.
+
+    ``query_id`` is a number that the sender chooses; it identifies the request in
+    ``GatherReport`` and ``GatherCancel``. ``host`` and ``path_prefix`` identify the
+    route in the configuration. ``method``, ``target`` and ``headers``, a list of
+    ``[name, value]``, are byte strings from the caller's HTTP request, which has no
+    body. ``services`` is a list of ``[service, [server_id, ...]]``: each service serves
+    one shard, and only these servers may get the query. ``top_k`` is the number of
+    records in the answer to the caller.
+
+    The receiver counts the three times from the receipt of the message; the sender has
+    deducted the network round trip. At ``report_in_ms`` the receiver reports the
+    answers that it has; at ``aim_in_ms`` those that came later, which can still reach
+    the caller within the target latency of the route; at ``remaining_ms``, the
+    deadline, all others.
+
+    ``repeat`` is true if another server of each shard may already have the query; each
+    answer is then reported as soon as it arrives.
+    """
+
+    __slots__ = (
+        "query_id",
+        "host",
+        "path_prefix",
+        "method",
+        "target",
+        "headers",
+        "services",
+        "top_k",
+        "aim_in_ms",
+        "remaining_ms",
+        "report_in_ms",
+        "repeat",
+    )
+
+
+@message("gather_parts")
+class GatherReport(Message):
+    """Reports the answers to a ``GatherRequest`` since the previous report.
+
+    ``services`` lists the services that have answered. ``proofs`` and ``took_ms`` have
+    one item for each of them, in the same order: the byte string by which the server
+    proves that it ran the query, and the time from the receipt of the request to the
+    answer. ``records`` is a byte string of 16-byte records: the ``top_k`` greatest of
+    these answers, greatest first.
+
+    ``failed`` lists ``[service, may_have_run]`` for each service that will not answer;
+    ``may_have_run`` is false if certainly no server has run the query. ``last`` is true
+    in the final report, which is sent once every service has answered or failed, or at
+    the deadline. A service that no report names has not answered by then.
+    """
+
+    __slots__ = (
+        "query_id",
+        "services",
+        "proofs",
+        "took_ms",
+        "records",
+        "failed",
+        "last",
+    )
+
+
+@message("gather_cancel")
+class GatherCancel(Message):
+    """Cancels a ``GatherRequest``; the receiver sends no further report on it."""
+
+    __slots__ = ("query_id",)
+
+
+@message("forward_request")
+class ForwardRequest(Message):
+    """Asks a daemon to send a request to one server of a service.
+
+    The sender may open no connection to such a server. The receiver acknowledges the
+    request at once by ``ForwardAcknowledgement``, sends it as if it were that of a
+    caller of its own, and returns the result in ``ForwardReply``.
+
+    ``forward_id`` is a number that the sender chooses. ``host`` and ``path_prefix``
+    identify the route in the configuration. ``method``, ``target``, ``headers``, a list
+    of ``[name, value]``, and ``body`` are byte strings from the caller's HTTP request.
+    Only the servers in ``server_ids`` may get it.
+    ``aim_in_ms`` and ``remaining_ms`` are counted from the receipt of the message: the
+    times until the answer is needed, and until the caller's deadline. ``repeat`` is
+    true if a server may already have the request.
+    """
+
+    __slots__ = (
+        "forward_id",
+        "host",
+        "path_prefix",
+        "service",
+        "server_ids",
+        "method",
+        "target",
+        "headers",
+        "body",
+        "aim_in_ms",
+        "remaining_ms",
+        "repeat",
+    )
+
+
+@message("forward_acknowledgement")
+class ForwardAcknowledgement(Message):
+    """Tells that the sender works on a ``ForwardRequest``."""
+
+    __slots__ = ("forward_id",)
+
+
+@message("forward_reply")
+class ForwardReply(Message):
+    """Returns the result of a ``ForwardRequest``.
+
+    ``status``, ``headers`` and ``body`` are those of the server's response, which is a
+    success or a failure with the server's proof; ``status`` is null if there is none.
+    Then ``may_have_run`` is false if certainly no server has run or will run the
+    request, and ``reason`` says why there is no response.
+    """
+
+    __slots__ = (
+        "forward_id",
+        "status",
+        "headers",
+        "body",
+        "may_have_run",
+        "reason",
+    )
+
+
+@message("forward_cancel")
+class ForwardCancel(Message):
+    """Cancels a ``ForwardRequest``; the receiver sends no reply to it."""
+
+    __slots__ = ("forward_id",)
--- /dev/null
+++ b/hemlockspoke/tier/peer_forward.py
@@ -0,0 +1,109 @@
+"""Sends requests for other daemons that may not connect to any server of a service."""
+
+import logging
+
+from hemlockspoke.http1.messages import end_to_end, printable
+from hemlockspoke.tier.attempt import OutgoingRequest
+from hemlockspoke.tier.attempt_log import describe_attempts
+from hemlockspoke.tier.delivery import Delivery
+from hemlockspoke.tier.messages import ForwardAcknowledgement, ForwardReply
+
+logger = logging.getLogger(__name__)
+
+
+class PeerForward:
+    """One request that this daemon sends to a server on behalf of ``peer``.
+
+    ``message`` is the ``ForwardRequest``. The peer gets an acknowledgement at once, and
+    the result as soon as it is known.
+    """
+
+    __slots__ = ("_attempt_id", "_delivery", "_manager", "_message", "_peer", "_timer")
+
+    def __init__(self, manager, peer, message):
+        self._manager = manager
+        self._peer = peer
+        self._message = message
+        self._attempt_id = None
+        self._delivery = None
+        self._timer = None
+
+    def start(self, tier, route, timing):
+        """Acknowledge the request and send it to a server."""
+        message = self._message
+        now_ms = tier.clock.now_ms()
+        headers = [(bytes(name), bytes(value)) for name, value in message.headers]
+        self._attempt_id = tier.codec.parse_caller_headers(headers).attempt_id
+        outgoing = OutgoingRequest(
+            message.method,
+            message.target,
+            headers,
+            message.body,
+            self._attempt_id,
+            now_ms + message.remaining_ms,
+            route.idempotent,
+        )
+        self._delivery = Delivery(
+            tier,
+            message.service,
+            route,
+            outgoing,
+            timing,
+            now_ms + message.aim_in_ms,
+            self._on_delivery,
+            sent_before=message.repeat,
+            allowed_server_ids=frozenset(message.server_ids),
+        )
+        # The peer tells its caller itself that the time is over.
+        self._timer = tier.clock.call_later(
+            message.remaining_ms, self.cancel, "out of time"
+        )
+        self._manager.send(
+            self._peer, ForwardAcknowledgement(forward_id=message.forward_id)
+        )
+        self._delivery.start()
+
+    def _on_delivery(self, delivery, result):
+        response = None if result.attempt is None else result.attempt.response
+        self._finish("reported")
+        message = reply(
+            self._message.forward_id, response, result.may_have_run, result.reason
+        )
+        self._manager.send(self._peer, message)
+
+    def cancel(self, outcome="cancelled"):
+        """Cancel the request, as the peer no longer needs its result or is lost."""
+        self._delivery.cancel()
+        self._finish(outcome)
+
+    def _finish(self, outcome):
+        self._timer.cancel()
+        self._manager.remove_peer_forward(self._peer, self._message.forward_id)
+        sends = describe_attempts([self._delivery])
+        if sends:
+            logger.info(
+                "forwarded for a peer",
+                extra={
+                    "request": printable(self._attempt_id),
+                    "for_peer": self._peer,
+                    "outcome": outcome,
+                    "sends": sends,
+                },
+            )
+
+
+def reply(forward_id, response, may_have_run, reason):
+    """Return the ``ForwardReply`` with a server's response, or without if it is None.
+
+    >>> reply(7, None, False, "no server").may_have_run
+    False
+    """
+    headers = [] if response is None else end_to_end(response.headers)
+    return ForwardReply(
+        forward_id=forward_id,
+        status=None if response is None else response.status,
+        headers=[list(header) for header in headers],
+        body=b"" if response is None else response.body,
+        may_have_run=may_have_run,
+        reason=reason,
+    )
--- a/hemlockspoke/tier/relay.py
+++ b/hemlockspoke/tier/relay.py
@@ -9,8 +9,8 @@
 
 import logging
 
-from hemlockspoke.messages import StoreChanges, StoreHeartbeat, StoreListRequest
 from hemlockspoke.tier.feed import Change
+from hemlockspoke.tier.messages import StoreChanges, StoreHeartbeat, StoreListRequest
 
 logger = logging.getLogger(__name__)
 
--- a/hemlockspoke/tier/request_handler.py
+++ b/hemlockspoke/tier/request_handler.py
@@ -7,6 +7,7 @@
 from hemlockspoke.tier.attempt_log import describe_attempts
 from hemlockspoke.tier.forward import Forward
 from hemlockspoke.tier.gather import Gather
+from hemlockspoke.tier.relayed_forward import RelayedForward
 from hemlockspoke.tier.replies import RETRY_AFTER_START_MS, ErrorReply
 from hemlockspoke.tier.timing import Timings
 
@@ -30,10 +31,19 @@
 
     ``codec`` reads and writes the platform's headers, ``directory`` has the servers and
     the configuration, ``extra_load`` limits retries and hedges. ``delegation`` is the
-    ``DelegationManager``; None if no parts are delegated.
+    ``DelegationManager`` and ``forwarding`` the ``ForwardManager``; both are None
+    without other daemons.
     """
 
-    __slots__ = ("clock", "codec", "delegation", "directory", "extra_load", "metrics")
+    __slots__ = (
+        "clock",
+        "codec",
+        "delegation",
+        "directory",
+        "extra_load",
+        "forwarding",
+        "metrics",
+    )
 
     def __init__(self, clock, codec, directory, extra_load, metrics):
         self.clock = clock
@@ -42,6 +52,7 @@
         self.extra_load = extra_load
         self.metrics = metrics
         self.delegation = None
+        self.forwarding = None
 
 
 class TierRequest:
@@ -169,13 +180,19 @@
         if route.shards:
             operation = Gather(self._tier, request, answer)
         else:
-            operation = Forward(
-                self._tier, request, self._choose_service(route), answer
-            )
+            operation = self._forward(request, self._choose_service(route), answer)
         self._active.add(operation)
         request.http.on_caller_disconnected = caller_disconnected
         operation.start()
 
+    def _forward(self, request, service, answer):
+        """Return the operation that sends a request to one server of a service."""
+        forwarding = self._tier.forwarding
+        servers = forwarding.servers_for(request, service) if forwarding else []
+        if servers:
+            return RelayedForward(forwarding, request, service, servers, answer)
+        return Forward(self._tier, request, service, answer)
+
     def _choose_service(self, route):
         if len(route.split) == 1:
             return route.split[0][0]
--- a/tests/features/edge_fleet.feature
+++ b/tests/features/edge_fleet.feature
@@ -15,6 +15,12 @@
       | 84      | 3      |
       | 192     | 6      |
 
+  Scenario: hubs near each server may connect to it if few daemons can
+    # Guards against servers that only daemons can reach which send for no others.
+    Given a fleet of 600 daemons in 6 failure domains
+    Then of 30 connections of any server a third of the hubs near it have one
+    And the daemons have at most 30 connections to any server
+
   Scenario: an outage of the store does not make all daemons call it
     # Guards against calls that grow with the number of daemons while the store is down.
     Given 32 daemons of a failure domain, of which one reads the store
--- a/tests/features/steps/edge_decisions_steps.py
+++ b/tests/features/steps/edge_decisions_steps.py
@@ -11,13 +11,13 @@
 from hemlockspoke.clock import ManualClock
 from hemlockspoke.http1.messages import encode_response
 from hemlockspoke.http1.response_parser import ResponseParser
-from hemlockspoke.messages import StoreChanges
 from hemlockspoke.tier.apportion import LimitShares
 from hemlockspoke.tier.directory import Directory
 from hemlockspoke.tier.edge_settings import Bounds
 from hemlockspoke.tier.extra_load import ExtraLoad
 from hemlockspoke.tier.followed_kind import FollowedKind
 from hemlockspoke.tier.merge import greatest_records, split_records
+from hemlockspoke.tier.messages import StoreChanges
 from hemlockspoke.tier.relay import Relay
 from hemlockspoke.tier.routes import RoutingTable, ServiceLimits
 from hemlockspoke.tier.servers import ServerEntry, TrackedServer
--- a/tests/features/steps/edge_fleet_steps.py
+++ b/tests/features/steps/edge_fleet_steps.py
@@ -83,6 +83,31 @@
         assert window_limit(shares, ITEMS, context.slack) >= 1.0
 
 
+def connections(context, limit):
+    """Return the connections of each daemon to some servers, by server and VM."""
+    return {
+        (server_id, domain): {
+            vm: shares.connection_limit(server_id, domain, limit)
+            for vm, shares in context.shares.items()
+        }
+        for domain in list(REGIONS)[:2]
+        for server_id in ("s1", "s2", "s3", "s4", "s5", "s6")
+    }
+
+
+@then("of {limit:d} connections of any server a third of the hubs near it have one")
+def step_hub_connections(context, limit):
+    for (_, domain), by_vm in connections(context, limit).items():
+        hubs = next(iter(context.shares.values())).hubs(domain)
+        assert 3 * sum(by_vm[vm] for vm in hubs) >= len(hubs), domain
+
+
+@then("the daemons have at most {limit:d} connections to any server")
+def step_connections(context, limit):
+    for by_vm in connections(context, limit).values():
+        assert 0 < sum(by_vm.values()) <= limit
+
+
 class FleetStore:
     """A store that fails the calls of the daemons in ``turned_away``."""
 
--- /dev/null
+++ b/tests/features/steps/edge_forward_steps.py
@@ -0,0 +1,61 @@
+"""Steps on requests that one daemon sends to servers for another."""
+
+from behave import given, then, when
+from twisted.internet import reactor
+
+from hemlockspoke.tier.routes import RoutingTable
+from tests.features.steps.edge_requests_steps import item_servers, send
+from tests.platform_world import ORDER_PATH
+from tests.reactor_thread import run_in_reactor
+
+
+class NoItemConnections:
+    """The limit shares of a daemon that may open no connection to servers of items."""
+
+    def __init__(self, shares):
+        self._shares = shares
+
+    def __getattr__(self, name):
+        return getattr(self._shares, name)
+
+    def connection_limit(self, server_id, server_domain, limit):
+        if server_id.startswith("item-"):
+            return 0
+        return self._shares.connection_limit(server_id, server_domain, limit)
+
+
+@given('"{vm}" may open no connection to the servers of items')
+def step_no_connections(context, vm):
+    directory = context.world.daemons[vm].directory
+    directory.limit_shares = NoItemConnections(directory.limit_shares)
+    run_in_reactor(directory._set_connection_limits)
+
+
+@given('"{vm}" knows no route to items')
+def step_no_route(context, vm):
+    directory = context.world.daemons[vm].directory
+    table = directory.routing
+    routes = [route for route in table.routes if not route.split]
+    directory.routing = RoutingTable(table.version, routes, table.services.values())
+
+
+@when('a caller sends an order to "{vm}", and "{other}" is lost after {delay_ms:d} ms')
+def step_lost(context, vm, other, delay_ms):
+    close = context.world.daemons[other].close
+    run_in_reactor(reactor.callLater, delay_ms / 1000, close)
+    send(context, vm, ORDER_PATH + "a", method=b"POST", body=b"order")
+
+
+@then('the servers of items were reached by "{vm}" only')
+def step_reached_by(context, vm):
+    servers = context.world.daemons[vm].directory.servers
+    opened = [servers[server.server_id].pool.opened for server in item_servers(context)]
+    assert sum(opened) == 1, opened
+    assert sum(len(server.received_attempts) for server in item_servers(context)) == 1
+
+
+@then("it gets {status:d} with the proof of a server")
+def step_failure(context, status):
+    reply = context.reply
+    proof = reply.headers["x-hemlockspoke-server-stamp"].decode()
+    assert reply.status == status and proof.endswith("." + context.attempt), proof
--- a/tests/features/steps/edge_timing_steps.py
+++ b/tests/features/steps/edge_timing_steps.py
@@ -4,10 +4,10 @@
 
 from hemlockspoke.address import Address
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.messages import StoreHeartbeat
 from hemlockspoke.tier.apportion import LimitShares
 from hemlockspoke.tier.feed import Change, Feed, Page
 from hemlockspoke.tier.followed_kind import FollowedKind
+from hemlockspoke.tier.messages import StoreHeartbeat
 from hemlockspoke.tier.relay import Relay
 from hemlockspoke.tier.servers import ServerEntry, TrackedServer
 from tests.features.steps.edge_decisions_steps import FakePool, IdleFeed, NullSink
