Hedge missing parts without waiting for late reports of other regions

Hedges were due after 46 ms and sent after 75 ms and more: a daemon waits while more than a quarter of the parts is missing, and counted those as missing whose gathering daemons, in other regions, had not reported yet.

Change: only parts whose daemon has reported count as missing, and hedges follow as others report. A hedge that can't arrive by the aim is sent only while the minimum coverage is not reached, and each part is hedged once. The decisions move from gather.py to delegated_hedges.py, which needs no network.

--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -47,6 +47,7 @@
     ``domain`` is the failure domain of the other daemon. ``pending`` holds the services
     whose parts it has not reported. ``silent`` is True while its acknowledgement is
     overdue, ``done`` once it has sent its last report, is lost or was told to stop.
+    ``has_reported`` is True once a report other than the acknowledgement has arrived.
 
     ``gather`` runs the query on this daemon. It is notified of each report, of the
     pending services when the acknowledgement is overdue, and of those that are pending
@@ -56,10 +57,12 @@
     __slots__ = (
         "_delegation",
         "_gather",
+        "_is_acknowledged",
         "_started_ms",
         "_timer",
         "domain",
         "done",
+        "has_reported",
         "peer",
         "pending",
         "query_id",
@@ -77,6 +80,8 @@
         self.pending = set(services)
         self.silent = False
         self.done = False
+        self._is_acknowledged = False
+        self.has_reported = False
 
     def start(self, timeout_ms):
         """Start the timeout for the other daemon's acknowledgement."""
@@ -94,6 +99,8 @@
     def report(self, message):
         """Handle a report of the gathering daemon, which may be the acknowledgement."""
         self._timer.cancel()
+        self.has_reported = self._is_acknowledged or bool(message.services)
+        self._is_acknowledged = True
         self._delegation.mark_responsive(self.peer)
         if self.silent:
             self.silent = False
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -8,17 +8,15 @@
 import math
 
 from hemlockspoke.tier.attempt import OutgoingRequest
+from hemlockspoke.tier.delegated_hedges import DelegatedHedges
 from hemlockspoke.tier.delivery import Delivery
-from hemlockspoke.tier.gather_plan import HEDGE_RECHECK_MS, GatherPlan
+from hemlockspoke.tier.gather_plan import GatherPlan
 from hemlockspoke.tier.merge import PartialAnswer, greatest_records
 from hemlockspoke.tier.replies import ErrorReply
 
 # An answer that misses the aim is worth little, so it is held back for this fraction of
 # the route's target latency, in which missing parts may still arrive.
 LATE_WAIT_FRACTION = 0.5
-# If a larger fraction of the parts is missing, the servers are overloaded rather than
-# paused, and hedges would make that worse.
-MAX_HEDGED_FRACTION = 0.25
 NO_ANSWER_IN_TIME = "no answer in time"
 
 
@@ -44,15 +42,13 @@
         "_delegations",
         "_deliveries",
         "_finished",
-        "_hedge_ms",
-        "_hedge_timer",
+        "_hedges",
         "_may_have_run",
         "_needed_count",
         "_on_answer",
         "_outgoing",
         "_partial_answers",
         "_pending",
-        "_plan",
         "_request",
         "_shard_count",
         "_source_counts",
@@ -75,11 +71,9 @@
         self._pending = set()
         self._may_have_run = False
         self._finished = False
-        self._plan = None
+        # Set if parts are delegated.
+        self._hedges = None
         self._aim_timer = None
-        self._hedge_timer = None
-        # Clock time at which hedges are delegated; None if there are none.
-        self._hedge_ms = None
         self._deadline_timer = None
         self._shard_count = len(request.route.shards)
         # The tolerance keeps a rounding error from raising 0.9 of 10 shards to 10.
@@ -105,15 +99,8 @@
         # The message to a gatherer has no field for a body.
         if delegation is None or request.http.body:
             return services
-        plan = self._plan = GatherPlan(self._tier, request)
-        clock = self._tier.clock
-        now_ms = clock.now_ms()
-        hedge_delay_ms = plan.hedge_delay_ms(now_ms)
-        if hedge_delay_ms is not None:
-            self._hedge_ms = now_ms + hedge_delay_ms
-            self._hedge_timer = clock.call_later(
-                hedge_delay_ms, self._send_delegated_hedges
-            )
+        plan = GatherPlan(self._tier, request)
+        self._hedges = DelegatedHedges(self._tier, request, plan, self)
         direct_services = []
         for domain, group in plan.by_domain().items():
             rtt_ms = plan.max_rtt_ms(group)
@@ -133,7 +120,14 @@
         """Delegate services to a gatherer; return False if it is not connected."""
         request = self._request
         parts = self._tier.delegation.delegate(
-            gatherer, request, allowed, domain, rtt_ms, self, self._hedge_ms, repeat
+            gatherer,
+            request,
+            allowed,
+            domain,
+            rtt_ms,
+            self,
+            self._hedges.due_ms,
+            repeat,
         )
         if parts is None:
             return False
@@ -142,33 +136,36 @@
             self._add_source(service)
         return True
 
-    def _send_delegated_hedges(self):
-        """Hedge the missing parts through daemons near other servers.
+    def delegate_hedges(self, gatherer, domain, servers):
+        """Delegate hedges of missing parts to a daemon near their other servers.
 
-        They have connections to these, while this daemon would first have to open some.
+        ``servers`` maps each service to the server in the failure domain ``domain``
+        that gets the hedge. Return the services of which a hedge is delegated.
         """
-        if self._finished:
-            return
-        clock = self._tier.clock
-        if len(self._pending) > MAX_HEDGED_FRACTION * self._shard_count:
-            if clock.now_ms() + HEDGE_RECHECK_MS < self._request.aim_ms:
-                self._hedge_timer = clock.call_later(
-                    HEDGE_RECHECK_MS, self._send_delegated_hedges
-                )
-            return
         by_service = {delivery.service: delivery for delivery in self._deliveries}
-        for domain, group in self._plan.hedge_servers(self._pending).items():
-            # Without a daemon there, the deliveries of this one keep all servers.
-            for gatherer in self._tier.delegation.available_gatherers(domain, 1):
-                allowed = {
-                    service: [server.server_id]
-                    for service, server in group.items()
-                    if self._may_hedge(by_service.get(service), service, server)
-                }
-                if allowed:
-                    rtt_ms = max(group[service].rtt_ms for service in allowed)
-                    self._delegate_group(gatherer, allowed, domain, rtt_ms, repeat=True)
-                    self._tier.metrics.count("hedges.delegated", len(allowed))
+        allowed = {
+            service: [server.server_id]
+            for service, server in servers.items()
+            if self._may_hedge(by_service.get(service), service, server)
+        }
+        if allowed:
+            rtt_ms = max(servers[service].rtt_ms for service in allowed)
+            self._delegate_group(gatherer, allowed, domain, rtt_ms, repeat=True)
+            self._tier.metrics.count("hedges.delegated", len(allowed))
+        return set(allowed)
+
+    def pending(self):
+        """Return the services whose parts are in progress."""
+        return self._pending
+
+    def unreported(self):
+        """Return the pending services whose gatherer has not reported any results."""
+        return {
+            service
+            for parts in self._delegations
+            if not parts.has_reported and not parts.silent
+            for service in parts.pending
+        }
 
     def _may_hedge(self, delivery, service, server):
         """Return whether another daemon may send a hedge to a server of a service."""
@@ -317,10 +314,11 @@
             self._respond()
         elif len(self._answered) + len(self._pending) < self._needed_count:
             self._refuse("too few shards can answer")
-        elif self._has_coverage() and self._late_wait_over():
+        elif self.has_coverage() and self._late_wait_over():
             self._respond()
 
-    def _has_coverage(self):
+    def has_coverage(self):
+        """Return whether the minimum coverage is reached."""
         return len(self._answered) >= self._needed_count
 
     def _late_wait_over(self):
@@ -334,7 +332,7 @@
     def _on_aim(self):
         if self._finished:
             return
-        if self._has_coverage():
+        if self.has_coverage():
             self._respond()
             return
         self._aim_timer = self._tier.clock.call_later(
@@ -342,7 +340,7 @@
         )
 
     def _on_late_wait_end(self):
-        if not self._finished and self._has_coverage():
+        if not self._finished and self.has_coverage():
             self._respond()
 
     def _on_timeout(self):
@@ -351,7 +349,7 @@
 
     def _respond(self, reason="too few parts"):
         """Answer with the parts received, or with an error if they are too few."""
-        if not self._has_coverage():
+        if not self.has_coverage():
             self._refuse(reason)
             return
         self._stop()
@@ -379,9 +377,11 @@
     def _stop(self, let_finish=True):
         """Stop the timers; cancel requests, or let them finish for a short time."""
         self._finished = True
-        for timer in (self._aim_timer, self._hedge_timer, self._deadline_timer):
+        for timer in (self._aim_timer, self._deadline_timer):
             if timer is not None:
                 timer.cancel()
+        if self._hedges is not None:
+            self._hedges.stop()
         for parts in self._delegations:
             parts.cancel()
         for delivery in self._deliveries:
