Let another daemon gather parts that this one can't reach

Change: parts are gathered near the fastest server that some daemon can reach. What a gatherer has not sent, or may not have sent, goes to another hub if the own daemon may connect to no server of the shard; each hub is asked once for a query.

Ruled out: lists of servers that lack some; the servers were known and standing.

Measured: edge_peers.feature, two new scenarios got 503 before, 15 of 15 pass.

--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -111,12 +111,15 @@
             entry.server_id, entry.failure_domain, limits.max_connections
         )
 
-    def _may_send(self, server, now_ms):
+    def may_send(self, server, now_ms=None):
         """Return whether this daemon's shares of the limits allow a request."""
         if server.pool.limit < 1:
             return False
         limits = self.routing.services.get(server.entry.service)
-        if limits is None or not limits.cold_per_s or not server.cold(now_ms):
+        if limits is None or not limits.cold_per_s:
+            return True
+        now_ms = self._clock.now_ms() if now_ms is None else now_ms
+        if not server.cold(now_ms):
             return True
         bounds = self._bounds
         rate_limit = limits.cold_per_s * bounds.cold_overshoot + bounds.cold_slack
@@ -186,7 +189,7 @@
         return [
             server
             for server in self._usable_servers(service, regions, now_ms)
-            if self._may_send(server, now_ms)
+            if self.may_send(server, now_ms)
         ]
 
     def _usable_servers(self, service, regions, now_ms):
@@ -209,13 +212,14 @@
         candidates.sort(key=lambda server: server.expected_ms(now_ms, work_ms))
         return candidates[:count]
 
-    def record_remote_latency(self, service, domain, took_ms, work_ms):
-        """Record the latency that a daemon of a domain measured for a service."""
+    def record_remote_latencies(self, services, domain, took_ms, work_ms):
+        """Record the latency of each service that a daemon of a domain reports."""
         now_ms = self._clock.now_ms()
-        for server in self.services.get(service, ()):
-            if server.entry.failure_domain == domain:
-                latency_ms = server.rtt_ms + took_ms
-                server.record_latency(now_ms, latency_ms, work_ms)
+        for service, service_ms in zip(services, took_ms, strict=True):
+            for server in self.services.get(service, ()):
+                if server.entry.failure_domain == domain:
+                    latency_ms = server.rtt_ms + service_ms
+                    server.record_latency(now_ms, latency_ms, work_ms)
 
     def _add(self, entry):
         region = self._failure_domains.get(entry.failure_domain, "")
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -49,6 +49,7 @@
         "_outgoing",
         "_partial_answers",
         "_pending",
+        "_plan",
         "_request",
         "_shard_count",
         "_source_counts",
@@ -72,6 +73,7 @@
         self._may_have_run = False
         self._finished = False
         # Set if parts are delegated.
+        self._plan = None
         self._hedges = None
         self._aim_timer = None
         self._deadline_timer = None
@@ -99,7 +101,7 @@
         # The message to a gatherer has no field for a body.
         if delegation is None or request.http.body:
             return services
-        plan = GatherPlan(self._tier, request)
+        plan = self._plan = GatherPlan(self._tier, request)
         self._hedges = DelegatedHedges(self._tier, request, plan, self)
         direct_services = []
         for domain, group in plan.by_domain().items():
@@ -118,16 +120,9 @@
 
     def _delegate_group(self, gatherer, allowed, domain, rtt_ms, repeat=False):
         """Delegate services to a gatherer; return False if it is not connected."""
-        request = self._request
+        request, due_ms = self._request, self._hedges.due_ms
         parts = self._tier.delegation.delegate(
-            gatherer,
-            request,
-            allowed,
-            domain,
-            rtt_ms,
-            self,
-            self._hedges.due_ms,
-            repeat,
+            gatherer, request, allowed, domain, rtt_ms, self, due_ms, repeat
         )
         if parts is None:
             return False
@@ -219,6 +214,22 @@
             if not self._finished:
                 delivery.start()
 
+    def _send_again(self, services, sent_before=False):
+        """Send what a gatherer has not sent, or may not have sent.
+
+        This daemon does so if it may connect to a server, otherwise another gatherer.
+        """
+        used_gatherers = {parts.peer for parts in self._delegations}
+        direct_services, groups = self._plan.fall_back(services, used_gatherers)
+        for (domain, gatherer), group in groups.items():
+            allowed = {service: list(self._allowed[service]) for service in group}
+            rtt_ms = self._plan.max_rtt_ms(group)
+            if not self._delegate_group(
+                gatherer, allowed, domain, rtt_ms, repeat=sent_before
+            ):
+                direct_services.extend(group)
+        self._send_directly(direct_services, sent_before)
+
     def deliveries(self):
         """Return the deliveries, for the log."""
         return self._deliveries
@@ -246,7 +257,12 @@
 
     def on_report(self, message, domain):
         """Handle the ``GatherReport`` of a gatherer in a failure domain."""
-        self._record_latencies(message, domain)
+        self._tier.directory.record_remote_latencies(
+            message.services,
+            domain,
+            message.took_ms,
+            self._request.timing.usual_work_ms,
+        )
         if self._finished:
             return
         self._may_have_run = True
@@ -267,19 +283,11 @@
                 unsent.append(service)
         for service in message.services:
             self._drop_source(service)
-        # Requests that certainly did not run are sent by this daemon.
-        self._send_directly(unsent)
+        # Requests that certainly did not run.
+        self._send_again(unsent)
         if not self._finished:
             self._check_complete()
 
-    def _record_latencies(self, message, domain):
-        """Record the latencies that a gatherer reports for the servers near it."""
-        timing, directory = self._request.timing, self._tier.directory
-        for service, took_ms in zip(message.services, message.took_ms, strict=True):
-            directory.record_remote_latency(
-                service, domain, took_ms, timing.usual_work_ms
-            )
-
     def on_gatherer_silent(self, services):
         """Send the requests from this daemon as well, as the gatherer is silent."""
         if not self._finished:
@@ -292,7 +300,7 @@
                 for service in sorted(services)
                 if self._source_counts[service] == 1
             ]
-            self._send_directly(only_delegated, sent_before=True)
+            self._send_again(only_delegated, sent_before=True)
 
     def on_gatherer_lost(self, services):
         """Handle the loss of the connection to a gatherer."""
@@ -305,7 +313,7 @@
         unserved = [
             service for service in sorted(services) if not self._source_counts[service]
         ]
-        self._send_directly(unserved, sent_before=True)
+        self._send_again(unserved, sent_before=True)
         if not self._finished:
             self._check_complete()
 
--- a/hemlockspoke/tier/gather_plan.py
+++ b/hemlockspoke/tier/gather_plan.py
@@ -16,6 +16,8 @@
 # Interval at which delegated hedges are reconsidered while too many parts are missing,
 # as reports of the gathering daemons may be this late.
 HEDGE_RECHECK_MS = 10.0
+# Number of hubs of each failure domain that are considered as gatherers.
+MAX_GATHERERS = 8
 
 
 class GatherPlan:
@@ -25,12 +27,22 @@
     first, at most ``max_servers`` of the route.
     """
 
-    __slots__ = ("_delegation", "_directory", "_request", "servers")
+    __slots__ = (
+        "_delegation",
+        "_directory",
+        "_gathered_near",
+        "_gatherers_by_domain",
+        "_request",
+        "servers",
+    )
 
     def __init__(self, tier, request):
         self._delegation = tier.delegation
         self._directory = tier.directory
         self._request = request
+        # The server near which each service is gathered.
+        self._gathered_near = {}
+        self._gatherers_by_domain = {}
         route = request.route
         work_ms = request.timing.usual_work_ms
         self.servers = {
@@ -41,15 +53,65 @@
         }
 
     def by_domain(self):
-        """Return the services by the failure domain of their fastest servers."""
+        """Return the services by the failure domain in which they are gathered."""
         groups = {}
         for service, servers in self.servers.items():
+            server = self._reachable_server(servers)
+            self._gathered_near[service] = server
             domain = self._delegation.domain
-            if servers:
-                domain = servers[0].entry.failure_domain
+            if server is not None:
+                domain = server.entry.failure_domain
             groups.setdefault(domain, []).append(service)
         return groups
 
+    def _reachable_server(self, servers):
+        """Return the fastest of the servers that a daemon can reach.
+
+        If there is none, return the fastest one, or None without servers.
+        """
+        for server in servers:
+            domain = server.entry.failure_domain
+            if self._gatherers(domain) or self._directory.may_send(server):
+                return server
+        return servers[0] if servers else None
+
+    def _gatherers(self, domain):
+        """Return the hubs of a failure domain that can gather, by rank."""
+        gatherers = self._gatherers_by_domain.get(domain)
+        if gatherers is None:
+            gatherers = self._gatherers_by_domain[domain] = (
+                self._delegation.available_gatherers(domain, MAX_GATHERERS)
+            )
+        return gatherers
+
+    def fall_back(self, services, used_gatherers):
+        """Return who sends what a gatherer has not sent, or may not have sent.
+
+        Return the services to which this daemon sends the request itself, and the
+        others by the pair of a failure domain and the gatherer there that takes them.
+        """
+        self._gatherers_by_domain.clear()
+        direct_services, groups = [], {}
+        for service in services:
+            servers = self.servers[service]
+            gatherer = None
+            if not any(map(self._directory.may_send, servers)):
+                gatherer = self._other_gatherer(servers, used_gatherers)
+            if gatherer is None:
+                direct_services.append(service)
+            else:
+                groups.setdefault(gatherer, []).append(service)
+        return direct_services, groups
+
+    def _other_gatherer(self, servers, used_gatherers):
+        """Return the failure domain and the VM of another gatherer, or None."""
+        for server in servers:
+            domain = server.entry.failure_domain
+            for vm in self._gatherers(domain):
+                if vm not in used_gatherers:
+                    return domain, vm
+        return None
+
     def divide(self, domain, services):
         """Return pairs of a gathering daemon and the services assigned to it.
 
@@ -81,15 +143,9 @@
         }
 
     def max_rtt_ms(self, services):
-        """Return the longest round trip time to the fastest servers of services."""
-        return max(
-            (
-                servers[0].rtt_ms
-                for servers in map(self.servers.get, services)
-                if servers
-            ),
-            default=0.0,
-        )
+        """Return the longest round trip time to where services are gathered."""
+        near_servers = [self._gathered_near.get(service) for service in services]
+        return max((server.rtt_ms for server in near_servers if server), default=0.0)
 
     def _hedge_server(self, service):
         """Return the server of a service that gets a hedge, or None.
--- a/tests/features/edge_peers.feature
+++ b/tests/features/edge_peers.feature
@@ -50,6 +50,26 @@
     When a caller sends a query to "e1"
     Then it gets 200 with 4 proofs and 0 parts missing
 
+  Scenario: parts are gathered near their second servers if nobody is near the first
+    # Guards against queries that fail after the loss of a failure domain at daemons
+    # that may connect to few servers.
+    Given the daemon "e3" runs in "b1" connected to "e1"
+    And "e1" may open no connection to the servers of shards
+    When a caller sends a query to "e1"
+    Then it gets 200 with 4 proofs and 0 parts missing
+    And the servers of "b1" were reached by "e3" only
+
+  Scenario: another daemon gathers the parts when the first one is silent
+    # Guards against parts that are missing as the own daemon may connect to no server.
+    Given the daemon "e3" runs in "b1" connected to "e1"
+    And the daemon "e4" runs in "b1" connected to "e1"
+    And "e1" may open no connection to the servers of shards
+    And "e3" ignores messages from "e1"
+    When a caller sends a query to "e1"
+    Then it gets 200 with 4 proofs and 0 parts missing
+    When a caller sends a query to "e1"
+    Then it gets 200 with 4 proofs and 0 parts missing
+
   Scenario: a caller that disconnects cancels the work of the gathering daemon
     Given the daemon "e3" runs in "b1" connected to "e1"
     And the servers of "a1" are removed
--- a/tests/features/steps/edge_forward_steps.py
+++ b/tests/features/steps/edge_forward_steps.py
@@ -9,25 +9,35 @@
 from tests.reactor_thread import run_in_reactor
 
 
-class NoItemConnections:
-    """The limit shares of a daemon that may open no connection to servers of items."""
+class NoConnections:
+    """The limit shares of a daemon that may open no connection to some servers."""
 
-    def __init__(self, shares):
+    def __init__(self, shares, prefix):
         self._shares = shares
+        self._prefix = prefix
 
     def __getattr__(self, name):
         return getattr(self._shares, name)
 
     def connection_limit(self, server_id, server_domain, limit):
-        if server_id.startswith("item-"):
+        if server_id.startswith(self._prefix):
             return 0
         return self._shares.connection_limit(server_id, server_domain, limit)
 
 
 @given('"{vm}" may open no connection to the servers of items')
-def step_no_connections(context, vm):
+def step_no_item_connections(context, vm):
+    forbid_connections(context, vm, "item-")
+
+
+@given('"{vm}" may open no connection to the servers of shards')
+def step_no_shard_connections(context, vm):
+    forbid_connections(context, vm, "s")
+
+
+def forbid_connections(context, vm, prefix):
     directory = context.world.daemons[vm].directory
-    directory.limit_shares = NoItemConnections(directory.limit_shares)
+    directory.limit_shares = NoConnections(directory.limit_shares, prefix)
     run_in_reactor(directory._set_connection_limits)
 
 
