Accept all waiting connections right before a stopping daemon closes its port

A port of Twisted accepts as many connections at once as the time before, mostly one, so the read before the close left others waiting; and stopListening closes the socket only in the next turn of the reactor, which takes long under load. The close resets what waits then.

Change: the number is set to the length of the queue, the kernel is told to queue no more, and waiting connections are accepted once more right before the close.

--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -277,9 +277,14 @@
         """Accept the connections that wait in the kernel, then close the port.
 
         A close resets those that still wait, and their requests would be lost.
+        ``stopListening`` closes only in the next turn of the reactor, so the kernel is
+        told to queue no further connections, and those that wait are accepted right
+        before the close once more.
         """
         port, self._caller_port = self._caller_port, None
-        port.doRead()
+        port.socket.listen(0)
+        accept_waiting(port)
+        self._reactor.callLater(0, accept_waiting, port)
         port.stopListening()
 
     def close(self):
@@ -290,3 +295,12 @@
         self._relay.stop()
         self._network.stop()
         self.directory.close()
+
+
+def accept_waiting(port):
+    """Accept all connections that wait at a listening port.
+
+    A port accepts as many at once as it did before, which is mostly one.
+    """
+    port.numberAccepts = LISTEN_BACKLOG
+    port.doRead()
