Hedge no part at a server that a gatherer already uses

A hub also sent to servers of its own failure domain although it may not connect to them.

Change: reports of a gatherer name the servers that work on the query, and those get no hedge. A hub leaves to other hubs what it may not send itself.

Ruled out: passing on which servers fail. A daemon of 195 sees a query every 8 s, and what it has learned has faded by then.

Measured: edge_peers.feature, "no hedge goes to the server that the gathering daemon uses already": the server got the query twice before, once now.

--- a/hemlockspoke/tier/delegated_hedges.py
+++ b/hemlockspoke/tier/delegated_hedges.py
@@ -69,10 +69,12 @@
     def _send(self):
         clock, gather = self._tier.clock, self._gather
         missing = parts_to_hedge(
-            gather.pending(), gather.unreported(), len(self._request.route.shards)
+            gather.pending(), self._unreported(), len(self._request.route.shards)
         )
-        missing -= self._hedged
-        for domain, group in self._plan.hedge_servers(missing).items():
+        groups = self._plan.hedge_servers(
+            missing - self._hedged, self._used_server_ids()
+        )
+        for domain, group in groups.items():
             group = {
                 service: server
                 for service, server in group.items()
@@ -84,6 +86,27 @@
         if clock.now_ms() + HEDGE_RECHECK_MS < self._request.aim_ms:
             self._timer = clock.call_later(HEDGE_RECHECK_MS, self._send)
 
+    def _unreported(self):
+        """Return the pending services whose gatherer has not reported any results."""
+        return {
+            service
+            for parts in self._gather.delegations()
+            if not parts.has_reported and not parts.silent
+            for service in parts.pending
+        }
+
+    def _used_server_ids(self):
+        """Return the ids of the servers that work on the query for a gatherer.
+
+        If one of two servers is dark, its gatherer has turned to the other one. A hedge
+        would only add to the load of that one.
+        """
+        return {
+            server_id
+            for parts in self._gather.delegations()
+            for server_id in parts.waiting_server_ids
+        }
+
     def _is_useful(self, server):
         """Return whether the answer of a server can still arrive by the aim.
 
--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -47,7 +47,8 @@
     ``domain`` is the failure domain of the other daemon. ``pending`` holds the services
     whose parts it has not reported. ``silent`` is True while its acknowledgement is
     overdue, ``done`` once it has sent its last report, is lost or was told to stop.
-    ``has_reported`` is True once a report other than the acknowledgement has arrived.
+    ``has_reported`` is True once a report other than the acknowledgement has arrived,
+    ``waiting_server_ids`` are those of the last report.
 
     ``gather`` runs the query on this daemon. It is notified of each report, of the
     pending services when the acknowledgement is overdue, and of those that are pending
@@ -67,6 +68,7 @@
         "pending",
         "query_id",
         "silent",
+        "waiting_server_ids",
     )
 
     def __init__(self, delegation, query_id, peer, domain, services, gather):
@@ -82,6 +84,7 @@
         self.done = False
         self._is_acknowledged = False
         self.has_reported = False
+        self.waiting_server_ids = ()
 
     def start(self, timeout_ms):
         """Start the timeout for the other daemon's acknowledgement."""
@@ -101,6 +104,7 @@
         self._timer.cancel()
         self.has_reported = self._is_acknowledged or bool(message.services)
         self._is_acknowledged = True
+        self.waiting_server_ids = message.waiting_server_ids
         self._delegation.mark_responsive(self.peer)
         if self.silent:
             self.silent = False
@@ -311,6 +315,7 @@
                 took_ms=[],
                 records=b"",
                 failed=failed,
+                waiting_server_ids=[],
                 last=True,
             )
             self.send(vm, report)
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -153,14 +153,9 @@
         """Return the services whose parts are in progress."""
         return self._pending
 
-    def unreported(self):
-        """Return the pending services whose gatherer has not reported any results."""
-        return {
-            service
-            for parts in self._delegations
-            if not parts.has_reported and not parts.silent
-            for service in parts.pending
-        }
+    def delegations(self):
+        """Return the ``DelegatedParts`` of the query."""
+        return self._delegations
 
     def _may_hedge(self, delivery, service, server):
         """Return whether another daemon may send a hedge to a server of a service."""
--- a/hemlockspoke/tier/gather_plan.py
+++ b/hemlockspoke/tier/gather_plan.py
@@ -118,17 +118,31 @@
         None stands for this daemon. Sending many sub-queries takes a daemon longer
         than the servers need to answer, so several daemons share them.
         """
-        delegation = self._delegation
-        gatherer_count = math.ceil(len(services) / MAX_PARTS_PER_DAEMON)
-        if domain == delegation.domain and self._directory.limit_shares.is_hub():
-            gatherers = [
-                None,
-                *delegation.available_gatherers(domain, gatherer_count - 1),
-            ]
-        elif len(services) >= MIN_DELEGATED_PARTS:
-            gatherers = delegation.available_gatherers(domain, gatherer_count) or [None]
-        else:
-            gatherers = [None]
+        if domain == self._delegation.domain and self._directory.limit_shares.is_hub():
+            own = [service for service in services if self._gathers_itself(service)]
+            others = [service for service in services if service not in own]
+            return self._share(domain, [None], own) + self._share(domain, [], others)
+        if len(services) >= MIN_DELEGATED_PARTS:
+            return self._share(domain, [], services)
+        return [(None, services)]
+
+    def _gathers_itself(self, service):
+        """Return whether this daemon, a hub, sends to the server of a service itself.
+
+        It leaves those that it may not connect to, to other hubs.
+        """
+        server = self._gathered_near[service]
+        if server is None or self._directory.may_send(server):
+            return True
+        return not self._gatherers(self._delegation.domain)
+
+    def _share(self, domain, gatherers, services):
+        """Share services evenly between ``gatherers`` and as many others as needed."""
+        if not services:
+            return []
+        count = math.ceil(len(services) / MAX_PARTS_PER_DAEMON)
+        gatherers = gatherers + self._gatherers(domain)[: count - len(gatherers)]
+        gatherers = gatherers or [None]
         group_size = math.ceil(len(services) / len(gatherers))
         return [
             (gatherer, services[index * group_size : (index + 1) * group_size])
@@ -147,13 +161,16 @@
         near_servers = [self._gathered_near.get(service) for service in services]
         return max((server.rtt_ms for server in near_servers if server), default=0.0)
 
-    def _hedge_server(self, service):
+    def _hedge_server(self, service, used_server_ids=()):
         """Return the server of a service that gets a hedge, or None.
 
-        It is the next fastest one in another failure domain that is not leaving.
+        It is the next fastest one in another failure domain that is not leaving and
+        does not have the request.
         """
         servers = self.servers[service]
         for server in servers[1:]:
+            if server.server_id in used_server_ids:
+                continue
             in_other_domain = (
                 server.entry.failure_domain != servers[0].entry.failure_domain
             )
@@ -161,11 +178,14 @@
                 return server
         return None
 
-    def hedge_servers(self, services):
-        """Return the servers for hedges, by failure domain and service."""
+    def hedge_servers(self, services, used_server_ids):
+        """Return the servers for hedges, by failure domain and service.
+
+        ``used_server_ids`` has the servers that work on the request for a gatherer.
+        """
         groups = {}
         for service in services:
-            server = self._hedge_server(service)
+            server = self._hedge_server(service, used_server_ids)
             if server is not None:
                 domain = server.entry.failure_domain
                 groups.setdefault(domain, {})[service] = server
--- a/hemlockspoke/tier/messages.py
+++ b/hemlockspoke/tier/messages.py
@@ -98,6 +98,7 @@
     ``may_have_run`` is false if certainly no server has run the query. ``last`` is true
     in the final report, which is sent once every service has answered or failed, or at
     the deadline. A service that no report names has not answered by then.
+    ``waiting_server_ids`` lists the servers that have the query and have not answered.
     """
 
     __slots__ = (
@@ -107,6 +108,7 @@
         "took_ms",
         "records",
         "failed",
+        "waiting_server_ids",
         "last",
     )
 
--- a/hemlockspoke/tier/peer_gather.py
+++ b/hemlockspoke/tier/peer_gather.py
@@ -127,6 +127,12 @@
             took_ms=[round(took_ms) for _, _, took_ms in answers],
             records=greatest_records(bodies, self._top_k),
             failed=failed,
+            waiting_server_ids=[
+                attempt.server.server_id
+                for delivery in self._deliveries
+                for attempt in delivery.in_flight()
+                if attempt.sent
+            ],
             last=last,
         )
         self._delegation.send(self._peer, report)
--- a/tests/bench/slope_members.py
+++ b/tests/bench/slope_members.py
@@ -10,7 +10,14 @@
 from hemlockspoke.limits.share_plan import plan_group
 from hemlockspoke.limits.shares import GroupShares, ServerLimit, ShareView
 from hemlockspoke.members.peer_choice import PeerChoice
-from hemlockspoke.messages import Hello, Ping, Pong, SubQueryCancel, encode
+from hemlockspoke.messages import (
+    PROTOCOL_VERSION,
+    Hello,
+    Ping,
+    Pong,
+    SubQueryCancel,
+    encode,
+)
 from hemlockspoke.ports import NullMetrics
 from hemlockspoke.requests import Share
 from tests.bench.slope_fit import (
@@ -205,7 +212,9 @@
 
 def hello(vm):
     """Return the first message of a stream."""
-    return Hello(vm=vm, incarnation=0, epoch=1, protocol_version=1, region="mtl")
+    return Hello(
+        vm=vm, incarnation=0, epoch=1, protocol_version=PROTOCOL_VERSION, region="mtl"
+    )
 
 
 def heartbeat_cost(peers):
--- a/tests/bench/slope_wire.py
+++ b/tests/bench/slope_wire.py
@@ -1,6 +1,7 @@
 """Processor time and bytes of frames between daemons."""
 
 from hemlockspoke.messages import (
+    PROTOCOL_VERSION,
     CatalogUpdate,
     Digest,
     Hello,
@@ -96,7 +97,11 @@
         sent_ms=1234567.8,
     )
     hello = Hello(
-        vm="mtl-a-0042", incarnation=0, epoch=1, protocol_version=1, region="mtl"
+        vm="mtl-a-0042",
+        incarnation=0,
+        epoch=1,
+        protocol_version=PROTOCOL_VERSION,
+        region="mtl",
     )
     messages = {
         "heartbeat": Ping(token=123456),
--- a/tests/features/edge_hedges.feature
+++ b/tests/features/edge_hedges.feature
@@ -24,6 +24,13 @@
     When 95 ms of the query have passed
     Then 2 parts have been hedged
 
+  Scenario: no hedge goes to a server that has the request already
+    # Guards against twice the load on the only server of a shard that stands.
+    Given 2 parts are missing, and 0 parts are at daemons that have not reported
+    And the gathering daemon of 1 missing part waits for its other server
+    When 95 ms of the query have passed
+    Then 1 part has been hedged
+
   Scenario: nothing is hedged while servers are short of room
     # Guards against more load on servers that are overloaded.
     Given 4 parts are missing, and 8 parts are at daemons that have not reported
--- a/tests/features/edge_peers.feature
+++ b/tests/features/edge_peers.feature
@@ -111,6 +111,17 @@
     When a caller sends a query to "e1"
     Then it gets 200 with 4 proofs and 0 parts missing
 
+  Scenario: no hedge goes to the server that the gathering daemon uses already
+    # Guards against twice the load on the only server of a shard that stands.
+    Given the daemon "e2" runs in "a1" connected to "e1"
+    And the daemon "e3" runs in "b1" connected to "e1"
+    And "e1" may open no connection to the servers of shards
+    And nothing listens at the address of "s0-a1"
+    And the server "s0-b1" takes 350 ms
+    When a caller sends a query to "e1"
+    Then it gets 200 with 4 proofs and 0 parts missing
+    And no server of shard 0 has got it more than 1 times
+
   Scenario: a silent hedging daemon does not lead to a third server
     # Guards against more servers than the route allows when the daemon that was to
     # send a hedge counts as silent.
--- a/tests/features/steps/edge_hedges_steps.py
+++ b/tests/features/steps/edge_hedges_steps.py
@@ -20,8 +20,9 @@
     def hedge_delay_ms(self, now_ms):
         return self._due_ms - now_ms
 
-    def hedge_servers(self, services):
+    def hedge_servers(self, services, used_server_ids):
         server = SimpleNamespace(rtt_ms=HEDGE_RTT_MS)
+        services = [name for name in services if f"{name}-b1" not in used_server_ids]
         return {"b1": dict.fromkeys(services, server)} if services else {}
 
 
@@ -32,13 +33,27 @@
         self.missing = set()
         self.unreported_parts = set()
         self.covered = True
+        self.waiting_server_ids = set()
         self.hedged = []
 
     def pending(self):
         return self.missing | self.unreported_parts
 
-    def unreported(self):
-        return set(self.unreported_parts)
+    def delegations(self):
+        return [
+            SimpleNamespace(
+                pending=self.unreported_parts,
+                has_reported=False,
+                silent=False,
+                waiting_server_ids=(),
+            ),
+            SimpleNamespace(
+                pending=self.missing,
+                has_reported=True,
+                silent=False,
+                waiting_server_ids=self.waiting_server_ids,
+            ),
+        ]
 
     def has_coverage(self):
         return self.covered
@@ -85,6 +100,12 @@
     context.gather.unreported_parts = names("unreported", count)
 
 
+@given("the gathering daemon of {count:d} missing part waits for its other server")
+def step_waiting(context, count):
+    names = sorted(context.gather.missing)[:count]
+    context.gather.waiting_server_ids = {f"{name}-b1" for name in names}
+
+
 @when("{duration_ms:d} ms of the query have passed")
 def step_pass(context, duration_ms):
     for _ in range(duration_ms):
--- a/tests/features/steps/edge_peers_steps.py
+++ b/tests/features/steps/edge_peers_steps.py
@@ -4,12 +4,13 @@
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
 
+from hemlockspoke.address import Address
 from hemlockspoke.platform.objects import decode_server
 from tests.features.steps.edge_requests_steps import (
     check_cancelled,
     send_and_disconnect,
 )
-from tests.platform_world import HOST, QUERY_PATH
+from tests.platform_world import HOST, QUERY_PATH, free_ports
 from tests.reactor_thread import run_in_reactor, wait_until
 
 DAEMON_KIND = "hemlockspoke-daemons"
@@ -263,3 +264,20 @@
     for _ in range(20):
         for work_ms in (slow_ms, usual_ms, usual_ms, usual_ms, usual_ms):
             run_in_reactor(timing.record_work_time, work_ms)
+
+
+@given('nothing listens at the address of "{server_id}"')
+def step_not_listening(context, server_id):
+    world = context.world
+    host = Address.parse(world.servers[server_id].address).host
+    address = Address(host, free_ports(host, 1)[0])
+    entry = world.servers[server_id].entry(address=str(address))
+    world.put("servers", server_id, entry)
+    for daemon in world.daemons.values():
+        servers = daemon.directory.servers
+        wait_until(lambda servers=servers: servers[server_id].entry.address == address)
+
+
+@given('the server "{server_id}" takes {work_ms:d} ms')
+def step_work_time(context, server_id, work_ms):
+    context.world.servers[server_id].work_ms = work_ms
