Try a server that refuses connections once for each request

Change: a server to which no connection could be opened gets no further try in the same delivery. A request with no other server is refused at once, as not run.

--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -64,6 +64,7 @@
         "_tier",
         "_timer",
         "_timing",
+        "_unreachable_servers",
         "_unsent_count",
         "_used_servers",
         "attempts",
@@ -96,6 +97,9 @@
         # Whether a server of the service may have got the request from another daemon.
         self._sent_before = sent_before
         self._used_servers = set()
+        # Servers to which no connection could be opened. Another try right away would
+        # fail as well.
+        self._unreachable_servers = set()
         self._timer = None
         self._unsent_count = 0
         self.service = service
@@ -178,6 +182,12 @@
         """
         now_ms = self._tier.clock.now_ms()
         candidates = self._tier.directory.candidates(self.service, self._regions)
+        if self._unreachable_servers:
+            candidates = [
+                candidate
+                for candidate in candidates
+                if candidate not in self._unreachable_servers
+            ]
         tried = ()
         if self.attempts:
             tried = {attempt.server for attempt in self.attempts}
@@ -328,6 +338,7 @@
             self._finish(attempt)
             return
         if attempt.verdict is Verdict.UNSENT:
+            self._unreachable_servers.add(attempt.server)
             self._unsent_count += 1
         may_repeat = self._outgoing.idempotent or not self.may_have_run()
         if may_repeat and self._unsent_count < MAX_UNSENT and self._start_attempt():
--- a/tests/features/edge_requests.feature
+++ b/tests/features/edge_requests.feature
@@ -122,6 +122,15 @@
     Then it gets 200 with the proof and the body of one server
     And "e1" keeps no connection to the servers of items
 
+  Scenario: a server that refuses connections is tried once for a request
+    # Guards against a daemon that spends its time on servers that have crashed.
+    Given nothing listens at the address of "item-a1"
+    And the server "item-b1" is "shed"
+    And connections to "item-a1" are counted
+    When a caller sends an item request to "e1"
+    Then it gets 503 with a retry time
+    And at most 1 connection to "item-a1" was tried
+
   Scenario: no answer of another server is returned from a reused address
     # Guards against requests to a server that now uses the address of another.
     Given the entry of "item-a1" holds the address of "s0-a1"
--- a/tests/features/steps/edge_peers_steps.py
+++ b/tests/features/steps/edge_peers_steps.py
@@ -281,3 +281,26 @@
 @given('the server "{server_id}" takes {work_ms:d} ms')
 def step_work_time(context, server_id, work_ms):
     context.world.servers[server_id].work_ms = work_ms
+
+
+class CountingReactor:
+    """Opens connections through the reactor and counts them."""
+
+    def __init__(self):
+        self.count = 0
+
+    def connectTCP(self, *arguments, **options):
+        self.count += 1
+        reactor.connectTCP(*arguments, **options)
+
+
+@given('connections to "{server}" are counted')
+def step_counted(context, server):
+    context.counting = CountingReactor()
+    pool = context.world.daemons["e1"].directory.servers[server].pool
+    pool._reactor = context.counting
+
+
+@then('at most {count:d} connection to "{server}" was tried')
+def step_tried(context, count, server):
+    assert context.counting.count <= count, context.counting.count
