Build requests for other daemons in one place

Cause: PeerForward repeated how PeerGather builds a request from a message.

Change: OutgoingRequest.from_message does it.

--- a/hemlockspoke/tier/attempt.py
+++ b/hemlockspoke/tier/attempt.py
@@ -69,6 +69,20 @@
             idempotent,
         )
 
+    @classmethod
+    def from_message(cls, message, codec, now_ms, body, idempotent):
+        """Build from the message of the daemon that has got the caller's request."""
+        headers = [(bytes(name), bytes(value)) for name, value in message.headers]
+        return cls(
+            message.method,
+            message.target,
+            headers,
+            body,
+            codec.parse_caller_headers(headers).attempt_id,
+            now_ms + message.remaining_ms,
+            idempotent,
+        )
+
     def encode(self, codec, remaining_ms, server_id):
         """Return the bytes for one server; the start of the head is built only once."""
         if self._head is None:
--- a/hemlockspoke/tier/peer_forward.py
+++ b/hemlockspoke/tier/peer_forward.py
@@ -32,17 +32,10 @@
         """Acknowledge the request and send it to a server."""
         message = self._message
         now_ms = tier.clock.now_ms()
-        headers = [(bytes(name), bytes(value)) for name, value in message.headers]
-        self._attempt_id = tier.codec.parse_caller_headers(headers).attempt_id
-        outgoing = OutgoingRequest(
-            message.method,
-            message.target,
-            headers,
-            message.body,
-            self._attempt_id,
-            now_ms + message.remaining_ms,
-            route.idempotent,
+        outgoing = OutgoingRequest.from_message(
+            message, tier.codec, now_ms, message.body, route.idempotent
         )
+        self._attempt_id = outgoing.attempt_id
         self._delivery = Delivery(
             tier,
             message.service,
--- a/hemlockspoke/tier/peer_gather.py
+++ b/hemlockspoke/tier/peer_gather.py
@@ -56,17 +56,8 @@
         """Send the request to the servers, and an empty report to the peer."""
         message = self._message
         now_ms = tier.clock.now_ms()
-        headers = [(bytes(name), bytes(value)) for name, value in message.headers]
-        self.attempt_id = tier.codec.parse_caller_headers(headers).attempt_id
-        outgoing = OutgoingRequest(
-            message.method,
-            message.target,
-            headers,
-            b"",
-            self.attempt_id,
-            now_ms + message.remaining_ms,
-            True,
-        )
+        outgoing = OutgoingRequest.from_message(message, tier.codec, now_ms, b"", True)
+        self.attempt_id = outgoing.attempt_id
         aim_ms = now_ms + message.aim_in_ms
         self._deliveries = [
             Delivery(
