Read the list of daemons again if one connects while it is read

Cause: a daemon reads the list early when an unknown one connects, but not while a read is in progress, whose list may lack the new daemon; it was found up to 12 s later.

Change: another read follows. Steps on registrations move to a file of their own.

Measured: edge_fleet.feature, "a daemon that connects while the list is read is found soon", failed before.

--- a/hemlockspoke/tier/members.py
+++ b/hemlockspoke/tier/members.py
@@ -55,6 +55,7 @@
         "_clock",
         "_listed",
         "_on_members",
+        "_read_again",
         "_registering",
         "_registrations",
         "_rng",
@@ -69,6 +70,7 @@
         self._on_members = on_members
         self._rng = rng or random.Random()
         self._timer = None
+        self._read_again = False
         # Whether a list has been read, and whether the registration is kept up to date.
         self._listed = False
         self._registering = False
@@ -86,7 +88,11 @@
         self._timer = self._clock.call_later(delay_ms, self._read_list, not first_start)
 
     def read_soon(self):
-        """Read the list early, as an unknown daemon has connected."""
+        """Read the list early, as an unknown daemon has connected.
+
+        A list that is being read may lack it, so another one follows.
+        """
+        self._read_again = self._timer is None
         if self._timer is not None:
             self._timer.cancel()
             self._timer = self._clock.call_later(
@@ -131,6 +137,8 @@
             delay_ms = FIRST_READ_RETRY_MS
         delay_ms *= self._rng.uniform(0.8, 1.2)
         self._timer = self._clock.call_later(delay_ms, self._read_list, True)
+        if self._read_again:
+            self.read_soon()
 
     def _renew(self, changes):
         """Keep the registration that a list has of this VM, or write a new one."""
--- a/tests/features/edge_fleet.feature
+++ b/tests/features/edge_fleet.feature
@@ -78,6 +78,13 @@
     Then it reads the list of daemons once, and writes nothing
     And its registration is written again within 130 s
 
+  Scenario: a daemon that connects while the list is read is found soon
+    # Guards against a daemon that is left out for 10 s, as the list that was just being
+    # read does not have it.
+    Given a daemon whose read of the list takes long
+    When another daemon registers and connects before the list arrives
+    Then it knows that daemon 300 ms after the list
+
   Scenario: a daemon that starts again at another address registers it
     Given a daemon that starts again with another address
     Then it reads the list of daemons once, and writes its address
--- /dev/null
+++ b/tests/features/steps/edge_members_steps.py
@@ -0,0 +1,145 @@
+"""Steps on registrations of daemons and their list, with a manual clock."""
+
+import random
+
+from behave import given, then, when
+
+from hemlockspoke.clock import ManualClock
+from hemlockspoke.tier.edge_settings import EdgeSettings
+from hemlockspoke.tier.feed import Change
+from hemlockspoke.tier.members import Membership, WriteResult
+
+REGIONS = {"a1": "a", "a2": "a"}
+
+
+class FakeRegistrations:
+    """Registrations in a store that may be away."""
+
+    def __init__(self, changes):
+        self.changes = changes
+        self.away = False
+        self.reads = 0
+        self.writes = []
+        # Reads to be answered later, if that is set.
+        self.held_reads = None
+
+    def read(self, stale, on_read):
+        """Read the list."""
+        self.reads += 1
+        if self.held_reads is None:
+            on_read(None if self.away else list(self.changes))
+        else:
+            self.held_reads.append((on_read, list(self.changes)))
+
+    def write(self, vm, spec, revision, on_written):
+        """Write a registration."""
+        self.writes.append((spec["peer_address"], revision))
+        on_written(WriteResult(True, revision=99, spec=spec))
+
+
+def registration(clock, vm, address):
+    spec = {
+        "failure_domain": "a1",
+        "peer_address": address,
+        "renewed_ms": clock.wall_ms(),
+    }
+    return Change(vm, spec, revision=7)
+
+
+def start_member(context, address, away=False):
+    clock = context.clock = ManualClock()
+    context.registrations = FakeRegistrations(
+        [
+            registration(clock, "e1", "10.0.0.1:7"),
+            registration(clock, "e2", "10.0.0.2:7"),
+        ]
+    )
+    context.registrations.away = away
+    settings = EdgeSettings(
+        vm="e1",
+        failure_domain="a1",
+        region="a",
+        failure_domains=REGIONS,
+        caller_address=None,
+        ready_address=None,
+        peer_address=address,
+        store_address=None,
+    )
+    context.peers = []
+    context.member = Membership(
+        clock,
+        settings,
+        context.registrations,
+        context.peers.append,
+        random.Random(1),
+    )
+    context.member.start()
+
+
+@given("a daemon that starts again with the same address")
+def step_same_address(context):
+    start_member(context, "10.0.0.1:7")
+
+
+@given("a daemon that starts again with another address")
+def step_other_address(context):
+    start_member(context, "10.0.0.9:7")
+
+
+@given(
+    "a daemon that starts again while the store is away for {duration_ms:d} ms",
+)
+def step_store_away(context, duration_ms):
+    start_member(context, "10.0.0.1:7", away=True)
+    context.clock.advance(float(duration_ms))
+    assert not context.peers
+    context.registrations.away = False
+
+
+@then("it reads the list of daemons once, and writes nothing")
+def step_writes_nothing(context):
+    context.clock.advance(5000.0)
+    assert context.registrations.reads == 1 and not context.registrations.writes
+
+
+@then("its registration is written again within {seconds:d} s")
+def step_renewed(context, seconds):
+    context.clock.advance(1000.0 * seconds)
+    assert context.registrations.writes == [("10.0.0.1:7", 7)]
+
+
+@then("it reads the list of daemons once, and writes its address")
+def step_writes_address(context):
+    context.clock.advance(5000.0)
+    assert context.registrations.reads == 1
+    assert context.registrations.writes == [("10.0.0.9:7", 7)]
+
+
+@then("it knows the other daemons {delay_ms:d} ms after the store is back")
+def step_knows_others(context, delay_ms):
+    context.clock.advance(float(delay_ms))
+    assert [peer.vm for peer in context.peers[-1]] == ["e2"]
+
+
+@given("a daemon whose read of the list takes long")
+def step_slow_read(context):
+    start_member(context, "10.0.0.1:7")
+    context.clock.advance(1000.0)
+    context.registrations.held_reads = []
+    context.clock.advance(13_000.0)
+    assert len(context.registrations.held_reads) == 1
+
+
+@when("another daemon registers and connects before the list arrives")
+def step_connects(context):
+    registrations = context.registrations
+    registrations.changes.append(registration(context.clock, "e3", "10.0.0.3:7"))
+    context.member.read_soon()
+    (on_read, changes), registrations.held_reads = registrations.held_reads[0], None
+    on_read(changes)
+
+
+@then("it knows that daemon {delay_ms:d} ms after the list")
+def step_knows_new(context, delay_ms):
+    context.clock.advance(float(delay_ms))
+    assert "e3" in [peer.vm for peer in context.peers[-1]]
