--- a/hemlockspoke/tier/gather_plan.py
+++ b/hemlockspoke/tier/gather_plan.py
@@ -164,17 +164,17 @@
     def _hedge_server(self, service, used_server_ids=()):
         """Return the server of a service that gets a hedge, or None.
 
-        It is the next fastest one in another failure domain that is not leaving and
-        does not have the request.
+        It is the fastest one that is not leaving, does not have the request, and is in
+        another failure domain than the one near which the service is gathered.
         """
         servers = self.servers[service]
-        for server in servers[1:]:
-            if server.server_id in used_server_ids:
-                continue
+        near_server = self._gathered_near.get(service) or (servers and servers[0])
+        for server in servers:
             in_other_domain = (
-                server.entry.failure_domain != servers[0].entry.failure_domain
+                server.entry.failure_domain != near_server.entry.failure_domain
             )
-            if in_other_domain and server.leaving_until_ms is None:
+            is_free = server.server_id not in used_server_ids
+            if in_other_domain and is_free and server.leaving_until_ms is None:
                 return server
         return None
 
