Name requests that hubs send delegated requests

Cause: they were called relayed, as changes of the store are that one daemon reads for others.

Change: DelegatedForward, delegated_forward.py and the counter forwards.delegated, as for parts and hedges.

--- a/hemlockspoke/tier/relayed_forward.py
+++ b/hemlockspoke/tier/delegated_forward.py
@@ -1,4 +1,4 @@
-"""Forwards requests through other daemons, if this one may connect to no server.
+"""Delegates requests to other daemons, if this one may connect to no server.
 
 A server accepts a limited number of connections. In a large fleet these are fewer than
 the daemons, so a daemon may have none to any server of a service with few servers. It
@@ -14,7 +14,7 @@
 MAX_PEERS = 2
 
 
-class RelayedForward:
+class DelegatedForward:
     """A caller's request that another daemon sends to a server of ``service``.
 
     The caller gets the server's response, 503 if the request certainly has not run, and
--- a/hemlockspoke/tier/forward_manager.py
+++ b/hemlockspoke/tier/forward_manager.py
@@ -15,7 +15,7 @@
 
 
 class _Asked:
-    """A request to another daemon: its ``operation`` is the ``RelayedForward``."""
+    """A request to another daemon: its ``operation`` is the ``DelegatedForward``."""
 
     __slots__ = ("acknowledged", "operation", "vm")
 
@@ -26,7 +26,7 @@
 
 
 class ForwardManager:
-    """Sends and receives the messages about relayed requests; one for each daemon.
+    """Sends and receives the messages about delegated requests; one for each daemon.
 
     ``delegation`` is the ``DelegationManager``, which knows the hubs that can be asked.
     """
@@ -82,7 +82,7 @@
         if not self.send(vm, message):
             return None
         self._asked[forward_id] = _Asked(vm, operation)
-        self._tier.metrics.count("forwards.relayed")
+        self._tier.metrics.count("forwards.delegated")
         return forward_id
 
     def acknowledged(self, forward_id):
--- a/hemlockspoke/tier/request_handler.py
+++ b/hemlockspoke/tier/request_handler.py
@@ -5,9 +5,9 @@
 
 from hemlockspoke.http1.messages import printable
 from hemlockspoke.tier.attempt_log import describe_attempts
+from hemlockspoke.tier.delegated_forward import DelegatedForward
 from hemlockspoke.tier.forward import Forward
 from hemlockspoke.tier.gather import Gather
-from hemlockspoke.tier.relayed_forward import RelayedForward
 from hemlockspoke.tier.replies import RETRY_AFTER_START_MS, ErrorReply
 from hemlockspoke.tier.timing import Timings
 
@@ -190,7 +190,7 @@
         forwarding = self._tier.forwarding
         servers = forwarding.servers_for(request, service) if forwarding else []
         if servers:
-            return RelayedForward(forwarding, request, service, servers, answer)
+            return DelegatedForward(forwarding, request, service, servers, answer)
         return Forward(self._tier, request, service, answer)
 
     def _choose_service(self, route):
