Send hedges that are due even if the timer is late

A hedge that can't arrive by the aim is left out, and the first ones are due as late as the aim allows, so a late timer, or a round trip that was never measured, leaves them out.

Change: only hedges after the first round are checked.

Measured: edge_hedges.feature, "a hedge that is due is sent", failed before.

--- a/hemlockspoke/tier/delegated_hedges.py
+++ b/hemlockspoke/tier/delegated_hedges.py
@@ -32,14 +32,15 @@
     """Decides when and where the hedges of one query are delegated.
 
     ``gather`` is the ``Gather`` of the query, ``plan`` its ``GatherPlan``. ``due_ms``
-    is the clock time of the first hedges, None if there will be none. Others follow as
-    daemons report, as long as they can arrive by the aim of the request. Each part is
-    hedged once.
+    is the clock time of the first hedges, None if there will be none. Those are sent
+    even if the timer is late. Others follow as daemons report, as long as they can
+    arrive by the aim of the request. Each part is hedged once.
     """
 
     __slots__ = (
         "_gather",
         "_hedged",
+        "_is_first_round",
         "_plan",
         "_request",
         "_tier",
@@ -53,6 +54,7 @@
         self._plan = plan
         self._gather = gather
         self._hedged = set()
+        self._is_first_round = True
         self._timer = None
         now_ms = tier.clock.now_ms()
         delay_ms = plan.hedge_delay_ms(now_ms)
@@ -78,11 +80,12 @@
             group = {
                 service: server
                 for service, server in group.items()
-                if self._is_useful(server)
+                if self._is_first_round or self._is_useful(server)
             }
             # Without a daemon there, the deliveries of this one keep all servers.
             for gatherer in self._tier.delegation.available_gatherers(domain, 1):
                 self._hedged |= gather.delegate_hedges(gatherer, domain, group)
+        self._is_first_round = False
         if clock.now_ms() + HEDGE_RECHECK_MS < self._request.aim_ms:
             self._timer = clock.call_later(HEDGE_RECHECK_MS, self._send)
 
--- a/tests/features/edge_hedges.feature
+++ b/tests/features/edge_hedges.feature
@@ -49,3 +49,11 @@
       | coverage    | count |
       | reached     | 0     |
       | not reached | 2     |
+
+  Scenario: a hedge that is due is sent though its time was estimated too long
+    # Guards against missing parts at a busy daemon, whose timers are late, and at one that
+    # has not measured the round trip.
+    Given hedges that need 40 ms, due after 65 ms
+    And 1 part is missing, and 0 parts are at daemons that have not reported
+    When 95 ms of the query have passed
+    Then 1 part has been hedged
