--- a/hemlockspoke/tier/delegated_hedges.py
+++ b/hemlockspoke/tier/delegated_hedges.py
@@ -4,11 +4,11 @@
 some.
 """
 
-from hemlockspoke.tier.gather_plan import HEDGE_RECHECK_MS
-
 # If a larger fraction of the parts is missing, the servers are overloaded rather than
 # paused, and hedges would make that worse.
 MAX_HEDGED_FRACTION = 0.25
+# Interval at which hedges are reconsidered, as other daemons report meanwhile.
+HEDGE_RECHECK_MS = 10.0
 
 
 def parts_to_hedge(pending, unreported, shard_count):
--- a/hemlockspoke/tier/gather_plan.py
+++ b/hemlockspoke/tier/gather_plan.py
@@ -13,9 +13,6 @@
 # No delegated hedge is sent before this fraction of the time to the aim has passed:
 # until then most parts are still in progress.
 EARLIEST_HEDGE_FRACTION = 0.3
-# Interval at which delegated hedges are reconsidered while too many parts are missing,
-# as reports of the gathering daemons may be this late.
-HEDGE_RECHECK_MS = 10.0
 # Number of hubs of each failure domain that are considered as gatherers.
 MAX_GATHERERS = 8
 
