--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import itertools
+import random
 from pathlib import Path
 
 from review.lib.server import Server
-from review.lib.world import World, configuration, main, route
+from review.lib.world import Record, World, configuration, main, route
 
 # Within the largest dose of the pages: "extra late", share 0.6, x 0.03, 5 s.
 FAULTY_SERVERS = 2
 COPIED_SHARE_OF_ANSWERS = 0.03
 WINDOW_S = 5.0
+# The disruption comes more than once, with a pause between.
+WINDOWS = 4
+BETWEEN_S = 1.0
 SERVERS = 4
 SLOTS = 2
 QUEUE = 1
@@ -19,7 +23,7 @@
 DELAY_S = 0.020
 CLIENTS = 20
 ORDER_BUDGET_MS = 3000
-PAUSE_S = 0.02
+LONGEST_PAUSE_S = 0.06
 BOUNDS = {
     "stable_window_ms": 5000,
     "drain_ms": 4000,
@@ -36,7 +40,8 @@
     """Refuses orders while its slots and its queue are full, and says so.
 
     While ``copies`` is set, a share of its answers is sent a second time, at the point
-    where the next response on the connection is expected.
+    where the next response on the connection is expected. ``answer_count`` counts the
+    answers of these times.
     """
 
     def __init__(self, *args, **options):
@@ -66,10 +71,10 @@
             self._accepted -= 1
         await asyncio.sleep(DELAY_S)
         self.answer(writer, 200, attempt, b"done")
-        self.answer_count += 1
+        self.answer_count += self.copies
 
     def _copy_later(self, writer, attempt, data):
-        self.answer_count += 1
+        self.answer_count += self.copies
         allowed = COPIED_SHARE_OF_ANSWERS * self.answer_count
         if self.copies and self.copy_count + 1 <= allowed:
             self.copy_count += 1
@@ -78,7 +83,7 @@
 
 async def case(folder, trouble):
     """Send orders from closed-loop clients while two of four servers send copies."""
-    async with World(folder, {"mtl-a": "mtl"}, BOUNDS) as world:
+    async with World(Record(folder), {"mtl-a": "mtl"}, BOUNDS) as world:
         servers = [
             OrderServer(
                 world.record, f"s{number}", "orders", "mtl-a", SLOTS, work_ms=WORK_MS
@@ -101,6 +106,7 @@
         daemon = world.add_daemon("edge-mtl-a-1", "mtl-a")
         await world.wait_ready()
         numbers = itertools.count(1)
+        rng = random.Random(1)
         answers = {}
         loop = asyncio.get_running_loop()
 
@@ -110,12 +116,18 @@
                 answers[attempt] = await world.request(
                     daemon, "POST", "/order/x", attempt, ORDER_BUDGET_MS, b"two tonnes"
                 )
-                await asyncio.sleep(PAUSE_S)
-
-        for server in servers[:FAULTY_SERVERS]:
-            server.copies = trouble
-        end_s = loop.time() + WINDOW_S
-        await asyncio.gather(*(client(end_s) for _ in range(CLIENTS)))
+                await asyncio.sleep(rng.uniform(0, LONGEST_PAUSE_S))
+
+        end_s = loop.time() + WINDOWS * (WINDOW_S + BETWEEN_S)
+        clients = [asyncio.create_task(client(end_s)) for _ in range(CLIENTS)]
+        for _ in range(WINDOWS):
+            for server in servers[:FAULTY_SERVERS]:
+                server.copies = trouble
+            await asyncio.sleep(WINDOW_S)
+            for server in servers[:FAULTY_SERVERS]:
+                server.copies = False
+            await asyncio.sleep(BETWEEN_S)
+        await asyncio.gather(*clients)
         return check(world, servers, answers)
 
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from review.lib.server import Server
-from review.lib.world import World, configuration, main, route
+from review.lib.world import Record, World, configuration, main, route
 
 # Figures of the site baandsoeg: bounds, slots, connections, longest work, time budget.
 GRACE_S = 6
@@ -106,7 +106,7 @@
 
 async def case(folder, trouble):
     """Restart three of four daemons in turn, some times, while clients send orders."""
-    async with World(folder, {ZONE: "jylland"}, BOUNDS) as world:
+    async with World(Record(folder), {ZONE: "jylland"}, BOUNDS) as world:
         servers = [
             TimedServer(world.record, f"s{i}", "stock", ZONE, SLOTS) for i in range(2)
         ]
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from review.lib.server import Server
-from review.lib.world import World, configuration, main, route
+from review.lib.world import Record, World, configuration, main, route
 
 # Figures of the site baandsoeg: bounds, slots, connections, work and time budget.
 ZONES = {"kolding": "jylland", "koege": "sjaelland", "klaipeda": "baltikum"}
@@ -33,7 +33,7 @@
 
 async def case(folder, trouble):
     """Send orders from one zone; meanwhile one of the two servers drains and exits."""
-    async with World(folder, ZONES, BOUNDS) as world:
+    async with World(Record(folder), ZONES, BOUNDS) as world:
         servers = [
             Server(world.record, f"s{i}", "stock", "kolding", SLOTS, work_ms=WORK_MS)
             for i in range(2)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from review.lib.server import Server
-from review.lib.world import World, configuration, main, route
+from review.lib.world import Record, World, configuration, main, route
 
 CONFIG_APPLY_MS = 4000
 BOUNDS = {
@@ -31,7 +31,7 @@
 
 async def case(folder, trouble):
     """Replace machines, cut one machine from the store, then move a route."""
-    async with World(folder, {ZONE: "mtl"}, BOUNDS) as world:
+    async with World(Record(folder), {ZONE: "mtl"}, BOUNDS) as world:
         old = Server(world.record, "old", "orders", ZONE)
         new = Server(world.record, "new", "stock", ZONE)
         for server in (old, new):
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -3,11 +3,14 @@
 import asyncio
 import contextlib
 import json
+import time
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from review.lib.http import encode, read_message
 
 PAGE_ITEMS = 50
+# Interval at which a waiting watch looks for changes.
+POLL_S = 0.005
 
 
 class Store:
@@ -18,7 +21,9 @@
         self.events = []
         self.revision = 10
         self.address = None
-        self._changed = asyncio.Condition()
+        # Whether undecodable bytes of an object are sent as they are instead of as
+        # escapes of JSON.
+        self.raw_bytes = False
         self._server = None
 
     async def start(self, host):
@@ -34,8 +39,6 @@
         item = {"meta": meta, "spec": spec, "status": None}
         self.kinds.setdefault(kind, {})[name] = item
         self.events.append((self.revision, kind, {"object": item, "removed": False}))
-        async with self._changed:
-            self._changed.notify_all()
 
     async def remove(self, kind, name):
         """Remove an object."""
@@ -43,14 +46,13 @@
         self.revision += 1
         item = {**item, "meta": {**item["meta"], "revision": self.revision}}
         self.events.append((self.revision, kind, {"object": item, "removed": True}))
-        async with self._changed:
-            self._changed.notify_all()
 
     async def _serve(self, reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while (request := await read_message(reader)) is not None:
                 status, body = await self._reply(request)
-                content = json.dumps(body).encode()
+                text = json.dumps(body, ensure_ascii=not self.raw_bytes)
+                content = text.encode("utf-8", "surrogateescape")
                 headers = [("Content-Type", "application/json")]
                 writer.write(encode(f"HTTP/1.1 {status} Status", headers, content))
                 await writer.drain()
@@ -85,9 +87,9 @@
                 if event_kind == kind and revision > since
             ]
 
-        with contextlib.suppress(TimeoutError):
-            async with self._changed:
-                await asyncio.wait_for(self._changed.wait_for(news), wait_s)
+        deadline_s = time.monotonic() + wait_s
+        while not news() and time.monotonic() < deadline_s:
+            await asyncio.sleep(POLL_S)
         return 200, {"events": news(), "current_rev": self.revision}
 
     async def _write(self, request, path):
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -7,6 +7,7 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 from pathlib import Path
 
@@ -17,10 +18,16 @@
 REPOSITORY = Path(__file__).resolve().parents[2]
 HOST = "pages.example"
 READY_TIMEOUT_S = 20
+LONGEST_RUN_S = 115
+EXIT_NOT_RUN = 2
 # The run line of deploy/system.toml.
 COMMAND = ["python3", "-m", "hemlockspoke.platform.edge"]
 
 
+# All daemons of this run, which end with it.
+started_daemons = []
+
+
 class Record:
     """Writes ``record.txt`` of a case with times since its start in ms."""
 
@@ -49,6 +56,7 @@
         self.ports = ports
         self.settings_path = settings_path
         self.process = None
+        started_daemons.append(self)
 
     def start(self):
         """Start the process; its output goes to a file in the temporary folder."""
@@ -85,8 +93,8 @@
 class World:
     """The store, the servers, the daemons and the record of one case."""
 
-    def __init__(self, folder, zones, bounds):
-        self.record = Record(folder)
+    def __init__(self, record, zones, bounds):
+        self.record = record
         self.store = Store()
         self.zones = zones
         self.bounds = bounds
@@ -267,10 +275,24 @@
 def main(case, folder):
     """Run a case; it returns True if the rule held. Exit with 0, 1 or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    guard = threading.Timer(LONGEST_RUN_S, finish, (EXIT_NOT_RUN, "took too long"))
+    guard.daemon = True
+    guard.start()
+    asyncio.run(run(case, folder, trouble))
+
+
+async def run(case, folder, trouble):
+    """Run a case and end the process with its result."""
     try:
-        held = asyncio.run(asyncio.wait_for(case(folder, trouble), 110))
+        held = await case(folder, trouble)
     except Exception as error:
-        print(f"could not run: {type(error).__name__}: {error}")
-        raise SystemExit(2) from error
-    print("the rule held" if held else "the rule was broken")
-    raise SystemExit(0 if held else 1)
+        finish(EXIT_NOT_RUN, f"could not run: {type(error).__name__}: {error}")
+    finish(0 if held else 1, "the rule held" if held else "the rule was broken")
+
+
+def finish(status, text):
+    """Kill the daemons that still run, and exit at once."""
+    for daemon in started_daemons:
+        daemon.stop()
+    print(text, flush=True)
+    os._exit(status)
