Move the connection pool to a module of its own

http1/connection.py had 367 lines and two jobs: one connection with its request, and the pool with the requests that wait.

--- a/hemlockspoke/http1/json_calls.py
+++ b/hemlockspoke/http1/json_calls.py
@@ -2,8 +2,9 @@
 
 import json
 
-from hemlockspoke.http1.connection import ConnectionPool, Exchange, ExchangeFailure
+from hemlockspoke.http1.connection import Exchange, ExchangeFailure
 from hemlockspoke.http1.messages import encode_request
+from hemlockspoke.http1.pool import ConnectionPool
 
 # Limit on the body of a reply. A page of a list holds about 1 MB and at most one more
 # object of that size.
--- /dev/null
+++ b/hemlockspoke/http1/pool.py
@@ -0,0 +1,184 @@
+"""A pool of connections to one address, and the requests that wait for one."""
+
+from collections import deque
+
+from twisted.internet.protocol import ClientFactory
+
+from hemlockspoke.http1.connection import ExchangeFailure, PooledConnection
+
+# A connection normally opens within two round trips between regions; a longer wait
+# means a lost packet or an unreachable host.
+CONNECT_TIMEOUT_MS = 800
+
+
+class ConnectionPool:
+    """At most ``limit`` connections to one address; requests wait for a free one.
+
+    ``connect_ms`` is the duration of the last TCP handshake, or None before the first;
+    ``opened`` counts the connections opened so far.
+    """
+
+    __slots__ = (
+        "_address",
+        "_bind",
+        "_clock",
+        "_closed",
+        "_connecting",
+        "_idle",
+        "_open",
+        "_reactor",
+        "_waiting",
+        "connect_ms",
+        "limit",
+        "opened",
+    )
+
+    def __init__(self, reactor, clock, address, limit, bind_host=None):
+        self._reactor = reactor
+        self._clock = clock
+        self._address = address
+        self._bind = None if bind_host is None else (bind_host, 0)
+        self.limit = limit
+        self._idle = []
+        self._open = set()
+        self._connecting = 0
+        self._waiting = deque()
+        self._closed = False
+        self.connect_ms = None
+        self.opened = 0
+
+    def submit(self, exchange):
+        """Send the exchange on an idle connection, or queue it for the next one."""
+        if self._closed:
+            exchange.fail(ExchangeFailure.UNSENT, "the connection pool is closed")
+            return
+        connection = self._pop_idle(exchange.fresh_only)
+        if connection is not None:
+            connection.send(exchange, self._clock.now_ms())
+            return
+        exchange.set_pool(self)
+        self._waiting.append(exchange)
+        if len(self._open) + self._connecting < self.limit:
+            self._connect()
+        elif self._idle:
+            # All idle connections have been idle for too long for this exchange.
+            self._idle.pop(0).abort()
+            self._connect()
+
+    def has_capacity(self):
+        """Return whether a request can be sent before another one has ended."""
+        return bool(self._idle) or len(self._open) + self._connecting < self.limit
+
+    def has_idle(self):
+        """Return whether an open connection is idle."""
+        return bool(self._idle)
+
+    def _pop_idle(self, fresh_only):
+        now_ms = self._clock.now_ms()
+        while self._idle:
+            connection = self._idle[-1]
+            idle_ms = now_ms - connection.idle_since_ms
+            if idle_ms > connection.max_idle_ms:
+                for stale in list(self._idle):
+                    stale.abort()
+                return None
+            if fresh_only and idle_ms > connection.max_idle_ms / 4:
+                return None
+            return self._idle.pop()
+        return None
+
+    def _connect(self):
+        self._connecting += 1
+        factory = _PoolFactory(self, self._clock.now_ms())
+        self._reactor.connectTCP(
+            self._address.host,
+            self._address.port,
+            factory,
+            timeout=CONNECT_TIMEOUT_MS / 1000.0,
+            bindAddress=self._bind,
+        )
+
+    def connected(self, connection):
+        """Add a connection that has been opened."""
+        self._connecting -= 1
+        self._open.add(connection)
+        self.opened += 1
+        self.released(connection)
+
+    def record_connect_time(self, started_ms):
+        """Record the duration of the TCP handshake."""
+        self.connect_ms = self._clock.now_ms() - started_ms
+
+    def connect_failed(self, detail):
+        """Fail the request that has waited longest, after a failed connect attempt."""
+        self._connecting -= 1
+        if self._waiting:
+            self._waiting.popleft().fail(ExchangeFailure.UNSENT, detail)
+        self._connect_if_needed()
+
+    def _connect_if_needed(self):
+        """Open a connection if requests wait and no connect attempt is in progress."""
+        is_needed = self._waiting and not self._connecting and not self._closed
+        if is_needed and len(self._open) < self.limit:
+            self._connect()
+
+    def released(self, connection):
+        """Send the next waiting request on a connection, or keep it idle.
+
+        After ``close_gracefully`` it is closed instead.
+        """
+        if self._closed:
+            connection.abort()
+            return
+        if self._waiting:
+            connection.send(self._waiting.popleft(), self._clock.now_ms())
+            return
+        connection.idle_since_ms = self._clock.now_ms()
+        self._idle.append(connection)
+
+    def lost(self, connection):
+        """Remove a closed connection and replace it if requests wait."""
+        if connection not in self._open:
+            return
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._connect_if_needed()
+
+    def remove_waiting(self, exchange):
+        """Remove a waiting request."""
+        if exchange in self._waiting:
+            self._waiting.remove(exchange)
+
+    def close_idle(self):
+        """Close the idle connections but not those in use."""
+        for connection in list(self._idle):
+            connection.abort()
+
+    def close_gracefully(self):
+        """Fail new and waiting requests and close the idle connections.
+
+        Requests in progress are completed.
+        """
+        self.limit = 0
+        self._closed = True
+        self.close_idle()
+        while self._waiting:
+            self._waiting.popleft().fail(
+                ExchangeFailure.UNSENT, "the connection pool is closed"
+            )
+
+
+class _PoolFactory(ClientFactory):
+    noisy = False
+
+    def __init__(self, pool, started_ms):
+        self._pool = pool
+        self._started_ms = started_ms
+
+    def buildProtocol(self, address):
+        self._pool.record_connect_time(self._started_ms)
+        return PooledConnection(self._pool)
+
+    def clientConnectionFailed(self, connector, reason):
+        self._pool.connect_failed(reason.type.__name__)
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from hemlockspoke.http1.connection import ConnectionPool
+from hemlockspoke.http1.pool import ConnectionPool
 from hemlockspoke.tier.apportion import LimitShares
 from hemlockspoke.tier.servers import ServerState, TrackedServer
 
--- a/tests/features/steps/server_bytes_steps.py
+++ b/tests/features/steps/server_bytes_steps.py
@@ -12,8 +12,9 @@
 from hemlockspoke.adapters.blocking_http import NoReply, exchange
 from hemlockspoke.address import Address
 from hemlockspoke.clock import ReactorClock
-from hemlockspoke.http1.connection import ConnectionPool, Exchange, ExchangeFailure
+from hemlockspoke.http1.connection import Exchange, ExchangeFailure
 from hemlockspoke.http1.messages import encode_request, encode_response
+from hemlockspoke.http1.pool import ConnectionPool
 from hemlockspoke.http1.response_parser import ResponseParser
 from tests.features.steps.upstream_http_steps import connect, request
 from tests.reactor_thread import run_in_reactor, wait_until
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -11,8 +11,9 @@
 
 from hemlockspoke.address import Address
 from hemlockspoke.clock import ReactorClock
-from hemlockspoke.http1.connection import ConnectionPool, Exchange
+from hemlockspoke.http1.connection import Exchange
 from hemlockspoke.http1.messages import encode_request
+from hemlockspoke.http1.pool import ConnectionPool
 from hemlockspoke.platform.program import build
 from hemlockspoke.platform.settings import parse_settings
 from tests.reactor_thread import run_in_reactor, wait_until
