Refuse what a stopping daemon cannot finish, and answer the rest

Cause: a stopping daemon took every request for 3.6 s, whatever its usual time, and ended 5.3 s after SIGTERM with requests in progress that nothing answered. The record of the case shows the servers still at work on each lost order when the daemon ended, which rules out a loss of answers that were already written.

Change: ShutdownPlan, a decision without a network, refuses at once what cannot be expected to end in time (503, not run). 0.7 s before the end of the shutdown time all other requests get their final answer. Requests for other daemons do the same.

Both new scenarios of edge_stop.feature fail on (0 of 2) and pass now; edge_stop, edge_forward and edge_soak: 22 scenarios passed.

--- a/hemlockspoke/tier/delegated_forward.py
+++ b/hemlockspoke/tier/delegated_forward.py
@@ -74,6 +74,12 @@
         """Cancel the request, as the caller has disconnected."""
         self._stop()
 
+    def give_up(self, reason):
+        """Answer at once with what is known, as this daemon is about to stop."""
+        self._reason = reason
+        self._may_have_run = self._may_have_run or bool(self._pending)
+        self._refuse()
+
     def _ask_next(self):
         """Ask another daemon; return False if there is none that may be asked."""
         if len(self._peers) >= MAX_PEERS:
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -15,18 +15,13 @@
 from hemlockspoke.tier.peer_directory import PeerDirectory
 from hemlockspoke.tier.relay import Relay
 from hemlockspoke.tier.request_handler import RequestHandler, TierContext
+from hemlockspoke.tier.shutdown import ShutdownPlan
 from hemlockspoke.tier.timing import Timings
 
 logger = logging.getLogger(__name__)
 
-# The load balancer removes a daemon after two failed ready calls, a second apart.
-ROTATION_LAG_MS = 2600.0
-# Time after which new connections are refused even if requests are still in progress,
-# so that all that were accepted can be answered before the process ends.
-ACCEPT_MS = 3600.0
-# Time reserved at the end of the shutdown time for flushing send buffers.
-SHUTDOWN_RESERVE_MS = 700.0
 SHUTDOWN_POLL_MS = 50.0
+STOPPED = "the daemon has stopped before the answer"
 # At the first start traffic arrives some seconds later, so the daemons can wait for the
 # one in each failure domain that reads the store for all.
 FIRST_START_STORE_DELAY_MS = 2000.0
@@ -60,7 +55,7 @@
         self._reactor = reactor
         self._clock = clock
         self._metrics = metrics
-        self._shutdown_started_ms = None
+        self._shutdown = None
         self._membership = None
         self._ports = []
         self._caller_port = None
@@ -206,7 +201,7 @@
         logger.info("malformed request", extra={"status": status})
 
     def _handle_ready(self, request):
-        ready = self.directory.ready() and self._shutdown_started_ms is None
+        ready = self.directory.ready() and self._shutdown is None
         request.respond(200 if ready else 503, [], b"")
 
     def _handle_metrics(self, request):
@@ -247,27 +242,37 @@
         self._reactor.callFromThread(self._begin_shutdown)
 
     def _begin_shutdown(self):
-        if self._shutdown_started_ms is not None:
+        if self._shutdown is not None:
             return
-        self._shutdown_started_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        plan = ShutdownPlan(now_ms, self._settings.bounds.shutdown_ms)
+        self._shutdown = plan
         self._site.leaving = True
         self._relay.leaving = True
+        self._request_handler.shutdown = plan
+        self._forwarding.shutdown = plan
         logger.info("leaving", extra={"active": self._request_handler.active()})
-        self._clock.call_later(ROTATION_LAG_MS, self._stop_when_idle)
+        self._clock.call_later(plan.close_idle_ms - now_ms, self._stop_when_idle)
 
     def _stop_when_idle(self):
-        """Stop once no request is in progress, or when the shutdown time is over."""
+        """Stop once no request is in progress, or when the shutdown time is over.
+
+        Before that, all requests that are still in progress get an answer.
+        """
+        plan, now_ms = self._shutdown, self._clock.now_ms()
+        if now_ms >= plan.answer_ms:
+            self._request_handler.give_up_all(STOPPED)
+            self._forwarding.give_up_all(STOPPED)
         self._site.close_idle()
-        elapsed_ms = self._clock.now_ms() - self._shutdown_started_ms
-        limit_ms = self._settings.bounds.shutdown_ms - SHUTDOWN_RESERVE_MS
         for_peers = (
             self._delegation.peer_gather_count() + self._forwarding.peer_forward_count()
         )
         busy = self._site.channels or for_peers
-        if self._caller_port is not None and (not busy or elapsed_ms >= ACCEPT_MS):
+        is_open = self._caller_port is not None
+        if is_open and (not busy or now_ms >= plan.accept_until_ms):
             self._stop_accepting()
             busy = True
-        if busy and elapsed_ms < limit_ms:
+        if busy and now_ms < plan.exit_ms:
             self._clock.call_later(SHUTDOWN_POLL_MS, self._stop_when_idle)
             return
         logger.info("stopped", extra={"active": self._request_handler.active()})
--- a/hemlockspoke/tier/forward.py
+++ b/hemlockspoke/tier/forward.py
@@ -57,6 +57,12 @@
         self._timer.cancel()
         self._delivery.cancel()
 
+    def give_up(self, reason):
+        """Answer at once with what is known, as this daemon is about to stop."""
+        may_have_run = self._delivery.may_have_run()
+        self.cancel()
+        self._refuse(may_have_run, reason)
+
     def _on_delivery(self, delivery, result):
         self._timer.cancel()
         if result.attempt is not None:
--- a/hemlockspoke/tier/forward_manager.py
+++ b/hemlockspoke/tier/forward_manager.py
@@ -31,13 +31,23 @@
     ``delegation`` is the ``DelegationManager``, which knows the hubs that can be asked.
     """
 
-    __slots__ = ("_asked", "_delegation", "_ids", "_peer_forwards", "_tier", "_timings")
+    __slots__ = (
+        "_asked",
+        "_delegation",
+        "_ids",
+        "_peer_forwards",
+        "_tier",
+        "_timings",
+        "shutdown",
+    )
 
     def __init__(self, tier, timings, delegation):
         self._tier = tier
         self._timings = timings
         self._delegation = delegation
         self._ids = itertools.count(1)
+        # The ShutdownPlan once the daemon is stopping.
+        self.shutdown = None
         # _Asked by forward id, and PeerForward by the asking VM and its forward id.
         self._asked = {}
         self._peer_forwards = {}
@@ -137,9 +147,21 @@
             reason = "the asked daemon has no such route"
             self.send(vm, reply(message.forward_id, None, False, reason))
             return
+        timing = self._timings.for_route(route)
+        if self.shutdown is not None and not self.shutdown.may_start(
+            self.clock.now_ms(), timing.longest_ms(default_ms=route.target_ms)
+        ):
+            reason = "the asked daemon is about to stop"
+            self.send(vm, reply(message.forward_id, None, False, reason))
+            return
         peer_forward = PeerForward(self, vm, message)
         self._peer_forwards[vm, message.forward_id] = peer_forward
-        peer_forward.start(self._tier, route, self._timings.for_route(route))
+        peer_forward.start(self._tier, route, timing)
+
+    def give_up_all(self, reason):
+        """Report to the daemons that asked what is known of their requests now."""
+        for peer_forward in list(self._peer_forwards.values()):
+            peer_forward.give_up(reason)
 
     def peer_lost(self, vm):
         """Fail the requests that a lost daemon was to send; cancel those for it."""
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -239,6 +239,10 @@
         """Cancel all work, as the caller has disconnected."""
         self._stop(let_finish=False)
 
+    def give_up(self, reason):
+        """Answer at once with what is known, as this daemon is about to stop."""
+        self._respond(reason)
+
     def _on_delivery(self, delivery, result):
         if self._finished:
             return
--- a/hemlockspoke/tier/peer_forward.py
+++ b/hemlockspoke/tier/peer_forward.py
@@ -56,6 +56,13 @@
         )
         self._delivery.start()
 
+    def give_up(self, reason):
+        """Report at once what is known, as this daemon is about to stop."""
+        may_have_run = self._delivery.may_have_run()
+        self.cancel("given up")
+        message = reply(self._message.forward_id, None, may_have_run, reason)
+        self._manager.send(self._peer, message)
+
     def _on_delivery(self, delivery, result):
         response = None if result.attempt is None else result.attempt.response
         self._finish("reported")
--- a/hemlockspoke/tier/request_handler.py
+++ b/hemlockspoke/tier/request_handler.py
@@ -111,9 +111,11 @@
 class RequestHandler:
     """Answers each request according to the configuration in force at its arrival."""
 
-    __slots__ = ("_active", "_rng", "_tier", "_timings")
+    __slots__ = ("_active", "_rng", "_tier", "_timings", "shutdown")
 
     def __init__(self, tier, timings=None, rng=None):
+        # The ShutdownPlan once the daemon is stopping.
+        self.shutdown = None
         self._tier = tier
         self._timings = timings or Timings()
         self._rng = rng or random.Random()
@@ -142,8 +144,22 @@
         request = TierRequest(
             http, route, table.version, metadata, self._timings.for_route(route)
         )
+        if self.shutdown is not None and not self._can_finish(request):
+            reason = "the daemon is about to stop"
+            self._reject(http, metadata, ErrorReply.not_run(reason))
+            return
         self._start(request)
 
+    def _can_finish(self, request):
+        """Return whether a request can be expected to end before the daemon does."""
+        duration_ms = request.timing.longest_ms(default_ms=request.route.target_ms)
+        return self.shutdown.may_start(self._tier.clock.now_ms(), duration_ms)
+
+    def give_up_all(self, reason):
+        """Answer all requests in progress with what is known now."""
+        for operation in list(self._active):
+            operation.give_up(reason)
+
     def _reject(self, http, metadata, error_reply):
         def answer(status, headers, body, outcome, reason):
             http.respond(status, headers, body)
--- /dev/null
+++ b/hemlockspoke/tier/shutdown.py
@@ -0,0 +1,46 @@
+"""Decides what a daemon still accepts after SIGTERM, and when its process ends."""
+
+# The load balancer removes a daemon after two failed ready calls, a second apart.
+ROTATION_LAG_MS = 2600.0
+# Time after which new connections are refused even if requests are still in progress,
+# so that all that were accepted can be answered before the process ends.
+ACCEPT_MS = 3600.0
+# Time before the end of the shutdown time at which every request that is still in
+# progress gets its final answer.
+ANSWER_RESERVE_MS = 700.0
+# Time before the end of the shutdown time at which the process ends, even if a caller
+# has not read its answer.
+EXIT_RESERVE_MS = 300.0
+# The port is closed at least this long before the final answers.
+ACCEPT_RESERVE_MS = 1000.0
+# A request is accepted only if this many times its usual longest time remains.
+DURATION_MARGIN = 1.5
+
+
+class ShutdownPlan:
+    """The times of one planned stop, as times of the clock in ms.
+
+    A request that cannot be expected to end before ``answer_ms`` is refused at once,
+    since another daemon can serve it. What is in progress at ``answer_ms`` is answered
+    with what is known then, and the process ends at ``exit_ms`` at the latest.
+
+    >>> plan = ShutdownPlan(10_000.0, shutdown_ms=6000.0)
+    >>> plan.may_start(13_000.0, 1000.0), plan.may_start(14_000.0, 1000.0)
+    (True, False)
+    """
+
+    __slots__ = ("accept_until_ms", "answer_ms", "close_idle_ms", "exit_ms")
+
+    def __init__(self, started_ms, shutdown_ms):
+        self.answer_ms = started_ms + max(0.0, shutdown_ms - ANSWER_RESERVE_MS)
+        self.exit_ms = started_ms + max(0.0, shutdown_ms - EXIT_RESERVE_MS)
+        self.accept_until_ms = max(
+            started_ms,
+            min(started_ms + ACCEPT_MS, self.answer_ms - ACCEPT_RESERVE_MS),
+        )
+        # Until then the load balancer may still send connections.
+        self.close_idle_ms = min(started_ms + ROTATION_LAG_MS, self.accept_until_ms)
+
+    def may_start(self, now_ms, duration_ms):
+        """Return whether a request that takes ``duration_ms`` will be answered."""
+        return now_ms + DURATION_MARGIN * duration_ms <= self.answer_ms
--- a/hemlockspoke/tier/timing.py
+++ b/hemlockspoke/tier/timing.py
@@ -64,6 +64,14 @@
         limit_ms = max(SLOW_FACTOR * usual_ms, usual_ms + SLOW_MARGIN_MS)
         return min(self._slow_ms, limit_ms)
 
+    def longest_ms(self, default_ms):
+        """Return the time within which 9 in 10 of the last requests were answered.
+
+        That includes the time in the queues of servers. Without measurements it is
+        ``default_ms``.
+        """
+        return self._slow_ms if self._work_samples else default_ms
+
     def record_budget(self, budget_ms):
         """Record the budget of one request."""
         self._budgets.append(round(budget_ms))
--- a/tests/features/edge_stop.feature
+++ b/tests/features/edge_stop.feature
@@ -20,3 +20,20 @@
     Given a platform whose daemon "e1" may stop, with servers that take 40 ms
     When 20 callers connect and send a request while the daemon is busy closing its port
     Then all of them get an answer
+
+  Scenario: a stopping daemon refuses orders that it cannot finish
+    # Guards against orders that are taken late in a stop and cut off at its end.
+    Given a platform whose daemon "e1" may stop, with servers that take 2000 ms
+    And an order has been answered
+    When the daemon "e1" is told to stop while an order is sent every 200 ms
+    Then it stops within 6000 ms
+    And each order that a server got was answered with status 200
+    And at least 3 orders were refused, each within 300 ms
+    And no order that was refused has run
+
+  Scenario: requests in progress at the end of a stop are answered
+    # Guards against requests that are cut off when the time for the stop is over.
+    Given a platform whose daemon "e1" may stop, with servers that take 9000 ms
+    When an order and a lookup are sent, and the daemon "e1" is told to stop
+    Then it stops within 6000 ms
+    And both get status 502 at least 5000 ms after the start of the stop
--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -14,9 +14,11 @@
 
 CALLERS = 8
 REQUEST = (
-    "GET /item/a HTTP/1.1\r\nHost: {host}\r\nX-Hemlockspoke-Attempt-Id: {attempt}\r\n"
-    "X-Hemlockspoke-Deadline-Ms: 1500\r\n\r\n"
+    "{method} {path} HTTP/1.1\r\nHost: {host}\r\n"
+    "X-Hemlockspoke-Attempt-Id: {attempt}\r\n"
+    "X-Hemlockspoke-Deadline-Ms: {budget_ms}\r\nContent-Length: 0\r\n\r\n"
 )
+ORDER_BUDGET_MS = 10_000
 
 
 class StoppableReactor:
@@ -35,7 +37,7 @@
 
 @given('a platform whose daemon "{vm}" may stop, with servers that take {work_ms:d} ms')
 def step_platform(context, vm, work_ms):
-    world = context.world = PlatformWorld(shards=1)
+    world = context.world = PlatformWorld(shards=1, timeout_ms=ORDER_BUDGET_MS)
     context.add_cleanup(world.stop)
     for server in world.servers.values():
         server.work_ms = work_ms
@@ -96,10 +98,18 @@
                 self.unanswered.append(answer)
 
 
+def encode(attempt, method="GET", path="/item/a", budget_ms=1500):
+    """Return the bytes of a request."""
+    text = REQUEST.format(
+        host=HOST, attempt=attempt, method=method, path=path, budget_ms=budget_ms
+    )
+    return text.encode()
+
+
 def exchange(connection, attempt):
     """Send a request and return the first bytes of the answer, or an empty one."""
     try:
-        connection.sendall(REQUEST.format(host=HOST, attempt=attempt).encode())
+        connection.sendall(encode(attempt))
         return connection.recv(65536)
     except OSError:
         return b""
@@ -122,6 +132,111 @@
     context.callers.join()
 
 
+class TimedRequest:
+    """A request in a thread of its own, on a new connection.
+
+    ``status`` is None if the connection ended without an answer. ``ended_s`` is when
+    the answer or the end of the connection was seen.
+    """
+
+    def __init__(self, address, attempt, method, path):
+        self.attempt = attempt
+        self.status = self.ended_s = None
+        self.sent_s = time.monotonic()
+        self.connection = socket.create_connection(address, timeout=12)
+        self.connection.sendall(encode(attempt, method, path, ORDER_BUDGET_MS))
+        self._thread = threading.Thread(target=self._read, daemon=True)
+        self._thread.start()
+
+    def _read(self):
+        with self.connection:
+            try:
+                head = self.connection.recv(65536)
+            except OSError:
+                head = b""
+        self.ended_s = time.monotonic()
+        self.status = int(head.split()[1]) if head else None
+
+    def join(self):
+        """Wait until the request has ended."""
+        self._thread.join(timeout=12)
+
+
+@given("an order has been answered")
+def step_order_answered(context):
+    order = TimedRequest(context.address, "first", "POST", "/order/a")
+    order.join()
+    assert order.status == 200, order.status
+
+
+@when(
+    'the daemon "{vm}" is told to stop while an order is sent every {interval_ms:d} ms'
+)
+def step_stop_under_orders(context, vm, interval_ms):
+    context.orders = []
+    context.told_s = time.monotonic()
+    context.daemon.terminate()
+    while context.stopped_s is None:
+        attempt = f"order{len(context.orders)}"
+        try:
+            order = TimedRequest(context.address, attempt, "POST", "/order/a")
+        except OSError:
+            # The port is closed.
+            wait_until(lambda: context.stopped_s is not None, timeout_s=8)
+            break
+        context.orders.append(order)
+        time.sleep(interval_ms / 1000)
+    for order in context.orders:
+        order.join()
+
+
+@when('an order and a lookup are sent, and the daemon "{vm}" is told to stop')
+def step_stop_in_progress(context, vm):
+    context.orders = [
+        TimedRequest(context.address, "order", "POST", "/order/a"),
+        TimedRequest(context.address, "lookup", "GET", "/item/a"),
+    ]
+    time.sleep(0.2)
+    context.told_s = time.monotonic()
+    context.daemon.terminate()
+    wait_until(lambda: context.stopped_s is not None, timeout_s=8)
+    for order in context.orders:
+        order.join()
+
+
+def received_attempts(context):
+    servers = context.world.servers.values()
+    return {attempt.decode() for s in servers for attempt in s.received_attempts}
+
+
+@then("each order that a server got was answered with status {status:d}")
+def step_orders_answered(context, status):
+    got = received_attempts(context)
+    statuses = [order.status for order in context.orders if order.attempt in got]
+    assert statuses and set(statuses) == {status}, statuses
+
+
+@then("at least {count:d} orders were refused, each within {limit_ms:d} ms")
+def step_orders_refused(context, count, limit_ms):
+    refused = [order for order in context.orders if order.status == 503]
+    times_ms = [(order.ended_s - order.sent_s) * 1000 for order in refused]
+    assert len(refused) >= count, len(refused)
+    assert max(times_ms) <= limit_ms, times_ms
+
+
+@then("no order that was refused has run")
+def step_refused_not_run(context):
+    refused = {order.attempt for order in context.orders if order.status == 503}
+    assert not refused & received_attempts(context)
+
+
+@then("both get status {status:d} at least {delay_ms:d} ms after the start of the stop")
+def step_in_progress_answered(context, status, delay_ms):
+    assert [order.status for order in context.orders] == [status, status]
+    for order in context.orders:
+        assert (order.ended_s - context.told_s) * 1000 >= delay_ms
+
+
 @then("it stops within {limit_ms:d} ms")
 def step_within(context, limit_ms):
     took_ms = (context.stopped_s - context.told_s) * 1000
@@ -150,8 +265,7 @@
         # The reactor accepts nothing while this runs in its thread.
         for number in range(count):
             connection = socket.create_connection(context.address, timeout=5)
-            request = REQUEST.format(host=HOST, attempt=f"q{number}")
-            connection.sendall(request.encode())
+            connection.sendall(encode(f"q{number}"))
             context.connections.append(connection)
         context.daemon._stop_accepting()
 
