Send no request twice on one connection

Cause: a server that is full refuses an order, and the daemon sends it again on the same connection with the same id. A late second copy of the refusal then counts as the answer to the second send. In the record each broken order was sent twice on the connection of its copy; copies that met another order were told apart.

Change: an attempt avoids the connections of the earlier attempts of its request. A pool at its limit replaces an idle connection that a waiting request cannot use, and no longer opens two for it. Ruled out: remembering refused ids, which needs a bound.

--- a/hemlockspoke/http1/connection.py
+++ b/hemlockspoke/http1/connection.py
@@ -38,11 +38,12 @@
     with a body of over ``max_body_bytes`` is malformed. ``reused_connection`` is True
     if the connection has carried an earlier request, of which bytes may still arrive.
     If ``is_own(response)`` is given and returns False, the response belongs to another
-    request, and the connection is not used again.
+    request, and the connection is not used again. No connection of ``avoided`` is used.
     """
 
     __slots__ = (
         "_pool",
+        "avoided",
         "connection",
         "done",
         "encode",
@@ -66,6 +67,7 @@
         head_only=False,
         max_body_bytes=MAX_BODY_BYTES,
         is_own=None,
+        avoided=(),
     ):
         self.encode = encode
         self.size_bytes = 0
@@ -75,6 +77,7 @@
         self.head_only = head_only
         self.max_body_bytes = max_body_bytes
         self.is_own = is_own or (lambda response: True)
+        self.avoided = avoided
         self.reused_connection = False
         self.sent_ms = None
         self.connection = None
--- a/hemlockspoke/http1/pool.py
+++ b/hemlockspoke/http1/pool.py
@@ -52,41 +52,58 @@
         if self._closed:
             exchange.fail(ExchangeFailure.UNSENT, "the connection pool is closed")
             return
-        connection = self._pop_idle(exchange.fresh_only)
+        connection = self._pop_idle(exchange)
         if connection is not None:
             connection.send(exchange, self._clock.now_ms())
             return
         exchange.set_pool(self)
         self._waiting.append(exchange)
-        if len(self._open) + self._connecting < self.limit:
-            self._connect()
-        elif self._idle:
-            # All idle connections have been idle for too long for this exchange.
-            self._idle.pop(0).abort()
-            self._connect()
+        self._connect_for_waiting()
 
     def has_capacity(self):
         """Return whether a request can be sent before another one has ended."""
-        return bool(self._idle) or len(self._open) + self._connecting < self.limit
+        return bool(self._idle) or self._has_room()
 
     def has_idle(self):
         """Return whether an open connection is idle."""
         return bool(self._idle)
 
-    def _pop_idle(self, fresh_only):
+    def _pop_idle(self, exchange):
         now_ms = self._clock.now_ms()
-        while self._idle:
-            connection = self._idle[-1]
+        # The connection that was used last is the least likely one to be closed.
+        for connection in reversed(self._idle):
             idle_ms = now_ms - connection.idle_since_ms
             if idle_ms > connection.max_idle_ms:
-                for stale in list(self._idle):
-                    stale.abort()
+                self._abort_idle_since(connection.idle_since_ms)
                 return None
-            if fresh_only and idle_ms > connection.max_idle_ms / 4:
+            if exchange.fresh_only and idle_ms > connection.max_idle_ms / 4:
                 return None
-            return self._idle.pop()
+            if connection not in exchange.avoided:
+                self._idle.remove(connection)
+                return connection
         return None
 
+    def _abort_idle_since(self, since_ms):
+        """Abort the connections that have been idle since a clock time or earlier."""
+        for connection in list(self._idle):
+            if connection.idle_since_ms <= since_ms:
+                connection.abort()
+
+    def _connect_for_waiting(self):
+        """Open a connection, at the limit in the place of an idle one.
+
+        A request that waits while connections are idle can use none of them.
+        """
+        if not self._has_room() and self._idle:
+            connection = self._idle.pop(0)
+            self._open.discard(connection)
+            connection.abort()
+        if self._has_room():
+            self._connect()
+
+    def _has_room(self):
+        return len(self._open) + self._connecting < self.limit
+
     def _connect(self):
         self._connecting += 1
         factory = _PoolFactory(self, self._clock.now_ms())
@@ -130,11 +147,22 @@
         if self._closed:
             connection.abort()
             return
-        if self._waiting:
-            connection.send(self._waiting.popleft(), self._clock.now_ms())
+        exchange = self._pop_waiting(connection)
+        if exchange is not None:
+            connection.send(exchange, self._clock.now_ms())
             return
         connection.idle_since_ms = self._clock.now_ms()
         self._idle.append(connection)
+        if self._waiting and not self._connecting:
+            self._connect_for_waiting()
+
+    def _pop_waiting(self, connection):
+        """Remove and return the first waiting request that may use a connection."""
+        for exchange in self._waiting:
+            if connection not in exchange.avoided:
+                self._waiting.remove(exchange)
+                return exchange
+        return None
 
     def lost(self, connection):
         """Remove a closed connection and replace it if requests wait."""
--- a/hemlockspoke/tier/attempt.py
+++ b/hemlockspoke/tier/attempt.py
@@ -93,7 +93,12 @@
 
 
 class Attempt:
-    """One attempt at one server; ``on_done(attempt)`` is called at its end."""
+    """One attempt at one server; ``on_done(attempt)`` is called at its end.
+
+    ``earlier_attempts`` are those of the same request. All have the same id, so a late
+    second copy of the response to one of them would be taken for the response to this
+    one. Copies arrive on the connection of the first, so this attempt uses another.
+    """
 
     __slots__ = (
         "_clock",
@@ -115,7 +120,9 @@
         "verdict",
     )
 
-    def __init__(self, tier, server, outgoing, timing, is_extra, on_done):
+    def __init__(
+        self, tier, server, outgoing, timing, is_extra, on_done, earlier_attempts=()
+    ):
         self._clock = tier.clock
         self._codec = tier.codec
         self._directory = tier.directory
@@ -139,6 +146,7 @@
             fresh_only=not outgoing.idempotent,
             head_only=outgoing.method == b"HEAD",
             is_own=self._is_own,
+            avoided=[attempt.connection for attempt in earlier_attempts],
         )
 
     def start(self):
@@ -147,6 +155,11 @@
         self.server.record_send(self.started_ms)
         self.server.pool.submit(self._exchange)
 
+    @property
+    def connection(self):
+        """Return the connection that has carried the request, or None."""
+        return self._exchange.connection
+
     @property
     def sent(self):
         """Return whether bytes of the request may have left."""
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -258,6 +258,7 @@
             self._timing,
             is_extra,
             self._on_attempt_end,
+            earlier_attempts=self.attempts,
         )
         self.attempts.append(attempt)
         self._used_servers.add(server)
--- a/tests/features/edge_requests.feature
+++ b/tests/features/edge_requests.feature
@@ -57,6 +57,20 @@
       | copy_with_id    |
       | copy_without_id |
 
+  Scenario: a late copy of a refusal is no answer to the order's next send
+    # Guards against a promise that an order has not run, though it has: both sends have
+    # the same id, so only the connection tells the copy from an answer.
+    Given every server of items is "refuse_then_copy"
+    When a caller sends an order to "e1"
+    Then it gets 200 with a proof for its own attempt
+    And exactly 1 order has run
+
+  Scenario: a pool at its limit replaces a connection that a request avoids
+    Given a pool of 1 connection to the server "item-a1"
+    When a request is sent on the pool, and another one that avoids its connection
+    Then both are answered, the second on a new connection
+    And the pool never had more than 1 connection open
+
   Scenario Outline: an order is never sent twice
     # Guards against repeating a request that may have run.
     Given every server of items is "<behaviour>"
--- a/tests/features/steps/edge_requests_steps.py
+++ b/tests/features/steps/edge_requests_steps.py
@@ -7,6 +7,10 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.protocol import Protocol
 
+from hemlockspoke.address import Address
+from hemlockspoke.http1.connection import Exchange
+from hemlockspoke.http1.messages import encode_request
+from hemlockspoke.http1.pool import ConnectionPool
 from hemlockspoke.tier.merge import split_records
 from tests.platform_world import HOST, PlatformWorld
 from tests.reactor_thread import run_in_reactor, wait_until
@@ -234,6 +238,12 @@
         assert reply.body == context.world.servers[proof.split(".")[0]].body
 
 
+@then("it gets 200 with a proof for its own attempt")
+def step_own_proof(context):
+    context.replies = [(context.attempt, context.reply)]
+    step_own_proofs(context)
+
+
 @then("exactly {count:d} order has run")
 @then("exactly {count:d} orders have run")
 def step_runs(context, count):
@@ -286,3 +296,53 @@
 @then('"{vm}" keeps no connection to the servers of items')
 def step_no_connections(context, vm):
     wait_until(lambda: not any(s.site.channels for s in item_servers(context)))
+
+
+@given('a pool of {limit:d} connection to the server "{server}"')
+def step_pool(context, limit, server):
+    world = context.world
+    address = Address.parse(world.servers[server].address)
+    context.pool = ConnectionPool(reactor, world.clock, address, limit)
+    context.add_cleanup(run_in_reactor, context.pool.close_gracefully)
+    context.pool_server = world.servers[server]
+
+
+@when("a request is sent on the pool, and another one that avoids its connection")
+def step_avoiding_request(context):
+    context.exchanges, context.responses = [], []
+    context.most_open = 0
+
+    def submit(avoided):
+        headers = [
+            (b"X-Hemlockspoke-Attempt-Id", b"pooled"),
+            (b"X-Hemlockspoke-Deadline-Ms", b"1500"),
+            (b"X-Hemlockspoke-Expect-Instance", context.pool_server.server_id.encode()),
+        ]
+        data = encode_request(b"GET", b"/item/a", headers, b"")
+        exchange = Exchange(
+            lambda: data,
+            context.responses.append,
+            lambda failure, detail: context.responses.append(detail),
+            avoided=avoided,
+        )
+        context.exchanges.append(exchange)
+        context.pool.submit(exchange)
+        pool = context.pool
+        context.most_open = max(context.most_open, len(pool._open) + pool._connecting)
+
+    run_in_reactor(submit, ())
+    wait_until(lambda: len(context.responses) == 1)
+    run_in_reactor(submit, (context.exchanges[0].connection,))
+    wait_until(lambda: len(context.responses) == 2)
+
+
+@then("both are answered, the second on a new connection")
+def step_both_answered(context):
+    assert [response.status for response in context.responses] == [200, 200]
+    first, second = context.exchanges
+    assert first.connection is not second.connection
+
+
+@then("the pool never had more than {limit:d} connection open")
+def step_pool_limit(context, limit):
+    assert context.most_open <= limit, context.most_open
--- a/tests/standins/shard_server.py
+++ b/tests/standins/shard_server.py
@@ -212,6 +212,25 @@
     send_after_copy(server, request, server.run(request), with_id=False)
 
 
+@behaviours.register("refuse_then_copy")
+def refuse_then_copy(server, request):
+    """Refuse each attempt once; run its next arrival.
+
+    On the connection of the refusal a late second copy of it comes first.
+    """
+    channel, attempt = request._channel, header(request, ATTEMPT_HEADER)
+    headers = [(b"X-Hemlockspoke-Not-Executed", b"1"), (ATTEMPT_HEADER, attempt)]
+    if server.received_attempts.count(attempt) == 1:
+        server.last_answers[channel] = encode_response(503, headers, b"", close=False)
+        request.respond(503, headers, b"")
+        return
+    copy = server.last_answers.pop(channel, b"")
+    if copy:
+        write_raw(request, copy)
+    answer_headers = server.run(request)
+    server.clock.call_later(20, request.respond, 200, answer_headers, server.body)
+
+
 @behaviours.register("foreign")
 def foreign(server, request):
     """Run the request and send the answer of another attempt."""
