Recall requests that wait for a server that leaves

Cause: requests that wait for a connection stayed in the pool of a server whatever became of it, and were sent as connections got free. In the record all late orders came from their clients before the report, so none was placed there after it.

Change: the directory recalls them when a server begins to leave, when its time as the last server of a service is over, when its failure domain goes out of service, when its address has another server and when this daemon has no share of its connections. A recalled request has used no server, so max_attempts 1 allows another one.

--- a/hemlockspoke/http1/connection.py
+++ b/hemlockspoke/http1/connection.py
@@ -19,8 +19,10 @@
 class ExchangeFailure(Enum):
     """Why an exchange ended without a response."""
 
-    # No byte has been written to the transport.
+    # No connection could be opened, or the pool is closed. No byte has been written.
     UNSENT = "unsent"
+    # Taken back from the requests that wait for a connection. No byte has been written.
+    RECALLED = "recalled"
     # The connection was lost; the server may have read the request.
     BROKEN = "broken"
     # The received bytes are not an HTTP response within the limits.
--- a/hemlockspoke/http1/pool.py
+++ b/hemlockspoke/http1/pool.py
@@ -9,6 +9,7 @@
 # A connection normally opens within two round trips between regions; a longer wait
 # means a lost packet or an unreachable host.
 CONNECT_TIMEOUT_MS = 800
+POOL_CLOSED = "the connection pool is closed"
 
 
 class ConnectionPool:
@@ -50,7 +51,7 @@
     def submit(self, exchange):
         """Send the exchange on an idle connection, or queue it for the next one."""
         if self._closed:
-            exchange.fail(ExchangeFailure.UNSENT, "the connection pool is closed")
+            exchange.fail(ExchangeFailure.UNSENT, POOL_CLOSED)
             return
         connection = self._pop_idle(exchange)
         if connection is not None:
@@ -178,6 +179,15 @@
         if exchange in self._waiting:
             self._waiting.remove(exchange)
 
+    def recall_waiting(self, reason):
+        """Fail the waiting requests, which may then be sent to another address.
+
+        Some may be submitted again at once.
+        """
+        waiting, self._waiting = self._waiting, deque()
+        for exchange in waiting:
+            exchange.fail(ExchangeFailure.RECALLED, reason)
+
     def close_idle(self):
         """Close the idle connections but not those in use."""
         for connection in list(self._idle):
@@ -191,10 +201,7 @@
         self.limit = 0
         self._closed = True
         self.close_idle()
-        while self._waiting:
-            self._waiting.popleft().fail(
-                ExchangeFailure.UNSENT, "the connection pool is closed"
-            )
+        self.recall_waiting(POOL_CLOSED)
 
 
 class _PoolFactory(ClientFactory):
--- a/hemlockspoke/tier/attempt.py
+++ b/hemlockspoke/tier/attempt.py
@@ -98,6 +98,7 @@
     ``earlier_attempts`` are those of the same request. All have the same id, so a late
     second copy of the response to one of them would be taken for the response to this
     one. Copies arrive on the connection of the first, so this attempt uses another.
+    ``recalled`` is True if it was taken back while it waited for a connection.
     """
 
     __slots__ = (
@@ -114,6 +115,7 @@
         "ended_ms",
         "is_extra",
         "metadata",
+        "recalled",
         "response",
         "server",
         "started_ms",
@@ -134,6 +136,7 @@
         self.server = server
         self.is_extra = is_extra
         self.verdict = None
+        self.recalled = False
         self.detail = ""
         self.response = None
         self.metadata = None
@@ -247,6 +250,10 @@
         self._timing.record_work_time(latency_ms - server.rtt_ms)
 
     def _on_exchange_failure(self, failure, detail):
+        if failure is ExchangeFailure.RECALLED:
+            self.recalled = True
+            self._finish(Verdict.UNSENT, detail)
+            return
         unsent = failure is ExchangeFailure.UNSENT
         if failure is ExchangeFailure.MALFORMED:
             self._metrics.count("servers.malformed")
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -159,7 +159,7 @@
             server_is_slow = attempt.server.slowness(now_ms) > SLOW_SERVER_FACTOR
             if server_is_slow or not attempt.sent:
                 attempt.cancel()
-                self._refund_token(attempt)
+                self._settle(attempt)
         if self.in_flight():
             self._tier.clock.call_later(ABANDON_GRACE_MS, self.cancel)
 
@@ -324,21 +324,34 @@
             )
             return
         attempt.cancel()
-        self._refund_token(attempt)
+        self._settle(attempt)
         self._start_attempt()
 
-    def _refund_token(self, attempt):
-        if attempt.is_extra and attempt.verdict is Verdict.UNSENT:
+    def _settle(self, attempt):
+        """Give back what an ended attempt has taken if it was not sent.
+
+        That is its token of the extra load, and its server's place among those that
+        may get the request.
+        """
+        if attempt.verdict is not Verdict.UNSENT:
+            return
+        if attempt.is_extra:
             self._tier.extra_load.refund(self.service)
+        if all(
+            other.verdict is Verdict.UNSENT
+            for other in self.attempts
+            if other.server is attempt.server
+        ):
+            self._used_servers.discard(attempt.server)
 
     def _on_attempt_end(self, attempt):
-        self._refund_token(attempt)
+        self._settle(attempt)
         if self.done:
             return
         if attempt.verdict is Verdict.ANSWER:
             self._finish(attempt)
             return
-        if attempt.verdict is Verdict.UNSENT:
+        if attempt.verdict is Verdict.UNSENT and not attempt.recalled:
             self._unreachable_servers.add(attempt.server)
             self._unsent_count += 1
         may_repeat = self._outgoing.idempotent or not self.may_have_run()
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -16,6 +16,7 @@
 # no other server. The remainder allows for the delay of the notification and for
 # requests in flight.
 LEAVING_FRACTION = 0.25
+SERVER_LEAVING = "the server is leaving"
 
 
 class Directory:
@@ -91,6 +92,9 @@
         if names != self.domains_out:
             logger.info("failure domains out", extra={"domains": sorted(names)})
             self.domains_out = names
+            for server in self.servers.values():
+                if server.entry.failure_domain in names:
+                    server.pool.recall_waiting("the failure domain is out of service")
 
     def set_members(self, vms_by_domain):
         """Set the VMs of the daemons by domain, which share the servers' limits."""
@@ -102,6 +106,8 @@
     def _set_connection_limits(self):
         for server in self.servers.values():
             server.pool.limit = self._connection_limit(server.entry)
+            if server.pool.limit < 1:
+                server.pool.recall_waiting("no share of the server's connections")
 
     def _connection_limit(self, entry):
         limits = self.routing.services.get(entry.service) if self.routing else None
@@ -182,6 +188,7 @@
                 server.entry, f"address has another server: {other_server_id}"
             )
             server.pool.close_idle()
+            server.pool.recall_waiting("the address has another server")
 
     def candidates(self, service, regions=()):
         """Return the servers of a service that this daemon may send to now."""
@@ -236,9 +243,20 @@
         return server
 
     def _start_leaving(self, server, grace_ms):
+        """Use a server for ``grace_ms`` more, and only if there is no other.
+
+        Requests that wait for a connection to it go to other servers at once, or are
+        given up when that time is over.
+        """
         server.leaving_until_ms = self._clock.now_ms() + grace_ms
+        server.pool.recall_waiting(SERVER_LEAVING)
+        self._clock.call_later(grace_ms, self._recall_if_left, server)
         self._remove_later(server, max(grace_ms, self._bounds.drain_ms))
 
+    def _recall_if_left(self, server):
+        if not server.usable(self._clock.now_ms()):
+            server.pool.recall_waiting(SERVER_LEAVING)
+
     def _remove_later(self, server, delay_ms):
         """Remove a server after the requests sent to it have ended."""
         self._clock.call_later(delay_ms, self._remove_if_unlisted, server)
