Take over reading without waiting for daemons that are gone

Cause: daemons take over 400 ms apart in the order of their registered names, and a registration outlives its machine by ten minutes. With a manual clock and no network a daemon follows in time with no machine removed, and does not with seven removed.

Change: daemons that would be heard of and are not, and those that have just ceased to read, are not waited for. A daemon counts as reading only after a call has succeeded; its first watch waits 1 ms. This also covers two daemons cut off together.

--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -151,7 +151,9 @@
             vms_by_domain.setdefault(peer.failure_domain, []).append(peer.vm)
         self.directory.set_members(vms_by_domain)
         self._peers.set_peers(peers)
-        self._relay.set_position(self._peers.position_in_domain())
+        self._relay.set_position(
+            self._peers.position_in_domain(), self._peers.streams_before()
+        )
 
     def _peer_message(self, vm, message):
         self._relay.receive(vm, message)
--- a/hemlockspoke/tier/feed.py
+++ b/hemlockspoke/tier/feed.py
@@ -19,6 +19,9 @@
 # Delay of the first watch after a first list. When all daemons start again together,
 # each learns meanwhile that another one reads the store for all.
 FIRST_WATCH_DELAY_MS = 1000.0
+# Wait of the first watch from a known revision. It shows soon whether this daemon
+# reaches the store; until then others do not rely on it.
+FIRST_WAIT_MS = 1.0
 
 
 class Change:
@@ -72,8 +75,9 @@
     A watch is given up after ``wait_ms`` plus ``WATCH_GRACE_MS``, since its connection
     may be broken without an error; then a new one is used. A paused feed ignores the
     result of a call that was in progress. ``active`` is False while the feed is paused,
-    ``lost`` is True from a failed call to the next successful one. The delays after
-    failed calls are multiplied by ``retry_factor``.
+    ``lost`` is True from a failed call to the next successful one, and ``confirmed``
+    once a call has succeeded since the feed was resumed. The delays after failed calls
+    are multiplied by ``retry_factor``.
     """
 
     __slots__ = (
@@ -90,6 +94,7 @@
         "_wait_ms",
         "_watch_started_ms",
         "active",
+        "confirmed",
         "lost",
         "retry_factor",
     )
@@ -110,6 +115,7 @@
         # Incremented by each pause and resume, to ignore results of earlier calls.
         self._generation = 0
         self.active = False
+        self.confirmed = False
         self.lost = False
         self.retry_factor = 1.0
 
@@ -117,6 +123,7 @@
         """Watch from a known revision, or start with a list if it is None."""
         self._generation += 1
         self.active = True
+        self.confirmed = False
         self.lost = False
         # Others have just failed if this feed is to call less often than they do.
         self._retry_ms = FIRST_RETRY_MS if self.retry_factor <= 1.0 else MAX_RETRY_MS
@@ -127,6 +134,11 @@
             self._revision = revision
             self._watch(self._generation)
 
+    @property
+    def reading(self):
+        """Return whether the last call since the feed was resumed has succeeded."""
+        return self.active and self.confirmed and not self.lost
+
     def pause(self):
         """Stop making calls."""
         self._generation += 1
@@ -164,7 +176,7 @@
             self._watch_started_ms = self._clock.now_ms()
             self._source.watch(
                 self._revision,
-                self._wait_ms,
+                self._wait_ms if self.confirmed else FIRST_WAIT_MS,
                 WATCH_GRACE_MS,
                 lambda page: self._on_changes(generation, page),
             )
@@ -189,6 +201,7 @@
 
     def _note_success(self):
         self._retry_ms = FIRST_RETRY_MS
+        self.confirmed = True
         if self.lost:
             self.lost = False
             logger.info("store regained", extra={"feed": self._kind})
--- a/hemlockspoke/tier/followed_kind.py
+++ b/hemlockspoke/tier/followed_kind.py
@@ -8,7 +8,8 @@
     newest at the clock time ``confirmed_ms``. Changes reach ``sink`` in the order of
     the store's revisions, whether this daemon or another one has read them.
     ``unread_since_ms`` is the clock time since which no daemon of the failure domain is
-    known to read the kind, or None.
+    known to read the kind, or None. ``readers`` are the VMs of the other daemons that
+    have read it for this one since the state was last up to date.
     """
 
     __slots__ = (
@@ -18,6 +19,7 @@
         "feed",
         "kind",
         "objects",
+        "readers",
         "revision",
         "unread_since_ms",
     )
@@ -31,6 +33,7 @@
         self.revision = None
         self.confirmed_ms = None
         self.unread_since_ms = None
+        self.readers = set()
 
     def replace(self, changes, revision, age_ms=0.0):
         """Replace all objects; return False if the list is older than the state."""
--- a/hemlockspoke/tier/peer_directory.py
+++ b/hemlockspoke/tier/peer_directory.py
@@ -34,7 +34,14 @@
     parts for others.
     """
 
-    __slots__ = ("_hubs", "_network", "_peers_by_vm", "domain", "vm")
+    __slots__ = (
+        "_hubs",
+        "_network",
+        "_peers_by_vm",
+        "_streams_before",
+        "domain",
+        "vm",
+    )
 
     def __init__(self, vm, failure_domain, network, hubs):
         self.vm = vm
@@ -42,12 +49,17 @@
         self._network = network
         self._hubs = hubs
         self._peers_by_vm = {}
+        self._streams_before = frozenset()
 
     def set_peers(self, peers):
         """Set the list of registered daemons, and update the streams."""
         self._peers_by_vm = {peer.vm: peer for peer in peers if peer.vm != self.vm}
         addresses = {}
-        for vms in self._select_peers().values():
+        selected = self._select_peers()
+        self._streams_before = frozenset(
+            vm for vm in selected.get(self.domain, ()) if vm < self.vm
+        )
+        for vms in selected.values():
             for vm in vms:
                 addresses[vm] = self._peers_by_vm[vm].address
         # Between domains the selection may be one-sided: the other daemon may have
@@ -79,6 +91,13 @@
             for peer in self._peers_by_vm.values()
         )
 
+    def streams_before(self):
+        """Return the VMs with lower names in the domain that this one has streams to.
+
+        They include VMs whose stream is not open, as they may be gone.
+        """
+        return self._streams_before
+
     def domain_peers(self):
         """Return the VMs of the daemons of this failure domain with an open stream."""
         return self._connected_in(self.domain)
--- a/hemlockspoke/tier/relay.py
+++ b/hemlockspoke/tier/relay.py
@@ -21,6 +21,9 @@
 # this time, so that an outage of the store does not make all of them call it. It allows
 # for a heartbeat of the one before.
 TAKEOVER_STEP_MS = 400.0
+# Fraction of the age at which a daemon no longer counts as reading, up to which the
+# state counts as up to date.
+UP_TO_DATE_FRACTION = 0.5
 # Factor for the delays between failed calls of a daemon while another one reads. Those
 # calls only find out whether this daemon can read again.
 STANDBY_RETRY_FACTOR = 6.0
@@ -55,6 +58,7 @@
         "_read_delay_until_ms",
         "_send",
         "_stopped",
+        "_streams_before",
         "_tick_due_ms",
         "_vm",
         "leaving",
@@ -69,6 +73,7 @@
         self._kinds = {}
         self._heartbeats = {}
         self._position = 0
+        self._streams_before = frozenset()
         self._stopped = False
         self._read_delay_until_ms = 0.0
         self._tick_due_ms = 0.0
@@ -89,12 +94,14 @@
         self._tick_due_ms = self._clock.now_ms()
         self._tick()
 
-    def set_position(self, position):
-        """Set how many daemons of the failure domain have a lower name.
+    def set_position(self, position, streams_before=frozenset()):
+        """Set how many registered daemons of the failure domain have a lower name.
 
-        The one with the lowest name reads without delay.
+        The one with the lowest name reads without delay. ``streams_before`` are the VMs
+        among them that would be heard of if they ran.
         """
         self._position = position
+        self._streams_before = streams_before
         if position == 0:
             self._read_delay_until_ms = 0.0
             for followed in self._kinds.values():
@@ -141,7 +148,7 @@
                 followed.kind,
                 followed.revision,
                 round(followed.age_ms()),
-                followed.feed.active and not followed.feed.lost,
+                followed.feed.reading,
             ]
             for followed in self._kinds.values()
             if followed.revision is not None
@@ -186,10 +193,16 @@
 
     def _update_reader(self, followed):
         """Start or stop reading, depending on whether another daemon does."""
+        if self._stopped:
+            return
         reader = self.reader_of(followed.kind)
         feed = followed.feed
         if reader is None:
             feed.retry_factor = self._retry_factor(followed.kind)
+        if reader is not None:
+            if followed.age_ms() < UP_TO_DATE_FRACTION * self._max_age_ms:
+                followed.readers.clear()
+            followed.readers.add(reader)
         if reader is not None or feed.active:
             followed.unread_since_ms = None
         if reader is None and not feed.active and self._may_take_over(followed):
@@ -219,10 +232,22 @@
             return False
         if followed.revision is None or not self._candidates_before():
             return True
+        delay_ms = self._turn(followed) * TAKEOVER_STEP_MS
         if followed.unread_since_ms is None:
             followed.unread_since_ms = now_ms
-        waited_ms = now_ms - followed.unread_since_ms
-        return waited_ms >= self._position * TAKEOVER_STEP_MS
+            self._clock.call_later(delay_ms, self._update_reader, followed)
+        return now_ms - followed.unread_since_ms >= delay_ms
+
+    def _turn(self, followed):
+        """Return how many daemons may take over reading a kind before this one.
+
+        The list of registered daemons has those of removed VMs for minutes. A daemon
+        that this one would hear of, and does not, is not waited for, nor is one that
+        has just ceased to read.
+        """
+        heard = self._candidates_before()
+        turn = self._position - len(self._streams_before.difference(heard))
+        return max(0, turn - len(followed.readers.intersection(heard)))
 
     def _candidates_before(self):
         """Return the daemons with lower names that could read the store instead."""
@@ -259,7 +284,12 @@
 
     def _handle_heartbeat(self, vm, kind, revision, age_ms, is_reading):
         followed = self._kinds.get(kind)
-        if followed is None or not is_reading:
+        if followed is None:
+            return
+        if not is_reading:
+            if vm in followed.readers:
+                # It may have just ceased to read.
+                self._update_reader(followed)
             return
         if followed.revision is None or revision > followed.revision:
             # The changes up to this revision were relayed before the stream was open.
--- a/tests/features/edge_fleet.feature
+++ b/tests/features/edge_fleet.feature
@@ -67,6 +67,23 @@
     And the store is up for 1500 ms
     Then all daemons follow the store again
 
+  Scenario Outline: a cut of the reading daemon is noticed in time
+    # Guards against a failure domain that stays on an old configuration: registrations
+    # of removed machines lasted in the order in which daemons take over, and the one
+    # that had failed was waited for.
+    Given 9 daemons of a failure domain, of which one reads the store, with watches of <watch_ms> ms
+    When the <removed> daemons with the lowest names are killed
+    And the store is up for 6000 ms
+    And the <cut> daemons with the lowest names are cut off from the store
+    Then the other daemons follow the next change within <limit_ms> ms
+
+    Examples:
+      | watch_ms | removed | cut | limit_ms |
+      | 2000     | 0       | 1   | 4000     |
+      | 2000     | 7       | 1   | 4000     |
+      | 1500     | 7       | 1   | 3000     |
+      | 1500     | 6       | 2   | 3000     |
+
   Scenario: a loss of power of all daemons makes few of them watch the store
     # Guards against a watch of each restarted daemon before it hears of the one that
     # reads for all.
--- a/tests/features/steps/edge_decisions_steps.py
+++ b/tests/features/steps/edge_decisions_steps.py
@@ -341,7 +341,7 @@
     """A feed that makes no calls."""
 
     active = False
-    lost = False
+    reading = False
 
     def resume(self, revision=None):
         self.active = True
--- a/tests/features/steps/edge_fleet_steps.py
+++ b/tests/features/steps/edge_fleet_steps.py
@@ -12,7 +12,7 @@
 from hemlockspoke.tier.apportion import LimitShares
 from hemlockspoke.tier.edge_settings import Bounds
 from hemlockspoke.tier.extra_load import ExtraLoad
-from hemlockspoke.tier.feed import Change, Feed, FeedError, Page
+from hemlockspoke.tier.feed import WATCH_GRACE_MS, Change, Feed, FeedError, Page
 from hemlockspoke.tier.followed_kind import FollowedKind, RelayingSink
 from hemlockspoke.tier.relay import Relay
 
@@ -108,11 +108,15 @@
 
 
 class FleetStore:
-    """A store that fails the calls of the daemons in ``turned_away``."""
+    """A store that fails the calls of the daemons in ``turned_away``.
+
+    The daemons in ``cut_off`` get no answer and fail when their time is over.
+    """
 
     def __init__(self):
         self.revision = 1
         self.turned_away = set()
+        self.cut_off = set()
         self.callers = set()
         self.watchers = set()
         self.refused_calls = Counter()
@@ -127,17 +131,23 @@
         self._vm = vm
 
     def list_page(self, after, on_page, stale=False):
-        self._answer(on_page)
+        self._answer(on_page, 1200.0)
 
     def watch(self, revision, wait_ms, grace_ms, on_page):
         self._store.watchers.add(self._vm)
         if self._vm in self._store.turned_away:
-            self._answer(on_page)
+            self._answer(on_page, wait_ms)
         else:
-            self._clock.call_later(200.0, self._answer, on_page)
+            answer_ms = min(200.0, wait_ms)
+            timeout_ms = wait_ms + grace_ms - answer_ms
+            self._clock.call_later(answer_ms, self._answer, on_page, timeout_ms)
 
-    def _answer(self, on_page):
+    def _answer(self, on_page, timeout_ms):
         store = self._store
+        if self._vm in store.cut_off:
+            error = FeedError("no answer in time")
+            self._clock.call_later(timeout_ms, on_page, error)
+            return
         store.callers.add(self._vm)
         if self._vm in store.turned_away:
             store.refused_calls[self._vm] += 1
@@ -159,8 +169,9 @@
 class RelayFleet:
     """Relays of one failure domain, connected with each other."""
 
-    def __init__(self, count):
+    def __init__(self, count, watch_ms=2000.0):
         self.clock = ManualClock()
+        self.watch_ms = watch_ms
         self.store = FleetStore()
         self.vms = [f"vm-{number:02d}" for number in range(count)]
         self.relays = {}
@@ -174,7 +185,7 @@
         for relay in self.relays.values():
             relay.start(read_delay_ms)
         for position, vm in enumerate(self.vms):
-            self.relays[vm].set_position(position)
+            self.relays[vm].set_position(position, frozenset(self.vms[:position]))
 
     def _add(self, vm):
         clock = self.clock
@@ -189,12 +200,12 @@
             vm,
             send,
             lambda: [peer for peer in self.relays if peer != vm and self.connected],
-            max_age_ms=4000.0,
+            max_age_ms=self.watch_ms + 2 * WATCH_GRACE_MS,
         )
         followed = self.followed[vm] = FollowedKind("config", clock, KindSink())
         source = DaemonSource(clock, self.store, vm)
         sink = RelayingSink(followed, relay)
-        feed = Feed("config", clock, source, sink, 2000.0, random.Random(vm))
+        feed = Feed("config", clock, source, sink, self.watch_ms, random.Random(vm))
         relay.follow(followed, feed)
         self.relays[vm] = relay
 
@@ -237,6 +248,30 @@
     context.fleet.store.callers.clear()
 
 
+@given(
+    "{count:d} daemons of a failure domain, of which one reads the store, "
+    "with watches of {watch_ms:d} ms"
+)
+def step_relays_with_watches(context, count, watch_ms):
+    context.fleet = RelayFleet(count, float(watch_ms))
+    context.fleet.run(3000)
+
+
+@when("the {count:d} daemons with the lowest names are cut off from the store")
+def step_cut_off(context, count):
+    fleet = context.fleet
+    fleet.store.cut_off = set(sorted(fleet.relays)[:count])
+
+
+@then("the other daemons follow the next change within {limit_ms:d} ms")
+def step_follow_change(context, limit_ms):
+    fleet = context.fleet
+    revision = fleet.store.revision + 1
+    fleet.run(limit_ms)
+    for vm in set(fleet.relays) - fleet.store.cut_off:
+        assert fleet.followed[vm].revision >= revision, vm
+
+
 @when("the store fails all calls for {duration_ms:d} ms")
 def step_down(context, duration_ms):
     context.fleet.store.turned_away = set(context.fleet.vms)
