Check in the soak that planned stops cut no request

The users' runs of real processes saw requests that ended without an answer around SIGTERM. The soak did not: it excused all that happened around a stop, and stopped one daemon at a time.

Change: stops run beside other faults and each other, two at once as well. A request that a server got, or that was open for longer than a read takes, must be answered, unless its daemon was also killed or paused.

--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -17,7 +17,8 @@
 
 from hemlockspoke.registry import Registry
 from tests.edge_soak.callers import Callers, check_runs
-from tests.edge_soak.processes import STOP_GRACE_S, ProcessWorld
+from tests.edge_soak.processes import ProcessWorld
+from tests.edge_soak.stops import Stops, check_stops
 from tests.platform_world import ITEM_PATH, QUERY_PATH
 from tests.reactor_thread import run_in_reactor
 
@@ -45,6 +46,7 @@
         self.rng = random.Random(seed)
         self.disturbances = {vm: [] for vm in world.daemons}
         self.findings = []
+        self.stops = Stops(self)
         self._fault_ends = []
         self._sequence = itertools.count()
 
@@ -92,7 +94,9 @@
 
     def check_outcomes(self, outcomes):
         """Return the findings of the run and of the outcomes."""
-        findings = [*self.findings, *check_runs(outcomes, self.world.servers.values())]
+        servers = self.world.servers.values()
+        findings = [*self.findings, *check_runs(outcomes, servers)]
+        findings += check_stops(outcomes, servers, self.disturbances, SETTLE_S)
         for outcome in outcomes:
             end_s = outcome.sent_s + outcome.took_ms / 1000
             if not self.is_undisturbed(outcome.vm, outcome.sent_s, end_s):
@@ -119,17 +123,13 @@
 @actions.register("terminate")
 def terminate(soak):
     """Stop a daemon with SIGTERM; it must exit before it has to be killed."""
-    vm = soak.pick_vm()
-    if vm is None:
-        return
-    undisturbed = soak.is_undisturbed(vm, time.monotonic(), time.monotonic())
-    end = soak.record_fault(vm, "terminate")
-    code = soak.world.daemons[vm].terminate_and_restart()
-    if undisturbed and code != 0:
-        soak.findings.append(
-            f"{vm}: exit code {code} within {STOP_GRACE_S} s of SIGTERM"
-        )
-    soak.schedule_end(2.0, end)
+    soak.stops.start(1)
+
+
+@actions.register("terminate several")
+def terminate_several(soak):
+    """Stop two daemons at the same time."""
+    soak.stops.start(2)
 
 
 @actions.register("pause")
@@ -329,6 +329,7 @@
             actions.get(name)(soak)
             time.sleep(soak.rng.uniform(0.1, 0.9))
             soak.end_due_faults()
+        soak.stops.wait()
         soak.end_due_faults(include_pending=True)
         callers.stop()
         findings = soak.check_outcomes(callers.outcomes) + callers.findings
