Let an unreadable object of the store cost only itself

Cause: an undecodable byte, deep nesting or a number with thousands of digits failed the whole page; values that msgpack cannot encode raised an exception between a feed's call and its next one; large numbers and lists in the place of texts raised others.

Change: pages are decoded value by value where needed, each object is reduced to the checked fields that this project uses before it is applied and relayed, and a feed survives defects and lost replies, with counters and log lines for each.

--- a/hemlockspoke/http1/json_calls.py
+++ b/hemlockspoke/http1/json_calls.py
@@ -2,6 +2,7 @@
 
 import json
 
+from hemlockspoke.http1 import lenient_json
 from hemlockspoke.http1.connection import Exchange, ExchangeFailure
 from hemlockspoke.http1.messages import encode_request
 from hemlockspoke.http1.pool import ConnectionPool
@@ -82,8 +83,11 @@
 
 
 def decode_body(content):
-    """Return the JSON value of a body, or None if it is not JSON."""
+    """Return the JSON value of a body, or None if it is not JSON.
+
+    Parts of it that are not are ``lenient_json.UNREADABLE``.
+    """
     try:
-        return json.loads(content) if content else None
+        return lenient_json.decode(content) if content else None
     except ValueError:
         return None
--- a/hemlockspoke/messages.py
+++ b/hemlockspoke/messages.py
@@ -71,6 +71,19 @@
     return msgpack.packb([item.type_name, *item.to_fields()], use_bin_type=True)
 
 
+def fits_in_message(value, max_bytes):
+    """Return whether a value can be a field of a message, in at most ``max_bytes``.
+
+    >>> fits_in_message({"a": 1}, 100), fits_in_message(2**70, 100)
+    (True, False)
+    """
+    try:
+        # Lists around the value stand for the levels of a message.
+        return len(msgpack.packb([[[[value]]]], use_bin_type=True)) <= max_bytes
+    except (ValueError, OverflowError, TypeError, RecursionError):
+        return False
+
+
 def decode(frame):
     """Return the message of a frame, or raise ``BadFrame``."""
     try:
--- a/hemlockspoke/platform/feeds.py
+++ b/hemlockspoke/platform/feeds.py
@@ -32,9 +32,11 @@
             if items is None:
                 on_page(feed_error(reply))
                 return
-            changes = [change for change in map(decode_change, items) if change]
-            has_more = reply.body.get("more") and changes
-            after_name = changes[-1].name if has_more else None
+            changes = [change for change in map(self._decode, items) if change]
+            if reply.body.get("more") and not changes:
+                on_page(FeedError("no object of the page has a name"))
+                return
+            after_name = changes[-1].name if reply.body.get("more") else None
             on_page(Page(changes, reply.body["current_rev"], after_name))
 
         self._calls.list(self._kind, after, decode, stale=stale)
@@ -51,7 +53,7 @@
                 on_page(feed_error(reply))
                 return
             changes = [
-                decode_change(event.get("object"), event.get("removed"))
+                self._decode(event.get("object"), event.get("removed"))
                 for event in events
                 if isinstance(event, dict)
             ]
@@ -60,6 +62,12 @@
 
         self._calls.watch(self._kind, revision, wait_ms, grace_ms, decode)
 
+    def _decode(self, item, removed=False):
+        change = decode_change(self._kind, item, removed)
+        if change is None or (change.spec is None and not removed):
+            self._calls.count_malformed()
+        return change
+
 
 def page_items(reply, field):
     """Return the items or events of a page, or None if the reply is no page."""
@@ -76,19 +84,27 @@
     return FeedError(detail, history_gone=reply.status == HTTP_GONE)
 
 
-def decode_change(item, removed=False):
-    """Return the ``Change`` of an object, or None if it has no name."""
+def decode_change(kind, item, removed=False):
+    """Return the ``Change`` of an object, or None if it has no readable name.
+
+    Its specification is None if it is malformed.
+    """
     meta = item.get("meta") if isinstance(item, dict) else None
     name = meta.get("name") if isinstance(meta, dict) else None
-    if not isinstance(name, str):
-        logger.warning("object without a name", extra={"removed": removed})
+    if not objects.is_text(name):
+        logger.warning("object without a readable name", extra={"kind": kind})
         return None
     revision = meta.get("revision")
+    if removed:
+        return Change(name, None, True, revision)
     spec = item.get("spec")
     # The start time of a server is stored next to its spec, not in it.
     if isinstance(spec, dict) and "born" in item and "born" not in spec:
         spec = {**spec, "born": item["born"]}
-    return Change(name, spec, bool(removed), revision)
+    known = objects.known_fields(kind, name, spec)
+    if known is None:
+        logger.warning("malformed object", extra={"kind": kind, "object": name})
+    return Change(name, known, False, revision)
 
 
 class ConfigSink:
--- a/hemlockspoke/platform/objects.py
+++ b/hemlockspoke/platform/objects.py
@@ -4,8 +4,12 @@
 None for a malformed object.
 """
 
+import math
+
 from hemlockspoke.address import Address
 from hemlockspoke.http1.channel import ChannelLimits
+from hemlockspoke.messages import fits_in_message
+from hemlockspoke.registry import Registry
 from hemlockspoke.tier.routes import Route, RoutingTable, ServiceLimits
 from hemlockspoke.tier.servers import ServerEntry, ServerState
 
@@ -17,6 +21,75 @@
 DAEMON_KIND = "hemlockspoke-daemons"
 
 _STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
+# Integers up to this size are exact as floats, in which times are calculated.
+MAX_INTEGER = 2**53
+MAX_TEXT_LENGTH = 1024
+# The store holds objects of up to 1 MB.
+MAX_OBJECT_BYTES = 2 * 1024 * 1024
+_SERVER_FIELDS = (
+    "address",
+    "born",
+    "service",
+    "slots",
+    "state",
+    "warmup_left_ms",
+    "zone",
+)
+_DAEMON_FIELDS = ("failure_domain", "peer_address", "renewed_ms")
+# Raised for values of another type or out of range.
+_MALFORMED = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
+
+field_readers = Registry("object kind")
+
+
+def known_fields(kind, name, spec):
+    """Return what this project uses of a specification, or None if it is malformed.
+
+    Daemons relay it to each other, so it must be small and encodable.
+    """
+    return field_readers.get(kind)(name, spec)
+
+
+@field_readers.register(CONFIG_KIND)
+def config_fields(name, spec):
+    """Return the configuration; other objects of the kind are not used."""
+    if name != CONFIG_NAME:
+        return {}
+    return spec if fits_in_message(spec, MAX_OBJECT_BYTES) else None
+
+
+@field_readers.register(SERVER_KIND)
+def server_fields(name, spec):
+    """Return the fields of a server's entry, unless a part of it is unreadable."""
+    is_readable = fits_in_message(spec, MAX_OBJECT_BYTES)
+    if not is_readable or decode_server(name, spec) is None:
+        return None
+    return {field: spec[field] for field in _SERVER_FIELDS if field in spec}
+
+
+@field_readers.register(EVACUATION_KIND)
+def evacuation_fields(name, spec):
+    """Return no field: the object's name says all."""
+    return {}
+
+
+@field_readers.register(DAEMON_KIND)
+def daemon_fields(name, spec):
+    """Return the fields of a daemon's registration."""
+    try:
+        fields = {field: spec[field] for field in _DAEMON_FIELDS}
+        texts = (fields["failure_domain"], fields["peer_address"])
+        return fields if all(map(is_text, texts)) else None
+    except _MALFORMED:
+        return None
+
+
+def is_text(value):
+    """Return whether a value is text that can be encoded, of a reasonable length."""
+    if not isinstance(value, str) or not 0 < len(value) <= MAX_TEXT_LENGTH:
+        return False
+    # Bytes that are no UTF-8 have been decoded to lone surrogates.
+    return not any("\ud800" <= character <= "\udfff" for character in value)
 
 
 def decode_routing(spec):
@@ -29,13 +102,13 @@
             [_decode_service_limits(item) for item in spec["services"]],
             ChannelLimits(
                 **{
-                    name: limits[name]
+                    name: _integer(limits[name])
                     for name in ChannelLimits.__slots__
                     if isinstance(limits.get(name), int)
                 }
             ),
         )
-    except (AttributeError, KeyError, TypeError, ValueError):
+    except _MALFORMED:
         return None
 
 
@@ -43,30 +116,32 @@
     split = item.get("split") or ()
     shards = item.get("shard_services") or ()
     if item.get("service"):
-        split = [(item["service"], 1.0)]
+        split = [(_text(item["service"]), 1.0)]
     else:
-        split = [(choice["service"], float(choice["weight"])) for choice in split]
+        split = [
+            (_text(choice["service"]), _number(choice["weight"])) for choice in split
+        ]
     return Route(
         name=item.get("name", ""),
-        host=item["host"].lower(),
-        path_prefix=item["path_prefix"],
+        host=_text(item["host"]).lower(),
+        path_prefix=_text(item["path_prefix"]),
         idempotent=item["kind"] == "idempotent",
-        timeout_ms=float(item["timeout_ms"]),
-        target_ms=float(item.get("target_latency_ms") or item["timeout_ms"]),
+        timeout_ms=_number(item["timeout_ms"]),
+        target_ms=_number(item.get("target_latency_ms") or item["timeout_ms"]),
         max_servers=max(1, int(item.get("max_attempts", 1))),
         split=split,
-        shards=shards,
+        shards=list(map(_text, shards)),
         top_k=int(item.get("top_k", 0)),
-        min_coverage=float(item.get("min_coverage", 0.0)),
-        regions=item.get("allowed_regions") or (),
+        min_coverage=_number(item.get("min_coverage", 0.0)),
+        regions=list(map(_text, item.get("allowed_regions") or ())),
     )
 
 
 def _decode_service_limits(item):
     return ServiceLimits(
-        item["name"],
+        _text(item["name"]),
         int(item.get("max_connections") or 1),
-        float(item.get("warmup_per_s") or 0.0),
+        _number(item.get("warmup_per_s") or 0.0),
     )
 
 
@@ -74,14 +149,11 @@
     """Return the ``ServerEntry`` of a server, or None if it is malformed."""
     try:
         state = _STATES[spec["state"]]
-        service, zone = spec["service"], spec["zone"]
-        if not (isinstance(service, str) and isinstance(zone, str) and service):
-            return None
         return ServerEntry(
             server_id=name,
-            service=service,
+            service=_text(spec["service"]),
             address=Address.parse(spec["address"]),
-            failure_domain=zone,
+            failure_domain=_text(spec["zone"]),
             state=state,
             slots=max(1, _integer(spec["slots"])),
             cold_ms=max(0, _integer(spec.get("warmup_left_ms", 0))),
@@ -89,11 +161,25 @@
             # process under the same id.
             started_ms=_integer(spec["born"]) if "born" in spec else None,
         )
-    except (AttributeError, KeyError, TypeError, ValueError):
+    except _MALFORMED:
         return None
 
 
 def _integer(value):
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(f"{value!r} is not an integer")
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    if not is_integer or abs(value) > MAX_INTEGER:
+        raise ValueError("not an integer, or too large")
+    return value
+
+
+def _number(value):
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError("not a finite number")
+    return number
+
+
+def _text(value):
+    if not is_text(value):
+        raise ValueError("not a text of a reasonable length")
     return value
--- a/hemlockspoke/platform/store.py
+++ b/hemlockspoke/platform/store.py
@@ -24,6 +24,10 @@
         self._metrics.count(f"store.{method.lower()}")
         self._calls.call(method, path, on_reply, timeout_ms, body)
 
+    def count_malformed(self):
+        """Count an object of the store that cannot be used."""
+        self._metrics.count("store.malformed")
+
     def list(self, kind, after, on_reply, stale=False):
         """Read a page of the objects of a kind.
 
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -133,9 +133,16 @@
 
     def follow(self, kind, source, sink):
         """Add a kind of store objects that the daemon follows once started."""
-        followed = FollowedKind(kind, self._clock, sink)
+        followed = FollowedKind(kind, self._clock, sink, self._metrics)
         relaying_sink = RelayingSink(followed, self._relay)
-        feed = Feed(kind, self._clock, source, relaying_sink, self._watch_wait_ms)
+        feed = Feed(
+            kind,
+            self._clock,
+            source,
+            relaying_sink,
+            self._watch_wait_ms,
+            metrics=self._metrics,
+        )
         self._relay.follow(followed, feed)
 
     def set_registrations(self, registrations):
--- a/hemlockspoke/tier/feed.py
+++ b/hemlockspoke/tier/feed.py
@@ -6,6 +6,8 @@
 import logging
 import random
 
+from hemlockspoke.tier.metrics import MetricsRegistry
+
 logger = logging.getLogger(__name__)
 
 FIRST_RETRY_MS = 60.0
@@ -23,6 +25,13 @@
 # reaches the store; until then others do not rely on it.
 FIRST_WAIT_MS = 1.0
 
+# Delay of the next list after one that could not be applied because of a defect.
+DEFECT_RETRY_MS = 5000.0
+# Interval of checks that a feed makes progress, and what is added to the longest time
+# between a call and the next one before the feed counts as stuck.
+PROGRESS_CHECK_MS = 2000.0
+STUCK_MARGIN_MS = 3000.0
+
 
 class Change:
     """A listed, changed or removed object; ``revision`` is None if unknown."""
@@ -78,6 +87,9 @@
     ``lost`` is True from a failed call to the next successful one, and ``confirmed``
     once a call has succeeded since the feed was resumed. The delays after failed calls
     are multiplied by ``retry_factor``.
+
+    A defect in the sink does not end the feed: it is logged and counted. If a feed has
+    neither made a call nor got a reply for too long, it starts again with a list.
     """
 
     __slots__ = (
@@ -86,6 +98,8 @@
         "_kind",
         "_listed_changes",
         "_listed_revision",
+        "_metrics",
+        "_progress_ms",
         "_retry_ms",
         "_revision",
         "_rng",
@@ -99,13 +113,16 @@
         "retry_factor",
     )
 
-    def __init__(self, kind, clock, source, sink, wait_ms, rng=None):
+    def __init__(self, kind, clock, source, sink, wait_ms, rng=None, metrics=None):
         self._kind = kind
         self._clock = clock
         self._source = source
         self._sink = sink
         self._wait_ms = wait_ms
         self._rng = rng or random.Random()
+        self._metrics = metrics or MetricsRegistry()
+        # Clock time of the last call or reply.
+        self._progress_ms = 0.0
         self._revision = None
         # Changes of the pages of a list so far, and the revision of the first page.
         self._listed_changes = []
@@ -128,6 +145,10 @@
         # Others have just failed if this feed is to call less often than they do.
         self._retry_ms = FIRST_RETRY_MS if self.retry_factor <= 1.0 else MAX_RETRY_MS
         self._listed_changes = []
+        self._progress_ms = self._clock.now_ms()
+        self._clock.call_later(
+            PROGRESS_CHECK_MS, self._check_progress, self._generation
+        )
         if revision is None:
             self._list(self._generation, None)
         else:
@@ -144,13 +165,41 @@
         self._generation += 1
         self.active = False
 
+    def _check_progress(self, generation):
+        """Start again if neither a call nor a reply has come for too long."""
+        if generation != self._generation:
+            return
+        idle_ms = self._clock.now_ms() - self._progress_ms
+        longest_ms = self._wait_ms + WATCH_GRACE_MS + MAX_RETRY_MS * self.retry_factor
+        if idle_ms > max(longest_ms, DEFECT_RETRY_MS) + STUCK_MARGIN_MS:
+            logger.error(
+                "feed is stuck",
+                extra={"feed": self._kind, "idle_ms": round(idle_ms)},
+            )
+            self._metrics.count("feed.stuck")
+            self.resume()
+            return
+        self._clock.call_later(PROGRESS_CHECK_MS, self._check_progress, generation)
+
+    def _hand_over(self, apply, *args):
+        """Pass objects to the sink; return False after a defect in it."""
+        try:
+            apply(*args)
+        except Exception:
+            logger.exception("defect in applying objects", extra={"feed": self._kind})
+            self._metrics.count("feed.defects")
+            return False
+        return True
+
     def _list(self, generation, after):
         if generation == self._generation:
+            self._progress_ms = self._clock.now_ms()
             self._source.list_page(after, lambda page: self._on_page(generation, page))
 
     def _on_page(self, generation, page):
         if generation != self._generation:
             return
+        self._progress_ms = self._clock.now_ms()
         if isinstance(page, FeedError):
             self._listed_changes = []
             self._retry(page, self._list, generation, None)
@@ -167,13 +216,15 @@
         # Objects of earlier pages may have changed while later ones were read, so the
         # watch starts at the first page; changes that are known already are repeated.
         self._revision = self._listed_revision
-        self._sink.replace(changes, self._revision)
+        if not self._hand_over(self._sink.replace, changes, self._revision):
+            self._clock.call_later(DEFECT_RETRY_MS, self._list, generation, None)
+            return
         delay_ms = FIRST_WATCH_DELAY_MS if is_first else WATCH_INTERVAL_MS
         self._clock.call_later(delay_ms, self._watch, generation)
 
     def _watch(self, generation):
         if generation == self._generation:
-            self._watch_started_ms = self._clock.now_ms()
+            self._watch_started_ms = self._progress_ms = self._clock.now_ms()
             self._source.watch(
                 self._revision,
                 self._wait_ms if self.confirmed else FIRST_WAIT_MS,
@@ -184,6 +235,7 @@
     def _on_changes(self, generation, page):
         if generation != self._generation:
             return
+        self._progress_ms = self._clock.now_ms()
         if isinstance(page, FeedError):
             if page.history_gone:
                 logger.info("history gone", extra={"feed": self._kind})
@@ -194,7 +246,7 @@
         self._note_success()
         since = self._revision
         self._revision = max(since, page.revision)
-        self._sink.apply(page.changes, since, self._revision)
+        self._hand_over(self._sink.apply, page.changes, since, self._revision)
         waited_ms = self._clock.now_ms() - self._watch_started_ms
         delay_ms = WATCH_INTERVAL_MS - waited_ms
         self._clock.call_later(delay_ms, self._watch, generation)
--- a/hemlockspoke/tier/followed_kind.py
+++ b/hemlockspoke/tier/followed_kind.py
@@ -1,5 +1,11 @@
 """The known state of one kind of store objects, and what keeps it up to date."""
 
+import logging
+
+from hemlockspoke.tier.metrics import MetricsRegistry
+
+logger = logging.getLogger(__name__)
+
 
 class FollowedKind:
     """The known state of one kind of objects, with its feed and its sink.
@@ -14,6 +20,7 @@
 
     __slots__ = (
         "_clock",
+        "_metrics",
         "_sink",
         "confirmed_ms",
         "feed",
@@ -24,9 +31,10 @@
         "unread_since_ms",
     )
 
-    def __init__(self, kind, clock, sink):
+    def __init__(self, kind, clock, sink, metrics=None):
         self.kind = kind
         self._clock = clock
+        self._metrics = metrics or MetricsRegistry()
         self._sink = sink
         self.feed = None
         self.objects = {}
@@ -53,7 +61,18 @@
                 self.objects[change.name] = change.spec
         self._confirm(revision, age_ms)
         for change in changes:
+            self._apply_change(change)
+
+    def _apply_change(self, change):
+        """Apply one change; a defect in it must not cost the others."""
+        try:
             self._sink.apply(change)
+        except Exception:
+            logger.exception(
+                "defect in applying a change",
+                extra={"kind": self.kind, "object": change.name},
+            )
+            self._metrics.count("feed.defects")
 
     def _confirm(self, revision, age_ms):
         self.revision = revision
--- a/hemlockspoke/tier/members.py
+++ b/hemlockspoke/tier/members.py
@@ -130,9 +130,7 @@
         delay_ms = READ_INTERVAL_MS
         if changes is not None:
             self._listed = True
-            self._on_members(self._decode(changes))
-            if not self._registering:
-                self._renew(changes)
+            self._apply(changes)
         elif not self._listed:
             delay_ms = FIRST_READ_RETRY_MS
         delay_ms *= self._rng.uniform(0.8, 1.2)
@@ -140,6 +138,15 @@
         if self._read_again:
             self.read_soon()
 
+    def _apply(self, changes):
+        """Apply a list; a defect must not end the reads."""
+        try:
+            self._on_members(self._decode(changes))
+            if not self._registering:
+                self._renew(changes)
+        except Exception:
+            logger.exception("defect in applying the list of daemons")
+
     def _renew(self, changes):
         """Keep the registration that a list has of this VM, or write a new one."""
         own = [change for change in changes if change.name == self._settings.vm]
--- a/hemlockspoke/tier/peer_directory.py
+++ b/hemlockspoke/tier/peer_directory.py
@@ -120,6 +120,8 @@
     """Return the ``Peer`` of a registration, or None if it is malformed."""
     try:
         domain = spec["failure_domain"]
+        if not isinstance(domain, str):
+            raise ValueError("the failure domain is no text")
         address = Address.parse(spec["peer_address"])
     except (KeyError, TypeError, ValueError):
         logger.warning("malformed registration", extra={"peer": name})
--- /dev/null
+++ b/tests/features/edge_odd_entries.feature
@@ -0,0 +1,40 @@
+Feature: entries of other writers that cannot be read cost themselves alone
+
+  Scenario Outline: daemons follow the store beside an odd server entry
+    # Guards against daemons that stop to follow the store, end, or know no server, after
+    # an entry with bytes that are no text, deep nesting or a number that is too large.
+    Given a platform with 1 shards and the daemon "e1" in "a1"
+    And another daemon "e2" in "a1" that takes the changes from "e1"
+    When another writer's server entry has <value> as its service
+    And the server "item-a1" starts to drain
+    Then "e1" and "e2" know that "item-a1" is leaving
+    When the daemon "e3" starts in "a1"
+    Then "e3" knows the servers of items, and that "item-a1" is leaving
+
+    Examples:
+      | value                |
+      | raw bytes            |
+      | escaped surrogates   |
+      | lists 100000 deep    |
+      | lists 600 deep       |
+      | a number of 60 bits more than fit |
+      | 9000 digits          |
+
+  Scenario: odd objects of any kind leave the others as they are
+    Then whatever object another writer leaves, the others are followed and relayed
+
+  Scenario: an odd registration leaves the other daemons known
+    # Guards against a daemon that ceases to read the list of daemons.
+    Then whatever registration another writer leaves, the other daemons are known
+
+  Scenario: a defect in the sink does not end a feed
+    Given a feed whose sink fails at every change
+    When 10 s pass on its clock
+    Then the feed still watches the store
+
+  Scenario: a feed whose call is never answered starts again
+    # Guards against a feed that stops for good when a reply is lost inside the daemon.
+    Given a feed whose store takes a call and never replies
+    When the store is back and 1 s passes
+    And 15 s pass on its clock
+    Then the feed has read it
--- a/tests/features/steps/edge_feed_steps.py
+++ b/tests/features/steps/edge_feed_steps.py
@@ -16,7 +16,10 @@
 
 
 class FakeStoreCalls:
-    """Answers each call with ``reply`` at once, and counts calls by the second."""
+    """Answers each list with ``reply`` at once, and counts lists by the second.
+
+    Without a reply the call stays unanswered.
+    """
 
     def __init__(self, clock, reply):
         self.clock = clock
@@ -26,7 +29,8 @@
     def list(self, kind, after, on_reply, stale=False):
         """Answer a list."""
         self.calls_by_second[int(self.clock.now_ms() // 1000)] += 1
-        on_reply(self.reply)
+        if self.reply is not None:
+            on_reply(self.reply)
 
     def watch(self, kind, revision, wait_ms, grace_ms, on_reply):
         """Leave a watch waiting."""
@@ -101,6 +105,11 @@
     start_feed(context, WITHOUT_FIELDS)
 
 
+@given("a feed whose store takes a call and never replies")
+def step_never_replies(context):
+    start_feed(context, None)
+
+
 @given('a feed whose store lists "s1", then removes it, and then lists "s2"')
 def step_two_pages(context):
     context.clock = ManualClock()
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -13,6 +13,13 @@
 PAGE_ITEMS = 50
 
 
+class RawJson:
+    """Bytes in the place of a value of the store's JSON; they need not be JSON."""
+
+    def __init__(self, data):
+        self.data = data
+
+
 class StoredItem:
     """One object with its revision."""
 
@@ -187,4 +194,18 @@
 def reply(request, status, body):
     """Respond to a request with JSON."""
     headers = [(b"Content-Type", b"application/json")]
-    request.respond(status, headers, json.dumps(body).encode())
+    request.respond(status, headers, encode_json(body))
+
+
+def encode_json(body):
+    """Return the bytes of a value that may hold ``RawJson``."""
+    raw_values = []
+
+    def placeholder(value):
+        raw_values.append(value.data)
+        return f"raw value {len(raw_values)}"
+
+    data = json.dumps(body, default=placeholder).encode()
+    for number, raw_data in enumerate(raw_values, 1):
+        data = data.replace(b'"raw value %d"' % number, raw_data)
+    return data
