Keep to what servers say of themselves: that they leave, or want a pause

Cause of what servers saw: the headers were passed on and not read. A server that the store called ready was used on, and a full server was asked again at once.

Change: ServerNotices keeps both by the server's process, also over a lapse of its entry, in bounded memory. eligibility.py holds all reasons against a server in one list, which first attempts, repeats, hedges, parts and delegated requests use. Waiting requests are recalled. If all servers of a service are on hold the caller is refused at once, with the first end of a hold and a random part as Retry-After.

--- a/hemlockspoke/http1/connection.py
+++ b/hemlockspoke/http1/connection.py
@@ -41,6 +41,8 @@
     if the connection has carried an earlier request, of which bytes may still arrive.
     If ``is_own(response)`` is given and returns False, the response belongs to another
     request, and the connection is not used again. No connection of ``avoided`` is used.
+    ``partial`` is a ``Response`` without a body that has the headers of interim
+    responses, and of one whose body did not arrive; None without such headers.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         "max_body_bytes",
         "on_failure",
         "on_response",
+        "partial",
         "reused_connection",
         "sent_ms",
         "size_bytes",
@@ -80,6 +83,7 @@
         self.max_body_bytes = max_body_bytes
         self.is_own = is_own or (lambda response: True)
         self.avoided = avoided
+        self.partial = None
         self.reused_connection = False
         self.sent_ms = None
         self.connection = None
@@ -156,7 +160,7 @@
             self._complete(parser)
 
     def _complete(self, parser):
-        exchange, self._exchange, self._parser = self._exchange, None, None
+        exchange = self._take_exchange()
         response = parser.response
         reusable = (
             exchange.is_own(response)
@@ -178,13 +182,20 @@
         self._pool.lost(self)
         parser = self._parser
         if parser is not None and reason.check(ConnectionDone) and parser.end():
-            exchange, self._exchange, self._parser = self._exchange, None, None
-            exchange.finish(parser.response)
+            self._take_exchange().finish(parser.response)
             return
         self._fail_exchange(ExchangeFailure.BROKEN, reason.type.__name__)
 
+    def _take_exchange(self):
+        """Return the exchange in progress, which ends, or None."""
+        exchange, parser = self._exchange, self._parser
+        self._exchange = self._parser = None
+        if exchange is not None:
+            exchange.partial = parser.partial_response()
+        return exchange
+
     def _fail_exchange(self, failure, detail):
-        exchange, self._exchange, self._parser = self._exchange, None, None
+        exchange = self._take_exchange()
         if exchange is not None:
             exchange.fail(failure, detail)
 
--- a/hemlockspoke/http1/response_parser.py
+++ b/hemlockspoke/http1/response_parser.py
@@ -29,9 +29,11 @@
     __slots__ = (
         "_body",
         "_headers",
+        "_interim_headers",
         "_max_body_bytes",
         "_parser",
         "_received_bytes",
+        "_status",
         "_until_close",
         "has_trailing_data",
         "head_only",
@@ -45,6 +47,9 @@
         self._received_bytes = 0
         self._parser = HttpResponseParser(self)
         self._headers = []
+        self._interim_headers = []
+        # Set once the head of the response is complete.
+        self._status = None
         # One buffer, as a list of chunks of a few bytes takes several times their size.
         self._body = bytearray()
         # True if the headers do not delimit the body, so that a close ends it.
@@ -79,7 +84,8 @@
 
     def _reject(self, reason):
         self.malformed = reason
-        self._headers.clear()
+        if self._status is None:
+            self._headers.clear()
         self._body.clear()
 
     def end(self):
@@ -89,6 +95,17 @@
             return True
         return False
 
+    def partial_response(self):
+        """Return a response with the headers of all heads so far, or None.
+
+        These are the heads of interim responses, and that of a response whose body is
+        not complete.
+        """
+        headers = list(self._interim_headers)
+        if self._status is not None and self.response is None:
+            headers += self._headers
+        return Response(self._status or 0, headers, b"") if headers else None
+
     def on_message_begin(self):
         """Record that another message follows a complete response."""
         if self.response is not None:
@@ -112,6 +129,7 @@
             or b"transfer-encoding" in header_names
         )
         self._until_close = not is_delimited
+        self._status = status
         if self.head_only and status >= 200:
             self._complete(reusable=False)
 
@@ -125,6 +143,8 @@
         if self.response is not None:
             return
         if self._parser.get_status_code() < 200:
+            self._status = None
+            self._interim_headers += self._headers
             self._headers.clear()
             return
         self._complete(
--- a/hemlockspoke/platform/headers.py
+++ b/hemlockspoke/platform/headers.py
@@ -1,5 +1,8 @@
 """The platform's headers on requests and responses."""
 
+import re
+from email.utils import parsedate_to_datetime
+
 from hemlockspoke.http1.messages import end_to_end
 from hemlockspoke.tier.codec import CallerMetadata, Codec, ReplyMetadata
 
@@ -10,8 +13,12 @@
 INSTANCE_ID = b"x-hemlockspoke-instance-id"
 NOT_EXECUTED = b"x-hemlockspoke-not-executed"
 SERVER_STAMP = b"x-hemlockspoke-server-stamp"
+SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
+HTTP_UNAVAILABLE = 503
 PART_STAMPS = b"X-Hemlockspoke-Part-Stamps"
 PARTS_MISSING = b"X-Hemlockspoke-Parts-Missing"
+_SECONDS = re.compile(r"[0-9]+(?:\.[0-9]*)?|\.[0-9]+", re.ASCII)
 # Longer header lines exceed the limits of some HTTP clients.
 PROOFS_PER_LINE = 40
 
@@ -19,7 +26,10 @@
 class PlatformCodec(Codec):
     """Reads and writes the headers that the platform's documentation specifies."""
 
-    __slots__ = ()
+    __slots__ = ("_clock",)
+
+    def __init__(self, clock):
+        self._clock = clock
 
     def parse_caller_headers(self, headers):
         """Return the ``CallerMetadata`` of a request."""
@@ -60,6 +70,11 @@
                 metadata.not_run = True
             elif lower_name == INSTANCE_ID:
                 metadata.server_id = value.decode("latin-1")
+            elif lower_name == SERVER_LEAVING:
+                metadata.leaving = value.strip() == b"1"
+            elif lower_name == RETRY_AFTER and response.status == HTTP_UNAVAILABLE:
+                metadata.hold_ms = parse_retry_after_ms(value, self._clock.wall_ms())
+                metadata.malformed_hold = metadata.hold_ms is None
         return metadata
 
     def gathered_headers(self, proofs, missing):
@@ -72,6 +87,29 @@
         return headers
 
 
+def parse_retry_after_ms(value, wall_ms):
+    """Return the value of ``Retry-After`` in ms, or None if it states no time to wait.
+
+    It is a number of seconds, which may have a fraction, or an HTTP date. ``wall_ms``
+    is the time of day.
+
+    >>> parse_retry_after_ms(b"1.5", 0), parse_retry_after_ms(b"-1", 0)
+    (1500.0, None)
+    >>> parse_retry_after_ms(b"Thu, 01 Jan 1970 00:00:10 GMT", 4000)
+    6000.0
+    """
+    text = value.decode("latin-1").strip()
+    seconds = 0.0
+    if _SECONDS.fullmatch(text):
+        seconds = float(text)
+    else:
+        try:
+            seconds = parsedate_to_datetime(text).timestamp() - wall_ms / 1000.0
+        except (TypeError, ValueError, OverflowError, IndexError):
+            return None
+    return 1000.0 * seconds if 0.0 < seconds < float("inf") else None
+
+
 def parse_duration_ms(value):
     """Return a header's value in ms, or None if it is malformed or out of range."""
     try:
--- a/hemlockspoke/platform/program.py
+++ b/hemlockspoke/platform/program.py
@@ -30,7 +30,7 @@
         metrics,
         bind_host=settings.peer_address.host,
     )
-    daemon = EdgeDaemon(settings, reactor, clock, metrics, PlatformCodec())
+    daemon = EdgeDaemon(settings, reactor, clock, metrics, PlatformCodec(clock))
     for kind, sink in sinks_by_kind(daemon.directory).items():
         daemon.follow(kind, KindSource(calls, kind), sink)
     daemon.set_registrations(Registrations(calls))
--- a/hemlockspoke/tier/attempt.py
+++ b/hemlockspoke/tier/attempt.py
@@ -227,6 +227,27 @@
         echoes.add(metadata.not_run)
         return True
 
+    def _note_words(self, metadata, status):
+        """Record what the server says of itself in the head of a response."""
+        if status == HTTP_MISDIRECTED or not (
+            metadata.leaving or metadata.hold_ms or metadata.malformed_hold
+        ):
+            return
+        if metadata.leaving:
+            self._metrics.count("servers.leaving_answers")
+            self._directory.note_leaving(self.server)
+        if metadata.hold_ms:
+            self._metrics.count("servers.holds")
+            self._directory.note_hold(self.server, metadata.hold_ms)
+        elif metadata.malformed_hold:
+            self._metrics.count("servers.malformed_holds")
+
+    def _note_partial_response(self):
+        partial = self._exchange.partial
+        if partial is not None:
+            metadata = self._codec.parse_reply_headers(partial)
+            self._note_words(metadata, partial.status)
+
     def _on_response(self, response):
         self.response = response
         verdict, detail = Verdict.UNKNOWN, "response to another attempt"
@@ -236,7 +257,11 @@
         server = self.server
         if response.status == HTTP_MISDIRECTED:
             self._directory.mark_misdirected(server, self.metadata.server_id)
-        server.record_result(now_ms, failed=verdict is not Verdict.ANSWER)
+        self._note_words(self.metadata, response.status)
+        self._note_partial_response()
+        if not self.metadata.hold_ms:
+            # A server that asks for a pause is neither slow nor failing.
+            server.record_result(now_ms, failed=verdict is not Verdict.ANSWER)
         if verdict is Verdict.ANSWER:
             self._record_latency(now_ms)
         self._finish(verdict, detail)
@@ -266,6 +291,7 @@
                     "reason": detail,
                 },
             )
+        self._note_partial_response()
         now_ms = self._clock.now_ms()
         self.server.record_result(now_ms, failed=True, weight=0.6 if unsent else 0.3)
         self._finish(Verdict.UNSENT if unsent else Verdict.UNKNOWN, detail)
@@ -283,6 +309,15 @@
             self.server.overdue -= 1
 
 
+def leaving_servers(attempts):
+    """Return ``[server_id, started_ms]`` for servers whose answers say they leave."""
+    return [
+        [attempt.server.server_id, attempt.server.entry.started_ms]
+        for attempt in attempts
+        if attempt.metadata.leaving
+    ]
+
+
 def classify(response, metadata):
     """Return the verdict on a response, and a reason unless it is an answer.
 
--- a/hemlockspoke/tier/codec.py
+++ b/hemlockspoke/tier/codec.py
@@ -17,16 +17,30 @@
     """Headers of a server's response.
 
     ``proof`` is the server's signature, which shows that it ran the request;
-    ``not_run`` is True if the server did not and will not run it.
+    ``not_run`` is True if the server did not and will not run it. ``leaving`` is True
+    if the server says that it leaves. ``hold_ms`` is for how long a server that is
+    unavailable wants no requests, or None; ``malformed_hold`` is True if it states that
+    in a way that cannot be used.
     """
 
-    __slots__ = ("attempt_id", "not_run", "proof", "server_id")
+    __slots__ = (
+        "attempt_id",
+        "hold_ms",
+        "leaving",
+        "malformed_hold",
+        "not_run",
+        "proof",
+        "server_id",
+    )
 
     def __init__(self, proof=None, not_run=False, attempt_id=None, server_id=None):
         self.proof = proof
         self.not_run = not_run
         self.attempt_id = attempt_id
         self.server_id = server_id
+        self.leaving = False
+        self.hold_ms = None
+        self.malformed_hold = False
 
 
 class Codec(ABC):
--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -289,6 +289,7 @@
     def receive(self, vm, message):
         """Handle a message of another daemon; those of other types are ignored."""
         if isinstance(message, GatherReport):
+            self._tier.directory.note_leaving_at_peer(message.leaving)
             parts = self._delegated.get(message.query_id)
             if parts is not None and parts.peer == vm:
                 parts.report(message)
@@ -316,6 +317,7 @@
                 records=b"",
                 failed=failed,
                 waiting_server_ids=[],
+                leaving=[],
                 last=True,
             )
             self.send(vm, report)
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -25,15 +25,17 @@
 class DeliveryResult:
     """The result of a delivery: the attempt whose response is returned, or None.
 
-    ``may_have_run`` is True if any attempt has run or may have run.
+    ``may_have_run`` is True if any attempt has run or may have run. ``retry_after_ms``
+    is when a server that wants no requests takes them again, or None if none does.
     """
 
-    __slots__ = ("attempt", "may_have_run", "reason")
+    __slots__ = ("attempt", "may_have_run", "reason", "retry_after_ms")
 
-    def __init__(self, attempt, may_have_run, reason=""):
+    def __init__(self, attempt, may_have_run, reason="", retry_after_ms=None):
         self.attempt = attempt
         self.may_have_run = may_have_run
         self.reason = reason
+        self.retry_after_ms = retry_after_ms
 
     @property
     def answered(self):
@@ -241,6 +243,10 @@
         server = self._choose_server(for_hedge=hedge)
         if server is None:
             self.reason = "no other server" if self.attempts else "no server"
+            directory = self._tier.directory
+            excluded = directory.describe_exclusions(self.service, self._regions)
+            if excluded:
+                self.reason += f" ({excluded})"
             return False
         is_extra = arrival_count > 0
         extra_load = self._tier.extra_load
@@ -371,6 +377,13 @@
         return None
 
     def _finish(self, attempt):
-        result = DeliveryResult(attempt, self.may_have_run(), self.reason)
+        retry_after_ms = None
+        if attempt is None:
+            retry_after_ms = self._tier.directory.retry_after_ms(
+                [self.service], self._regions
+            )
+        result = DeliveryResult(
+            attempt, self.may_have_run(), self.reason, retry_after_ms
+        )
         self.abandon()
         self._on_done(self, result)
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -4,6 +4,8 @@
 
 from hemlockspoke.http1.pool import ConnectionPool
 from hemlockspoke.tier.apportion import LimitShares
+from hemlockspoke.tier.eligibility import has_left, reason_against
+from hemlockspoke.tier.server_notices import ServerNotices
 from hemlockspoke.tier.servers import ServerState, TrackedServer
 
 logger = logging.getLogger(__name__)
@@ -17,6 +19,8 @@
 # requests in flight.
 LEAVING_FRACTION = 0.25
 SERVER_LEAVING = "the server is leaving"
+# Limit on the servers that the log of one request names as not usable.
+MAX_DESCRIBED_SERVERS = 4
 
 
 class Directory:
@@ -41,6 +45,7 @@
         "age_ms",
         "domains_out",
         "limit_shares",
+        "notices",
         "on_configuration",
         "routing",
         "servers",
@@ -55,6 +60,7 @@
         self._failure_domains = failure_domains
         self._bounds = bounds
         self.limit_shares = LimitShares(vm, domain, failure_domains)
+        self.notices = ServerNotices(clock)
         self.routing = None
         self.servers_known = False
         self.servers = {}
@@ -118,19 +124,19 @@
         )
 
     def may_send(self, server, now_ms=None):
-        """Return whether this daemon's shares of the limits allow a request."""
-        if server.pool.limit < 1:
-            return False
-        limits = self.routing.services.get(server.entry.service)
-        if limits is None or not limits.cold_per_s:
-            return True
+        """Return whether this daemon may send a request to a server."""
         now_ms = self._clock.now_ms() if now_ms is None else now_ms
-        if not server.cold(now_ms):
-            return True
+        return reason_against(self, server, now_ms) is None
+
+    def is_at_cold_limit(self, server, now_ms):
+        """Return whether a cold server has got this daemon's share of its rate."""
+        limits = self.routing.services.get(server.entry.service)
+        if limits is None or not limits.cold_per_s or not server.cold(now_ms):
+            return False
         bounds = self._bounds
         rate_limit = limits.cold_per_s * bounds.cold_overshoot + bounds.cold_slack
         own_limit = self.limit_shares.cold_request_limit(server.server_id, rate_limit)
-        return server.sent_in_cold_window(now_ms) < own_limit
+        return server.sent_in_cold_window(now_ms) >= own_limit
 
     def set_servers(self, entries):
         """Apply a complete list of servers.
@@ -161,9 +167,8 @@
         server.listed = True
         server.cold_until_ms = now_ms + entry.cold_ms if entry.cold_ms else 0.0
         if entry.state is ServerState.DRAINING:
-            if server.leaving_until_ms is None:
-                self._start_leaving(server, self._bounds.drain_ms * LEAVING_FRACTION)
-        elif server.leaving_until_ms is not None:
+            self._start_leaving(server, self._bounds.drain_ms * LEAVING_FRACTION)
+        elif server.leaving_until_ms is not None and not server.says_leaving:
             self._log_server(entry, "returned")
             server.leaving_until_ms = None
 
@@ -176,7 +181,6 @@
         self._log_server(server.entry, reason)
         if server.leaving_until_ms is not None:
             self._remove_later(server, self._bounds.drain_ms)
-            return
         limit_ms = self._bounds.drain_ms * LEAVING_FRACTION
         self._start_leaving(server, limit_ms if grace_ms is None else grace_ms)
 
@@ -190,23 +194,100 @@
             server.pool.close_idle()
             server.pool.recall_waiting("the address has another server")
 
+    def note_leaving(self, server):
+        """Record that a server's own response says that it leaves.
+
+        Only its process is meant: one that starts later is not concerned.
+        """
+        if server.says_leaving:
+            return
+        until_ms = self.notices.leave(server.entry.process_key(), self._bounds.drain_ms)
+        self._log_server(server.entry, "says that it leaves")
+        self._apply_leaving_notice(server, until_ms)
+
+    def note_leaving_at_peer(self, servers):
+        """Record servers that have told another daemon that they leave.
+
+        ``servers`` lists pairs of an id and the start time, which tells a process from
+        a later one that this daemon may know already.
+        """
+        for server_id, started_ms in servers:
+            server = self.servers.get(server_id)
+            if server is not None and server.entry.started_ms == started_ms:
+                self.note_leaving(server)
+
+    def _apply_leaving_notice(self, server, until_ms):
+        server.says_leaving = True
+        self._start_leaving(server, until_ms - self._clock.now_ms())
+
+    def note_hold(self, server, hold_ms):
+        """Record that a server has refused a request and wants none for a time.
+
+        Requests that wait for it go to other servers.
+        """
+        until_ms = self.notices.hold(server.entry.process_key(), hold_ms)
+        if not server.held(self._clock.now_ms()):
+            self._log_server(server.entry, f"wants no requests for {hold_ms:.0f} ms")
+        server.held_until_ms = max(server.held_until_ms, until_ms)
+        server.pool.recall_waiting("the server wants no requests")
+
+    def retry_after_ms(self, services, regions=()):
+        """Return when a caller may come back for servers that want no requests, in ms.
+
+        That is when the first of them takes requests again, and a random time later, so
+        that callers do not come back together. It is None if none is on hold.
+        """
+        now_ms = self._clock.now_ms()
+        remaining_ms = [
+            server.held_until_ms - now_ms
+            for service in services
+            for server in self._in_regions(service, regions)
+            if server.held(now_ms)
+        ]
+        if not remaining_ms:
+            return None
+        return min(remaining_ms) + self.notices.spread_ms(min(remaining_ms))
+
+    def count_notices(self):
+        """Return how many servers say that they leave, and how many are on hold."""
+        now_ms = self._clock.now_ms()
+        servers = self.servers.values()
+        return (
+            sum(server.says_leaving for server in servers),
+            sum(server.held(now_ms) for server in servers),
+        )
+
+    def describe_exclusions(self, service, regions=()):
+        """Return why servers of a service may get no request, as a text for the log."""
+        now_ms = self._clock.now_ms()
+        texts = [
+            f"{server.server_id}: {reason}"
+            for server in self._in_regions(service, regions)
+            if (reason := reason_against(self, server, now_ms)) is not None
+        ]
+        return ", ".join(texts[:MAX_DESCRIBED_SERVERS])
+
     def candidates(self, service, regions=()):
         """Return the servers of a service that this daemon may send to now."""
         now_ms = self._clock.now_ms()
         return [
             server
-            for server in self._usable_servers(service, regions, now_ms)
-            if self.may_send(server, now_ms)
+            for server in self._in_regions(service, regions)
+            if reason_against(self, server, now_ms) is None
         ]
 
+    def _in_regions(self, service, regions):
+        servers = self.services.get(service, ())
+        if not regions:
+            return servers
+        return [server for server in servers if server.region in regions]
+
     def _usable_servers(self, service, regions, now_ms):
         """Return the servers of a service that at least one daemon may send to."""
         return [
             server
-            for server in self.services.get(service, ())
-            if server.usable(now_ms)
-            and server.entry.failure_domain not in self.domains_out
-            and (not regions or server.region in regions)
+            for server in self._in_regions(service, regions)
+            if reason_against(self, server, now_ms, own=False) is None
         ]
 
     def fastest_servers(self, service, regions, work_ms, count=1):
@@ -240,6 +321,13 @@
         self.servers[entry.server_id] = server
         self.services.setdefault(entry.service, []).append(server)
         self._log_server(entry, "added")
+        # The entry of a process may return after it has lapsed, or come from a list
+        # that is older than what the process has said.
+        process = entry.process_key()
+        server.held_until_ms = self.notices.hold_until_ms(process) or 0.0
+        usable_until_ms = self.notices.usable_until_ms(process)
+        if usable_until_ms is not None:
+            self._apply_leaving_notice(server, usable_until_ms)
         return server
 
     def _start_leaving(self, server, grace_ms):
@@ -248,13 +336,16 @@
         Requests that wait for a connection to it go to other servers at once, or are
         given up when that time is over.
         """
-        server.leaving_until_ms = self._clock.now_ms() + grace_ms
+        until_ms = self._clock.now_ms() + grace_ms
+        if server.leaving_until_ms is not None and server.leaving_until_ms <= until_ms:
+            return
+        server.leaving_until_ms = until_ms
         server.pool.recall_waiting(SERVER_LEAVING)
         self._clock.call_later(grace_ms, self._recall_if_left, server)
         self._remove_later(server, max(grace_ms, self._bounds.drain_ms))
 
     def _recall_if_left(self, server):
-        if not server.usable(self._clock.now_ms()):
+        if has_left(self, server, self._clock.now_ms()):
             server.pool.recall_waiting(SERVER_LEAVING)
 
     def _remove_later(self, server, delay_ms):
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -217,6 +217,9 @@
         self._metrics.gauge("requests_active", self._request_handler.active())
         self._metrics.gauge("members", self.directory.limit_shares.daemon_count())
         self._metrics.gauge("servers", len(self.directory.servers))
+        leaving_count, held_count = self.directory.count_notices()
+        self._metrics.gauge("servers_leaving", leaving_count)
+        self._metrics.gauge("servers_held", held_count)
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         request.respond(200, headers, self._metrics.to_text().encode())
 
--- a/hemlockspoke/tier/forward.py
+++ b/hemlockspoke/tier/forward.py
@@ -75,14 +75,10 @@
                 result.reason,
             )
             return
-        self._refuse(result.may_have_run, result.reason)
+        self._refuse(result.may_have_run, result.reason, result.retry_after_ms)
 
-    def _refuse(self, may_have_run, reason):
-        error_reply = (
-            ErrorReply.outcome_unknown(reason)
-            if may_have_run
-            else ErrorReply.not_run(reason)
-        )
+    def _refuse(self, may_have_run, reason, retry_after_ms=None):
+        error_reply = ErrorReply.without_answer(may_have_run, reason, retry_after_ms)
         error_reply.send(self._on_answer)
 
     def _on_timeout(self):
--- a/hemlockspoke/tier/forward_manager.py
+++ b/hemlockspoke/tier/forward_manager.py
@@ -133,6 +133,7 @@
             if asked is None or asked.vm != vm:
                 return
             if isinstance(message, ForwardReply):
+                self._tier.directory.note_leaving_at_peer(message.leaving)
                 del self._asked[message.forward_id]
                 asked.operation.on_reply(message)
             else:
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -374,12 +374,15 @@
         )
         may_have_run = may_have_run or bool(self._delegations)
         self._stop(let_finish=False)
-        if not may_have_run:
-            ErrorReply.not_run("no shard could be reached").send(self._on_answer)
-        elif reason == NO_ANSWER_IN_TIME:
+        if may_have_run and reason == NO_ANSWER_IN_TIME:
             ErrorReply.timeout(reason).send(self._on_answer)
-        else:
-            ErrorReply.outcome_unknown(reason).send(self._on_answer)
+            return
+        route = self._request.route
+        retry_after_ms = self._tier.directory.retry_after_ms(
+            route.shards, route.regions
+        )
+        error_reply = ErrorReply.without_answer(may_have_run, reason, retry_after_ms)
+        error_reply.send(self._on_answer)
 
     def _stop(self, let_finish=True):
         """Stop the timers; cancel requests, or let them finish for a short time."""
--- a/hemlockspoke/tier/messages.py
+++ b/hemlockspoke/tier/messages.py
@@ -99,6 +99,8 @@
     in the final report, which is sent once every service has answered or failed, or at
     the deadline. A service that no report names has not answered by then.
     ``waiting_server_ids`` lists the servers that have the query and have not answered.
+    ``leaving`` lists ``[server_id, started_ms]`` for the servers whose answers say that
+    they leave; ``started_ms`` is as in their entries.
     """
 
     __slots__ = (
@@ -109,6 +111,7 @@
         "records",
         "failed",
         "waiting_server_ids",
+        "leaving",
         "last",
     )
 
@@ -167,7 +170,8 @@
     ``status``, ``headers`` and ``body`` are those of the server's response, which is a
     success or a failure with the server's proof; ``status`` is null if there is none.
     Then ``may_have_run`` is false if certainly no server has run or will run the
-    request, and ``reason`` says why there is no response.
+    request, and ``reason`` says why there is no response. ``leaving`` is as in
+    ``GatherReport``.
     """
 
     __slots__ = (
@@ -177,6 +181,7 @@
         "body",
         "may_have_run",
         "reason",
+        "leaving",
     )
 
 
--- a/hemlockspoke/tier/peer_forward.py
+++ b/hemlockspoke/tier/peer_forward.py
@@ -3,7 +3,7 @@
 import logging
 
 from hemlockspoke.http1.messages import end_to_end, printable
-from hemlockspoke.tier.attempt import OutgoingRequest
+from hemlockspoke.tier.attempt import OutgoingRequest, leaving_servers
 from hemlockspoke.tier.attempt_log import describe_attempts
 from hemlockspoke.tier.delivery import Delivery
 from hemlockspoke.tier.messages import ForwardAcknowledgement, ForwardReply
@@ -64,10 +64,14 @@
         self._manager.send(self._peer, message)
 
     def _on_delivery(self, delivery, result):
-        response = None if result.attempt is None else result.attempt.response
+        attempt = result.attempt
         self._finish("reported")
         message = reply(
-            self._message.forward_id, response, result.may_have_run, result.reason
+            self._message.forward_id,
+            None if attempt is None else attempt.response,
+            result.may_have_run,
+            result.reason,
+            leaving_servers([] if attempt is None else [attempt]),
         )
         self._manager.send(self._peer, message)
 
@@ -92,7 +96,7 @@
             )
 
 
-def reply(forward_id, response, may_have_run, reason):
+def reply(forward_id, response, may_have_run, reason, leaving=()):
     """Return the ``ForwardReply`` with a server's response, or without if it is None.
 
     >>> reply(7, None, False, "no server").may_have_run
@@ -106,4 +110,5 @@
         body=b"" if response is None else response.body,
         may_have_run=may_have_run,
         reason=reason,
+        leaving=list(leaving),
     )
--- a/hemlockspoke/tier/peer_gather.py
+++ b/hemlockspoke/tier/peer_gather.py
@@ -3,7 +3,7 @@
 import logging
 
 from hemlockspoke.http1.messages import printable
-from hemlockspoke.tier.attempt import OutgoingRequest
+from hemlockspoke.tier.attempt import OutgoingRequest, leaving_servers
 from hemlockspoke.tier.attempt_log import describe_attempts
 from hemlockspoke.tier.delivery import Delivery
 from hemlockspoke.tier.merge import greatest_records
@@ -124,6 +124,7 @@
                 for attempt in delivery.in_flight()
                 if attempt.sent
             ],
+            leaving=leaving_servers(attempt for _, attempt, _ in answers),
             last=last,
         )
         self._delegation.send(self._peer, report)
--- a/hemlockspoke/tier/replies.py
+++ b/hemlockspoke/tier/replies.py
@@ -45,6 +45,16 @@
         """Return the reply to a request that matches no route."""
         return cls(HTTP_NOT_FOUND, "no_route", "no route")
 
+    @classmethod
+    def without_answer(cls, may_have_run, reason, retry_after_ms=None):
+        """Return the reply to a request that no server has answered.
+
+        ``retry_after_ms`` is when a server takes requests again, if that is known.
+        """
+        if may_have_run:
+            return cls.outcome_unknown(reason)
+        return cls.not_run(reason, retry_after_ms or RETRY_AFTER_SHED_MS)
+
     def send(self, on_answer):
         """Call ``on_answer(status, headers, body, outcome, reason)``."""
         headers = []
--- a/hemlockspoke/tier/servers.py
+++ b/hemlockspoke/tier/servers.py
@@ -82,20 +82,22 @@
         self.cold_ms = cold_ms
         self.started_ms = started_ms
 
+    def process_key(self):
+        """Return what identifies the process of a server."""
+        return (self.server_id, self.service, self.address, self.started_ms)
+
     def same_process(self, other):
         """Return whether both entries describe the same process of a server."""
-        return (
-            self.service == other.service
-            and self.address == other.address
-            and self.started_ms == other.started_ms
-        )
+        return self.process_key() == other.process_key()
 
 
 class TrackedServer:
     """One server: its entry, its connections and its measurements.
 
     ``listed`` is whether the store has an entry of the server. ``leaving_until_ms`` is
-    the clock time until which a leaving server may be used, and None for others.
+    the clock time until which a leaving server may be used, and None for others;
+    ``says_leaving`` is whether its own responses say that it leaves. ``held_until_ms``
+    is the clock time until which it wants no requests.
     ``outstanding`` counts the attempts in progress, ``overdue`` those of them that take
     longer than usual. ``misdirected`` is whether another server answers at the address.
     ``echoes`` has True if its refusals (responses that say "not run") name the request
@@ -113,6 +115,7 @@
         "cold_until_ms",
         "echoes",
         "entry",
+        "held_until_ms",
         "leaving_until_ms",
         "listed",
         "misdirected",
@@ -122,6 +125,7 @@
         "region",
         "rtt_ms",
         "same_region",
+        "says_leaving",
     )
 
     def __init__(self, entry, pool, region, same_region):
@@ -131,6 +135,8 @@
         self.same_region = same_region
         self.rtt_ms = SAME_REGION_RTT_MS if same_region else CROSS_REGION_RTT_MS
         self.leaving_until_ms = None
+        self.says_leaving = False
+        self.held_until_ms = 0.0
         self.listed = True
         self.cold_until_ms = 0.0
         self.misdirected = False
@@ -190,11 +196,9 @@
         age_ms = now_ms - self._slowness_updated_ms
         return 1.0 + (self._slowness - 1.0) * 0.5 ** (age_ms / SLOWNESS_HALF_LIFE_MS)
 
-    def usable(self, now_ms):
-        """Return whether a request may be sent to the server, apart from limits."""
-        if self.misdirected:
-            return False
-        return self.leaving_until_ms is None or now_ms < self.leaving_until_ms
+    def held(self, now_ms):
+        """Return whether the server wants no requests now."""
+        return now_ms < self.held_until_ms
 
     def record_send(self, now_ms):
         """Record the time at which a request is about to be sent."""
--- a/tests/features/edge_forward.feature
+++ b/tests/features/edge_forward.feature
@@ -32,6 +32,13 @@
       | cut_head  | 502    | 1    |
       | hang      | 504    | 1    |
 
+  Scenario: both daemons know of a server that says that it leaves
+    # Guards against requests of the daemon that has passed the answer on.
+    Given every server of items says that it leaves
+    When a caller sends an item request to "e1"
+    Then it gets 200 with the proof and the body of one server
+    And "e1" and "e3" know that the server of the proof leaves
+
   Scenario: a failure of the server is returned with its proof
     Given every server of items is "fail"
     When a caller sends an order to "e1"
--- a/tests/features/steps/edge_forward_steps.py
+++ b/tests/features/steps/edge_forward_steps.py
@@ -73,3 +73,17 @@
     reply = context.reply
     proof = reply.headers["x-hemlockspoke-server-stamp"].decode()
     assert reply.status == status and proof.endswith("." + context.attempt), proof
+
+
+@given("every server of items says that it leaves")
+def step_items_leave(context):
+    for server in item_servers(context):
+        server.says_leaving = True
+
+
+@then('"{first}" and "{second}" know that the server of the proof leaves')
+def step_both_know(context, first, second):
+    server_id = context.reply.headers["x-hemlockspoke-server-stamp"].decode().split(".")
+    for vm in (first, second):
+        directory = context.world.daemons[vm].directory
+        assert directory.servers[server_id[0]].says_leaving, vm
--- a/tests/standins/shard_server.py
+++ b/tests/standins/shard_server.py
@@ -6,6 +6,7 @@
 """
 
 import struct
+import time
 
 from hemlockspoke.http1.channel import HttpSite
 from hemlockspoke.http1.messages import encode_response
@@ -50,6 +51,10 @@
         self.body = records(shard, 20)
         self.behaviour = "serve"
         self.work_ms = 1
+        self.says_leaving = False
+        # Value of Retry-After while the behaviour is "hold".
+        self.retry_after = b"1"
+        self.received_s = []
         self.received_attempts = []
         self.executed_attempts = []
         self.deadlines_ms = []
@@ -89,6 +94,7 @@
 
     def _handle(self, request):
         self.received_attempts.append(header(request, ATTEMPT_HEADER))
+        self.received_s.append(time.monotonic())
         self.deadlines_ms.append(float(header(request, DEADLINE_HEADER)))
         if header(request, EXPECT_INSTANCE_HEADER) != self.server_id.encode():
             headers = [(b"X-Hemlockspoke-Instance-Id", self.server_id.encode())]
@@ -105,7 +111,8 @@
         attempt = header(request, ATTEMPT_HEADER)
         self.executed_attempts.append(attempt)
         stamp = f"{self.server_id}.{len(self.executed_attempts)}.{attempt.decode()}"
-        return [(STAMP_HEADER, stamp.encode()), (ATTEMPT_HEADER, attempt)]
+        leaving = [(b"Server-Leaving", b"1")] if self.says_leaving else []
+        return [(STAMP_HEADER, stamp.encode()), (ATTEMPT_HEADER, attempt), *leaving]
 
 
 @behaviours.register("serve")
@@ -121,6 +128,13 @@
     request.respond(503, [(b"X-Hemlockspoke-Not-Executed", b"1")], b"")
 
 
+@behaviours.register("hold")
+def hold(server, request):
+    """Refuse, and want no requests for ``retry_after`` seconds."""
+    headers = [(b"X-Hemlockspoke-Not-Executed", b"1")]
+    request.respond(503, [*headers, (b"Retry-After", server.retry_after)], b"")
+
+
 @behaviours.register("hang")
 def hang(server, request):
     """Run the request and never answer."""
