Try the reasons against a server in the order in which they stand

Sorted by name the cold limit came first and read the configuration before one is known. Found by reading; no request was seen to fail. edge_notices, edge_drain, edge_decisions and edge_logs pass.

--- a/hemlockspoke/registry.py
+++ b/hemlockspoke/registry.py
@@ -44,6 +44,10 @@
     def __contains__(self, name):
         return name in self._entries
 
+    def items(self):
+        """Return pairs of name and entry in the order of their registration."""
+        return list(self._entries.items())
+
     def names(self):
         """Return all names, sorted."""
         return sorted(self._entries)
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -130,7 +130,8 @@
 
     def is_at_cold_limit(self, server, now_ms):
         """Return whether a cold server has got this daemon's share of its rate."""
-        limits = self.routing.services.get(server.entry.service)
+        services = {} if self.routing is None else self.routing.services
+        limits = services.get(server.entry.service)
         if limits is None or not limits.cold_per_s or not server.cold(now_ms):
             return False
         bounds = self._bounds
--- a/hemlockspoke/tier/eligibility.py
+++ b/hemlockspoke/tier/eligibility.py
@@ -1,7 +1,8 @@
 """The reasons for which a server may not get a request now, in one list.
 
-Each reason is a function of the directory, the server and the clock time in ms. Those
-for any daemon come first; the others concern this daemon's shares of limits.
+Each reason is a function of the directory, the server and the clock time in ms. They
+are tried in the order in which they stand here: those that hold for any daemon, and
+then those that concern this daemon's shares of limits.
 """
 
 from hemlockspoke.registry import Registry
@@ -47,8 +48,8 @@
     return directory.is_at_cold_limit(server, now_ms)
 
 
-ANY_DAEMON = [(name, reasons.get(name)) for name in reasons.names()]
-THIS_DAEMON = [(name, own_reasons.get(name)) for name in own_reasons.names()]
+ANY_DAEMON = reasons.items()
+THIS_DAEMON = own_reasons.items()
 
 
 def reason_against(directory, server, now_ms, own=True):
