Read settings again that are invalid at the start

The platform starts such a process again, but callers meet a closed port for that time. A running daemon already keeps its settings then.

Change: invalid settings are read up to five times, 100 ms apart. The soak now also has servers that say that they leave and start again, and servers that want a pause; it checks by VM that nothing reaches a server after its drain time.

--- a/hemlockspoke/platform/program.py
+++ b/hemlockspoke/platform/program.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+import time
 
 from hemlockspoke.adapters.json_logs import configure_logs
 from hemlockspoke.clock import ReactorClock
@@ -17,6 +18,10 @@
 
 SETTINGS_PATH_VARIABLE = "HEMLOCKSPOKE_SETTINGS"
 EXIT_INVALID_SETTINGS = 2
+# The platform may be writing the file while a process starts, so settings that are
+# invalid are read again some times.
+SETTINGS_READS = 5
+SETTINGS_REREAD_MS = 100.0
 
 
 def build(settings, reactor):
@@ -37,13 +42,31 @@
     return daemon
 
 
+def read_first_settings(path):
+    """Return the settings at the start and the version of their file.
+
+    Raises ``HumanReadableError`` if they are still invalid after some reads.
+    """
+    for _ in range(SETTINGS_READS - 1):
+        try:
+            return read_settings_and_version(path)
+        except HumanReadableError:
+            time.sleep(SETTINGS_REREAD_MS / 1000.0)
+    return read_settings_and_version(path)
+
+
+def read_settings_and_version(path):
+    """Return the settings and the version of their file."""
+    # The version is read first, so that a change made meanwhile is noticed later.
+    version = settings_version(path)
+    return read_settings(path), version
+
+
 def run():
     """Read the settings file and run the daemon until it is stopped."""
     path = os.environ.get(SETTINGS_PATH_VARIABLE, "")
     try:
-        # The version is read first, so that a change made meanwhile is noticed later.
-        version = settings_version(path)
-        settings = read_settings(path)
+        settings, version = read_first_settings(path)
     except HumanReadableError as error:
         print(f"hemlockspoke: {error}", file=sys.stderr)
         raise SystemExit(EXIT_INVALID_SETTINGS) from None
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -17,6 +17,7 @@
 
 from hemlockspoke.registry import Registry
 from tests.edge_soak.callers import Callers, check_runs
+from tests.edge_soak.leaving import LeavingServers, check_leaving
 from tests.edge_soak.processes import ProcessWorld
 from tests.edge_soak.stops import Stops, check_stops
 from tests.platform_world import ITEM_PATH, QUERY_PATH
@@ -47,6 +48,7 @@
         self.disturbances = {vm: [] for vm in world.daemons}
         self.findings = []
         self.stops = Stops(self)
+        self.leaving = LeavingServers(self)
         self._fault_ends = []
         self._sequence = itertools.count()
 
@@ -97,6 +99,9 @@
         servers = self.world.servers.values()
         findings = [*self.findings, *check_runs(outcomes, servers)]
         findings += check_stops(outcomes, servers, self.disturbances, SETTLE_S)
+        findings += check_leaving(
+            outcomes, self.leaving.departures, self.disturbances, BOUNDS["drain_ms"]
+        )
         for outcome in outcomes:
             end_s = outcome.sent_s + outcome.took_ms / 1000
             if not self.is_undisturbed(outcome.vm, outcome.sent_s, end_s):
@@ -208,6 +213,7 @@
     server = soak.world.servers[soak.pick_server()]
     faults = [
         "shed",
+        "hold",
         "hang",
         "reset",
         "fail",
@@ -230,6 +236,15 @@
     soak.schedule_end(soak.rng.uniform(0.3, 2.5), end_fault)
 
 
+@actions.register("server-leaves")
+def server_leaves(soak):
+    """Let a server say that it leaves, and start again some seconds later."""
+    duration_s = soak.rng.uniform(2.5, 6.0)
+    restart = soak.leaving.start(time.monotonic())
+    if restart is not None:
+        soak.schedule_end(duration_s, lambda: restart(time.monotonic()))
+
+
 @actions.register("store")
 def store_fault(soak):
     """Make the store fail for all daemons, or discard its history."""
--- a/tests/features/edge_settings.feature
+++ b/tests/features/edge_settings.feature
@@ -36,6 +36,12 @@
     When a caller sends an item request to "e1"
     Then it gets 200 with the proof and the body of one server
 
+  Scenario: a file that is being written at the start is read again
+    # Guards against a process that ends as it has read half of its settings.
+    Given a settings file of which half has been written
+    When a daemon reads it at its start, and the rest is written after 200 ms
+    Then the daemon has the settings of the whole file
+
   Scenario: a signal to reload does not end a daemon that is starting
     # Guards against SIGHUP at a process that has not set a handler yet.
     Given the process of a daemon is importing its modules
--- a/tests/features/steps/edge_settings_steps.py
+++ b/tests/features/steps/edge_settings_steps.py
@@ -5,18 +5,21 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from pathlib import Path
 
 from behave import given, then, when
 
 from hemlockspoke.errors import HumanReadableError
+from hemlockspoke.platform.program import read_first_settings
 from hemlockspoke.platform.settings import (
     parse_settings,
     read_settings,
     settings_version,
 )
 from hemlockspoke.tier.edge_settings import Bounds
+from tests.platform_world import PlatformWorld
 from tests.reactor_thread import run_in_reactor, wait_until
 
 # An extension module that the daemon loads while it starts.
@@ -156,3 +159,29 @@
         context.process.returncode
     )
     assert "/nonexistent/boot.conf" in errors, errors
+
+
+@given("a settings file of which half has been written")
+def step_half_file(context):
+    world = PlatformWorld(shards=1)
+    context.add_cleanup(world.stop)
+    context.settings_text = world.settings_text("e1", "a1", first_start=True)[0]
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.path = Path(folder.name) / "boot.conf"
+    context.path.write_text(context.settings_text[: len(context.settings_text) // 2])
+
+
+@when("a daemon reads it at its start, and the rest is written after {delay_ms:d} ms")
+def step_read_at_start(context, delay_ms):
+    rest = (context.path.write_text, [context.settings_text])
+    timer = threading.Timer(delay_ms / 1000, *rest)
+    timer.start()
+    context.settings, context.version = read_first_settings(str(context.path))
+    timer.join()
+
+
+@then("the daemon has the settings of the whole file")
+def step_whole_file(context):
+    assert context.settings.vm == "e1"
+    assert context.version == settings_version(str(context.path))
