Check in the soak that servers which want a pause get it

Callers name the VM that they send a request for one server to, and servers record it, so that requests after a refusal with Retry-After are counted by VM.

--- a/tests/edge_soak/callers.py
+++ b/tests/edge_soak/callers.py
@@ -6,6 +6,7 @@
 
 from hemlockspoke.tier.merge import greatest_records
 from tests.platform_world import ITEM_PATH, ORDER_PATH, QUERY_PATH
+from tests.standins.shard_server import SENDER_HEADER
 
 TOP_K = 5
 # Statuses that guarantee that a request has not run and never will.
@@ -88,8 +89,10 @@
         attempt = f"soak{next(self._attempt_numbers)}"
         method, body = (b"POST", b"two tonnes") if path == ORDER_PATH else (b"GET", b"")
         sent_s = time.monotonic()
+        # Parts of a query may be sent by other daemons, the others are sent by this VM.
+        extra = [] if path == QUERY_PATH else [(SENDER_HEADER, vm.encode())]
         reply = self._world.request(
-            vm, f"{path}x", attempt, method, body, CALLER_BUDGET_MS, pool=pool
+            vm, f"{path}x", attempt, method, body, CALLER_BUDGET_MS, extra, pool
         )
         status = reply.status
         took_ms = (time.monotonic() - sent_s) * 1000
--- a/tests/edge_soak/leaving.py
+++ b/tests/edge_soak/notices.py
@@ -1,7 +1,16 @@
-"""Servers of a soak that say that they leave, and the check that daemons keep to it."""
+"""What servers of a soak say of themselves, and checks that daemons keep to it.
+
+A server may say that it leaves, or refuse with the time for which it wants nothing.
+"""
+
+import bisect
 
 # Faults of a daemon that excuse it, as it may have lost what it had been told.
 EXCUSES = frozenset({"kill", "pause", "terminate"})
+# Requests that are on their way when a server refuses one may arrive within this time,
+# and this many later.
+ON_THE_WAY_S = 0.5
+ALLOWED_ARRIVALS = 2
 
 
 class LeavingServers:
@@ -66,3 +75,36 @@
                     f" {late_ms:.0f} ms after its drain time"
                 )
     return findings
+
+
+def check_holds(servers, disturbances, proxy_faults):
+    """Return findings on requests that reached a server which wanted none.
+
+    Counted by VM are requests for one server, which name the VM that their caller sent
+    them to. ``proxy_faults`` maps server ids to lists of start and end in seconds of
+    faults on the way to a server, after which its refusal may not have arrived.
+    """
+    findings = []
+    for server in servers:
+        arrivals_s = {}
+        for at_s, vm in server.arrivals:
+            arrivals_s.setdefault(vm, []).append(at_s)
+        for at_s, vm, hold_s in server.refusals:
+            end_s = at_s + hold_s
+            was_disturbed = any(
+                begin_s < end_s and fault_end_s > at_s - 1.0
+                for begin_s, fault_end_s in proxy_faults.get(server.server_id, ())
+            ) or any(
+                begin_s < end_s and (stop_s is None or stop_s > at_s)
+                for begin_s, stop_s, _ in disturbances[vm]
+            )
+            times_s = arrivals_s[vm]
+            count = bisect.bisect_left(times_s, end_s) - bisect.bisect_right(
+                times_s, at_s + ON_THE_WAY_S
+            )
+            if count > ALLOWED_ARRIVALS and not was_disturbed:
+                findings.append(
+                    f"{server.server_id}: {count} requests from {vm} though it wanted"
+                    f" none for {hold_s} s"
+                )
+    return findings
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -17,7 +17,7 @@
 
 from hemlockspoke.registry import Registry
 from tests.edge_soak.callers import Callers, check_runs
-from tests.edge_soak.leaving import LeavingServers, check_leaving
+from tests.edge_soak.notices import LeavingServers, check_holds, check_leaving
 from tests.edge_soak.processes import ProcessWorld
 from tests.edge_soak.stops import Stops, check_stops
 from tests.platform_world import ITEM_PATH, QUERY_PATH
@@ -49,6 +49,8 @@
         self.findings = []
         self.stops = Stops(self)
         self.leaving = LeavingServers(self)
+        # Start and end in seconds of faults on the way to each server, by its id.
+        self.proxy_faults = {}
         self._fault_ends = []
         self._sequence = itertools.count()
 
@@ -102,6 +104,7 @@
         findings += check_leaving(
             outcomes, self.leaving.departures, self.disturbances, BOUNDS["drain_ms"]
         )
+        findings += check_holds(servers, self.disturbances, self.proxy_faults)
         for outcome in outcomes:
             end_s = outcome.sent_s + outcome.took_ms / 1000
             if not self.is_undisturbed(outcome.vm, outcome.sent_s, end_s):
@@ -193,7 +196,10 @@
 @actions.register("server-connection")
 def server_connection_fault(soak):
     """Disturb the connections of all daemons to a server."""
-    proxy = soak.world.proxies[soak.pick_server()]
+    server_id = soak.pick_server()
+    proxy = soak.world.proxies[server_id]
+    interval = [time.monotonic(), time.monotonic()]
+    soak.proxy_faults.setdefault(server_id, []).append(interval)
     mode = soak.rng.choice(
         ["delay", "silence", "drop-to-target", "drop-from-target", "reset"]
     )
@@ -201,10 +207,13 @@
         run_in_reactor(proxy.reset, soak.rng, 0.6)
         return
     run_in_reactor(proxy.set_mode, mode, soak.rng, soak.rng.random() < 0.5)
-    soak.schedule_end(
-        soak.rng.uniform(0.5, 3.0),
-        lambda: run_in_reactor(proxy.set_mode, "pass", soak.rng),
-    )
+    interval[1] = float("inf")
+
+    def end_fault():
+        run_in_reactor(proxy.set_mode, "pass", soak.rng)
+        interval[1] = time.monotonic()
+
+    soak.schedule_end(soak.rng.uniform(0.5, 3.0), end_fault)
 
 
 @actions.register("server")
@@ -229,6 +238,7 @@
         "reset_once",
     ]
     server.behaviour = soak.rng.choice(faults)
+    server.retry_after = soak.rng.choice([b"1", b"1.5", b"3"])
 
     def end_fault():
         server.behaviour = "serve"
--- a/tests/standins/shard_server.py
+++ b/tests/standins/shard_server.py
@@ -18,6 +18,8 @@
 ATTEMPT_HEADER = b"x-hemlockspoke-attempt-id"
 EXPECT_INSTANCE_HEADER = b"x-hemlockspoke-expect-instance"
 DEADLINE_HEADER = b"x-hemlockspoke-deadline-ms"
+# Set by callers of a soak to the VM that they send a request to.
+SENDER_HEADER = b"x-soak-vm"
 STAMP_HEADER = b"X-Hemlockspoke-Server-Stamp"
 
 
@@ -57,6 +59,10 @@
         # Value of Retry-After while the behaviour is "hold".
         self.retry_after = b"1"
         self.received_s = []
+        # Time and VM of each request that names the VM its caller sent it to, and time,
+        # VM and hold in seconds of each of them that was refused with a hold.
+        self.arrivals = []
+        self.refusals = []
         self.received_attempts = []
         self.executed_attempts = []
         self.deadlines_ms = []
@@ -97,6 +103,9 @@
     def _handle(self, request):
         self.received_attempts.append(header(request, ATTEMPT_HEADER))
         self.received_s.append(time.monotonic())
+        sender = header(request, SENDER_HEADER)
+        if sender is not None:
+            self.arrivals.append((time.monotonic(), sender.decode()))
         self.deadlines_ms.append(float(header(request, DEADLINE_HEADER)))
         if header(request, EXPECT_INSTANCE_HEADER) != self.server_id.encode():
             headers = [(b"X-Hemlockspoke-Instance-Id", self.server_id.encode())]
@@ -133,6 +142,10 @@
 @behaviours.register("hold")
 def hold(server, request):
     """Refuse, and want no requests for ``retry_after`` seconds."""
+    sender = header(request, SENDER_HEADER)
+    if sender is not None:
+        refusal = (time.monotonic(), sender.decode(), float(server.retry_after))
+        server.refusals.append(refusal)
     headers = [(b"X-Hemlockspoke-Not-Executed", b"1")]
     request.respond(503, [*headers, (b"Retry-After", server.retry_after)], b"")
 
