--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -378,11 +378,10 @@
             ErrorReply.timeout(reason).send(self._on_answer)
             return
         route = self._request.route
-        retry_after_ms = self._tier.directory.retry_after_ms(
-            route.shards, route.regions
-        )
-        error_reply = ErrorReply.without_answer(may_have_run, reason, retry_after_ms)
-        error_reply.send(self._on_answer)
+        directory = self._tier.directory
+        retry_after_ms = directory.retry_after_ms(route.shards, route.regions)
+        reply = ErrorReply.without_answer(may_have_run, reason, retry_after_ms)
+        reply.send(self._on_answer)
 
     def _stop(self, let_finish=True):
         """Stop the timers; cancel requests, or let them finish for a short time."""
--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -96,6 +96,23 @@
     When the peer sends nothing for 1500 ms
     Then it reads the store itself
 
+  Scenario: a stopping daemon takes only what it can answer
+    # Guards against requests that are taken late in a stop and cut off at its end.
+    Then in a stop of any length each request that is taken ends before the last answers
+    And a port is closed and a process ends in time in a stop of any length
+
+  Scenario: one list says why a server may get no request
+    # Guards against checks at single callers, of which one is forgotten.
+    Then a server that is <state> is excluded, as "<reason>"
+      | state        | reason                        |
+      | misdirected  | its address has another server |
+      | gone         | it has left                   |
+      | held         | it wants no requests          |
+      | evacuated    | its failure domain is out     |
+      | unreachable  | no share of its connections   |
+      | cold         | it is cold                    |
+    And a server in no such state may get a request
+
   Scenario: the platform's wire names are used in one folder only
     # Guards against decisions that depend on the names of one platform.
     Then no module outside the platform's folder contains one of its wire names
