Stop registering and reading the list in daemons that are closed

Cause: EdgeDaemon.close stopped the feeds, but not the Membership. Daemons that scenarios of the same test process had closed went on reading the registrations each 8 to 12 s, and renewing their own, at the address of a store that was gone. A stand-in that got this port from the kernel received their calls.

Evidence: after each scenario the pending timers of the reactor were listed. After edge_peers.feature 32 closed daemons still had timers of Membership._read_list, Membership._register and TcpPeerNetwork._heartbeat.

Ruled out: a hedge or a second send of the query, as all requests of a query carry its id and the daemon makes no calls of its own to servers.

Change: Membership.stop; the peer network cancels its heartbeat and the daemon its check of the settings when closed. The upstream stand-in counts requests for paths that it does not have as foreign_requests, so that a failed check of its counters shows a call of another program. A running daemon behaves as before.

--- a/hemlockspoke/adapters/peer_stream.py
+++ b/hemlockspoke/adapters/peer_stream.py
@@ -178,6 +178,7 @@
         "_dialers",
         "_epoch",
         "_heartbeat_due_ms",
+        "_heartbeat_timer",
         "_loss_listener",
         "_next_token",
         "_receiver",
@@ -209,6 +210,7 @@
         self._seed_dialers = []
         self._next_token = 0
         self._heartbeat_due_ms = 0.0
+        self._heartbeat_timer = None
 
     @classmethod
     def from_config(cls, settings, reactor, clock, epoch, metrics):
@@ -355,8 +357,9 @@
             self._loss_listener(stream.vm)
 
     def _schedule_heartbeat(self):
-        self._heartbeat_due_ms = self.clock.now_ms() + self._timings.heartbeat_ms
-        self.clock.call_later(self._timings.heartbeat_ms, self._heartbeat)
+        interval_ms = self._timings.heartbeat_ms
+        self._heartbeat_due_ms = self.clock.now_ms() + interval_ms
+        self._heartbeat_timer = self.clock.call_later(interval_ms, self._heartbeat)
 
     def _heartbeat(self):
         """Close silent streams and ping the others.
@@ -390,7 +393,9 @@
             stream.last_received_ms = max(stream.last_received_ms, assumed_received_ms)
 
     def stop(self):
-        """Stop dialing and close all streams."""
+        """Stop dialing and sending heartbeats, and close all streams."""
+        if self._heartbeat_timer is not None:
+            self._heartbeat_timer.cancel()
         for _, dialer in self._dialers.values():
             dialer.stop()
         self._dialers.clear()
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -64,6 +64,7 @@
         self.read_settings = None
         self.settings_version = None
         self.applied_settings_version = None
+        self._settings_timer = None
         bounds = settings.bounds
         self.directory = Directory(
             reactor,
@@ -227,14 +228,19 @@
         """Check periodically whether the settings have changed; apply new bounds."""
         if self.applied_settings_version is None:
             self.applied_settings_version = self.settings_version()
-        self._clock.call_later(SETTINGS_CHECK_MS, self._check_settings)
+        self._check_settings_later()
+
+    def _check_settings_later(self):
+        self._settings_timer = self._clock.call_later(
+            SETTINGS_CHECK_MS, self._check_settings
+        )
 
     def _check_settings(self):
         version = self.settings_version()
         if version != self.applied_settings_version:
             self.applied_settings_version = version
             self._reload()
-        self._clock.call_later(SETTINGS_CHECK_MS, self._check_settings)
+        self._check_settings_later()
 
     def reload(self, *_):
         """Handle SIGHUP: read the settings again; only the bounds take effect."""
@@ -305,8 +311,15 @@
         port.stopListening()
 
     def close(self):
-        """Close every socket without waiting; used by tests in one process."""
+        """Close every socket and stop all timers; used by tests in one process.
+
+        A daemon that went on would call whatever listens at the store's port by then.
+        """
         self._caller_port = None
+        if self._settings_timer is not None:
+            self._settings_timer.cancel()
+        if self._membership is not None:
+            self._membership.stop()
         for port in self._ports:
             port.stopListening()
         self._relay.stop()
--- a/hemlockspoke/tier/members.py
+++ b/hemlockspoke/tier/members.py
@@ -56,10 +56,12 @@
         "_listed",
         "_on_members",
         "_read_again",
+        "_register_timer",
         "_registering",
         "_registrations",
         "_rng",
         "_settings",
+        "_stopped",
         "_timer",
     )
 
@@ -70,6 +72,8 @@
         self._on_members = on_members
         self._rng = rng or random.Random()
         self._timer = None
+        self._register_timer = None
+        self._stopped = False
         self._read_again = False
         # Whether a list has been read, and whether the registration is kept up to date.
         self._listed = False
@@ -87,11 +91,20 @@
         delay_ms = FIRST_START_READ_DELAY_MS if first_start else RESTART_READ_DELAY_MS
         self._timer = self._clock.call_later(delay_ms, self._read_list, not first_start)
 
+    def stop(self):
+        """Make no further calls; the result of one in progress is ignored."""
+        self._stopped = True
+        for timer in (self._timer, self._register_timer):
+            if timer is not None:
+                timer.cancel()
+
     def read_soon(self):
         """Read the list early, as an unknown daemon has connected.
 
         A list that is being read may lack it, so another one follows.
         """
+        if self._stopped:
+            return
         self._read_again = self._timer is None
         if self._timer is not None:
             self._timer.cancel()
@@ -110,6 +123,8 @@
         self._registrations.write(settings.vm, spec, revision, self._on_written)
 
     def _on_written(self, result):
+        if self._stopped:
+            return
         if result.conflict and result.revision is not None:
             # An earlier process of this VM left its registration, or an earlier call
             # was executed although its response was lost.
@@ -118,15 +133,22 @@
                 self._register(result.revision)
                 return
         if result.succeeded or result.conflict:
-            self._clock.call_later(RENEW_INTERVAL_MS, self._register, result.revision)
+            self._register_later(RENEW_INTERVAL_MS, result.revision)
             return
-        self._clock.call_later(REGISTER_RETRY_MS, self._register, None)
+        self._register_later(REGISTER_RETRY_MS, None)
+
+    def _register_later(self, delay_ms, revision):
+        self._register_timer = self._clock.call_later(
+            delay_ms, self._register, revision
+        )
 
     def _read_list(self, stale):
         self._timer = None
         self._registrations.read(stale, self._on_list)
 
     def _on_list(self, changes):
+        if self._stopped:
+            return
         delay_ms = READ_INTERVAL_MS
         if changes is not None:
             self._listed = True
@@ -160,7 +182,7 @@
             and self._clock.wall_ms() - renewed_ms < RENEW_INTERVAL_MS
         ):
             self._registering = True
-            self._clock.call_later(RENEW_INTERVAL_MS, self._register, revision)
+            self._register_later(RENEW_INTERVAL_MS, revision)
         else:
             self._register(revision)
 
--- a/tests/features/edge_fleet.feature
+++ b/tests/features/edge_fleet.feature
@@ -118,3 +118,17 @@
     # Guards against a daemon that knows no other for 10 s after the store has returned.
     Given a daemon that starts again while the store is away for 3000 ms
     Then it knows the other daemons 1200 ms after the store is back
+
+  Scenario Outline: a closed daemon makes no further calls
+    # Guards against calls to whatever listens at the address of the store by then.
+    Given a daemon that starts again with the same address
+    And it is closed <when>
+    Then it makes no further call within 600 s
+
+    Examples:
+      | when                                     |
+      | before its first read of the list        |
+      | while it reads the list                  |
+      | between two reads of the list            |
+      | while an unknown daemon connects         |
+      | while it renews its registration         |
--- a/tests/features/steps/edge_members_steps.py
+++ b/tests/features/steps/edge_members_steps.py
@@ -20,8 +20,9 @@
         self.away = False
         self.reads = 0
         self.writes = []
-        # Reads to be answered later, if that is set.
+        # Reads and writes to be answered later, if these are set.
         self.held_reads = None
+        self.held_writes = None
 
     def read(self, stale, on_read):
         """Read the list."""
@@ -34,7 +35,11 @@
     def write(self, vm, spec, revision, on_written):
         """Write a registration."""
         self.writes.append((spec["peer_address"], revision))
-        on_written(WriteResult(True, revision=99, spec=spec))
+        result = WriteResult(True, revision=99, spec=spec)
+        if self.held_writes is None:
+            on_written(result)
+        else:
+            self.held_writes.append((on_written, result))
 
 
 def registration(clock, vm, address):
@@ -121,15 +126,20 @@
     assert [peer.vm for peer in context.peers[-1]] == ["e2"]
 
 
-@given("a daemon whose read of the list takes long")
-def step_slow_read(context):
-    start_member(context, "10.0.0.1:7")
+def hold_read(context):
+    """Wait until a read of the list is in progress, and hold its answer back."""
     context.clock.advance(1000.0)
     context.registrations.held_reads = []
     context.clock.advance(13_000.0)
     assert len(context.registrations.held_reads) == 1
 
 
+@given("a daemon whose read of the list takes long")
+def step_slow_read(context):
+    start_member(context, "10.0.0.1:7")
+    hold_read(context)
+
+
 @when("another daemon registers and connects before the list arrives")
 def step_connects(context):
     registrations = context.registrations
@@ -143,3 +153,48 @@
 def step_knows_new(context, delay_ms):
     context.clock.advance(float(delay_ms))
     assert "e3" in [peer.vm for peer in context.peers[-1]]
+
+
+@given("it is closed before its first read of the list")
+def step_closed_early(context):
+    context.member.stop()
+
+
+@given("it is closed while it reads the list")
+def step_closed_reading(context):
+    hold_read(context)
+    context.member.stop()
+    for on_read, changes in context.registrations.held_reads:
+        on_read(changes)
+
+
+@given("it is closed between two reads of the list")
+def step_closed_between(context):
+    context.clock.advance(1000.0)
+    context.member.stop()
+
+
+@given("it is closed while an unknown daemon connects")
+def step_closed_connecting(context):
+    context.clock.advance(1000.0)
+    context.member.read_soon()
+    context.member.stop()
+    context.member.read_soon()
+
+
+@given("it is closed while it renews its registration")
+def step_closed_renewing(context):
+    context.registrations.held_writes = []
+    context.clock.advance(130_000.0)
+    context.member.stop()
+    assert context.registrations.held_writes
+    for on_written, result in context.registrations.held_writes:
+        on_written(result)
+
+
+@then("it makes no further call within {seconds:d} s")
+def step_no_further_call(context, seconds):
+    registrations = context.registrations
+    counts = registrations.reads, len(registrations.writes)
+    context.clock.advance(1000.0 * seconds)
+    assert counts == (registrations.reads, len(registrations.writes))
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -95,7 +95,11 @@
             delay_ms = 2 * server.model.settings["delay_ms"]
             server.call_later(delay_ms, self._send_status)
             return
-        kind = {"/v1/query": "query", "/v1/orders": "order"}[path]
+        kind = {"/v1/query": "query", "/v1/orders": "order"}.get(path)
+        if kind is None:
+            server.model.count("foreign_requests")
+            self.send_json(404, {"error": f"unknown path {path}"})
+            return
         call = Call(self, server, kind, body)
         now_ms = server.model.now_ms()
         setup_ms = max(0.0, self.channel.ready_ms - now_ms)
--- a/tests/standins/upstream_model.py
+++ b/tests/standins/upstream_model.py
@@ -54,6 +54,8 @@
     "cancellations",
     "sheds",
     "version_gone",
+    # Requests of programs that take this for another server.
+    "foreign_requests",
     "expired",
     "cold_overruns_unsignalled",
     # Times that an overloaded cold server became unresponsive.
