List the reasons of a request against a server, and state their times

Delivery chose servers by five filters of its own, beside the list of reasons in tier/eligibility.py, and the log did not say which of them left no server. The new tier/request_servers.py holds what one request knows of servers (used, tried, not reached, left to another daemon) and the reasons against them in one list, which the choice of a server and the log share. `explain` thus says "s1: no connection could be opened" or "s1: has the request". Reasons with a time state it: "held by the server until 10:46:29,248" and "leaving since 10:46:20,000".

Behaviour: the same servers as before. A server that is held or cold is told by one comparison before anything else is called.

--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -1,6 +1,7 @@
 """Sends one request to the servers of one service, with retries and hedges."""
 
 from hemlockspoke.tier.attempt import Attempt, Verdict
+from hemlockspoke.tier.request_servers import RequestServers
 
 # A request whose result is no longer needed may finish within this time, which keeps
 # its connection usable; then the connection is closed. Servers must learn within half
@@ -13,9 +14,6 @@
 MAX_ARRIVALS = 4
 # Limit on failures to open a connection, for one request.
 MAX_UNSENT = 3
-# Limit on the arrivals of one request at the same server. A server that has lost or
-# failed a request often answers the next one, and a service may have few servers.
-MAX_ARRIVALS_PER_SERVER = 2
 # Interval at which an attempt that waits for a connection looks for another server.
 CONNECTION_RECHECK_MS = 10.0
 # Jitter of the daemon and the network, added to the usual time of a request.
@@ -57,19 +55,15 @@
 
     __slots__ = (
         "_aim_ms",
-        "_allowed_server_ids",
-        "_max_servers",
         "_on_done",
         "_outgoing",
         "_regions",
         "_sent_before",
+        "_servers",
         "_tier",
         "_timer",
         "_timing",
-        "_unreachable_servers",
         "_unsent_count",
-        "_used_servers",
-        "attempts",
         "done",
         "reason",
         "service",
@@ -92,23 +86,21 @@
         self._timing = timing
         self._aim_ms = aim_ms
         self._on_done = on_done
-        self._max_servers = route.max_servers
         self._regions = route.regions
-        # Ids of the servers that may get the request; None for any server.
-        self._allowed_server_ids = allowed_server_ids
+        self._servers = RequestServers(route.max_servers, allowed_server_ids)
         # Whether a server of the service may have got the request from another daemon.
         self._sent_before = sent_before
-        self._used_servers = set()
-        # Servers to which no connection could be opened. Another try right away would
-        # fail as well.
-        self._unreachable_servers = set()
         self._timer = None
         self._unsent_count = 0
         self.service = service
-        self.attempts = []
         self.done = False
         self.reason = ""
 
+    @property
+    def attempts(self):
+        """Return the attempts, oldest first."""
+        return self._servers.attempts
+
     def start(self):
         """Send the first attempt."""
         if not self._sent_before:
@@ -130,16 +122,9 @@
     def allow_other_daemon(self, server):
         """Let another daemon send the request to a server.
 
-        From now on this daemon sends it only to servers that it has used before.
-        Return the ids of all servers that may get it, or None if the server is among
-        those already or there would be too many.
+        Return the ids of all servers that may get it, or None if that is not possible.
         """
-        used_ids = {used_server.server_id for used_server in self._used_servers}
-        allowed_ids = used_ids | {server.server_id}
-        if server.server_id in used_ids or len(allowed_ids) > self._max_servers:
-            return None
-        self._allowed_server_ids = used_ids
-        return allowed_ids
+        return self._servers.allow_other_daemon(server)
 
     def cancel(self):
         """Cancel all attempts at once."""
@@ -184,36 +169,8 @@
         """
         now_ms = self._tier.clock.now_ms()
         candidates = self._tier.directory.candidates(self.service, self._regions)
-        if self._unreachable_servers:
-            candidates = [
-                candidate
-                for candidate in candidates
-                if candidate not in self._unreachable_servers
-            ]
-        tried = ()
-        if self.attempts:
-            tried = {attempt.server for attempt in self.attempts}
-            candidates = [
-                candidate
-                for candidate in candidates
-                if candidate not in tried or self._may_send_again(candidate)
-            ]
-        if len(self._used_servers) >= self._max_servers:
-            candidates = [
-                candidate for candidate in candidates if candidate in self._used_servers
-            ]
-        if self._allowed_server_ids is not None:
-            candidates = [
-                candidate
-                for candidate in candidates
-                if candidate.server_id in self._allowed_server_ids
-            ]
-        if for_hedge:
-            candidates = [
-                candidate
-                for candidate in candidates
-                if candidate.leaving_until_ms is None
-            ]
+        candidates = self._servers.usable(candidates, for_hedge)
+        tried = self._servers.tried
         work_ms = self._timing.usual_work_ms
         return min(
             candidates,
@@ -224,16 +181,6 @@
             default=None,
         )
 
-    def _may_send_again(self, server):
-        """Return whether a server that has been tried may get the request again."""
-        attempts = [attempt for attempt in self.attempts if attempt.server is server]
-        if any(attempt.in_flight for attempt in attempts):
-            return False
-        arrivals = [
-            attempt for attempt in attempts if attempt.verdict is not Verdict.UNSENT
-        ]
-        return len(arrivals) < MAX_ARRIVALS_PER_SERVER
-
     def _start_attempt(self, hedge=False):
         """Start an attempt; return False if no server or limit allows one."""
         arrival_count = self._arrival_count()
@@ -243,8 +190,9 @@
         server = self._choose_server(for_hedge=hedge)
         if server is None:
             self.reason = "no other server" if self.attempts else "no server"
-            directory = self._tier.directory
-            excluded = directory.describe_exclusions(self.service, self._regions)
+            excluded = self._tier.directory.describe_exclusions(
+                self.service, self._regions, self._servers
+            )
             if excluded:
                 self.reason += f" ({excluded})"
             return False
@@ -266,8 +214,7 @@
             self._on_attempt_end,
             earlier_attempts=self.attempts,
         )
-        self.attempts.append(attempt)
-        self._used_servers.add(server)
+        self._servers.add(attempt)
         attempt.start()
         if not self.done:
             self._schedule_hedge(attempt)
@@ -343,12 +290,7 @@
             return
         if attempt.is_extra:
             self._tier.extra_load.refund(self.service)
-        if all(
-            other.verdict is Verdict.UNSENT
-            for other in self.attempts
-            if other.server is attempt.server
-        ):
-            self._used_servers.discard(attempt.server)
+        self._servers.release_unsent(attempt.server)
 
     def _on_attempt_end(self, attempt):
         self._settle(attempt)
@@ -358,7 +300,7 @@
             self._finish(attempt)
             return
         if attempt.verdict is Verdict.UNSENT and not attempt.recalled:
-            self._unreachable_servers.add(attempt.server)
+            self._servers.unreachable.add(attempt.server)
             self._unsent_count += 1
         may_repeat = self._outgoing.idempotent or not self.may_have_run()
         if may_repeat and self._unsent_count < MAX_UNSENT and self._start_attempt():
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -4,7 +4,7 @@
 
 from hemlockspoke.http1.pool import ConnectionPool
 from hemlockspoke.tier.apportion import LimitShares
-from hemlockspoke.tier.eligibility import has_left, reason_against
+from hemlockspoke.tier.eligibility import describe_reason, has_left, reason_against
 from hemlockspoke.tier.server_notices import ServerNotices
 from hemlockspoke.tier.servers import ServerState, TrackedServer
 
@@ -258,15 +258,20 @@
             sum(server.held(now_ms) for server in servers),
         )
 
-    def describe_exclusions(self, service, regions=()):
-        """Return why servers of a service may get no request, as a text for the log."""
-        now_ms = self._clock.now_ms()
-        texts = [
-            f"{server.server_id}: {reason}"
-            for server in self._in_regions(service, regions)
-            if (reason := reason_against(self, server, now_ms)) is not None
-        ]
-        return ", ".join(texts[:MAX_DESCRIBED_SERVERS])
+    def describe_exclusions(self, service, regions=(), request_servers=None):
+        """Return why servers of a service may get no request, as a text for the log.
+
+        With the ``RequestServers`` of a request its own reasons are stated as well.
+        """
+        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
+        texts = []
+        for server in self._in_regions(service, regions):
+            reason = describe_reason(self, server, now_ms, wall_ms)
+            if reason is None and request_servers is not None:
+                reason = request_servers.reason_against(server)
+            if reason is not None:
+                texts.append(f"{server.server_id}: {reason}")
+        return "; ".join(texts[:MAX_DESCRIBED_SERVERS])
 
     def candidates(self, service, regions=()):
         """Return the servers of a service that this daemon may send to now."""
@@ -340,6 +345,8 @@
         until_ms = self._clock.now_ms() + grace_ms
         if server.leaving_until_ms is not None and server.leaving_until_ms <= until_ms:
             return
+        if server.leaving_until_ms is None:
+            server.leaving_since_ms = self._clock.now_ms()
         server.leaving_until_ms = until_ms
         server.pool.recall_waiting(SERVER_LEAVING)
         self._clock.call_later(grace_ms, self._recall_if_left, server)
--- a/hemlockspoke/tier/eligibility.py
+++ b/hemlockspoke/tier/eligibility.py
@@ -5,10 +5,14 @@
 then those that concern this daemon's shares of limits.
 """
 
+from datetime import datetime
+
 from hemlockspoke.registry import Registry
 
 reasons = Registry("reason against a server")
 own_reasons = Registry("reason against sending to a server")
+# For some reasons, a preposition and the clock time in ms that the log states.
+details = Registry("time of a reason")
 
 
 @reasons.register("its address has another server")
@@ -17,17 +21,17 @@
     return server.misdirected
 
 
-@reasons.register("it has left")
+@reasons.register("leaving")
 def has_left(directory, server, now_ms):
     """Return whether the time is over for which a leaving server may be used."""
     until_ms = server.leaving_until_ms
     return until_ms is not None and now_ms >= until_ms
 
 
-@reasons.register("it wants no requests")
+@reasons.register("held by the server")
 def is_held(directory, server, now_ms):
     """Return whether the server has asked for a pause."""
-    return server.held(now_ms)
+    return now_ms < server.held_until_ms
 
 
 @reasons.register("its failure domain is out")
@@ -45,11 +49,23 @@
 @own_reasons.register("it is cold")
 def is_at_cold_limit(directory, server, now_ms):
     """Return whether a cold server has got this daemon's share of its rate."""
-    return directory.is_at_cold_limit(server, now_ms)
+    return now_ms < server.cold_until_ms and directory.is_at_cold_limit(server, now_ms)
+
+
+@details.register("leaving")
+def leaving_since(server):
+    """Return the clock time from which the server was known to leave."""
+    return "since", server.leaving_since_ms
 
 
-ANY_DAEMON = reasons.items()
-THIS_DAEMON = own_reasons.items()
+@details.register("held by the server")
+def held_until(server):
+    """Return the clock time at which the pause ends."""
+    return "until", server.held_until_ms
+
+
+ANY_DAEMON = tuple(reasons.items())
+THIS_DAEMON = tuple(own_reasons.items())
 
 
 def reason_against(directory, server, now_ms, own=True):
@@ -65,3 +81,22 @@
             if applies(directory, server, now_ms):
                 return name
     return None
+
+
+def describe_reason(directory, server, now_ms, wall_ms):
+    """Return the reason against a server for the log, or None if it may be used.
+
+    ``wall_ms`` is the time of day at the clock time ``now_ms``. Times are those of the
+    day in the local time zone, as in the lines of the log.
+    """
+    name = reason_against(directory, server, now_ms)
+    if name not in details:
+        return name
+    preposition, time_ms = details.get(name)(server)
+    return f"{name} {preposition} {time_of_day(wall_ms + time_ms - now_ms)}"
+
+
+def time_of_day(wall_ms):
+    """Return a local time of day in the form of the log, such as ``10:46:29,248``."""
+    when = datetime.fromtimestamp(wall_ms / 1000.0)
+    return f"{when:%H:%M:%S},{when.microsecond // 1000:03d}"
--- a/hemlockspoke/tier/servers.py
+++ b/hemlockspoke/tier/servers.py
@@ -96,6 +96,7 @@
 
     ``listed`` is whether the store has an entry of the server. ``leaving_until_ms`` is
     the clock time until which a leaving server may be used, and None for others;
+    ``leaving_since_ms`` is when that became known;
     ``says_leaving`` is whether its own responses say that it leaves. ``held_until_ms``
     is the clock time until which it wants no requests.
     ``outstanding`` counts the attempts in progress, ``overdue`` those of them that take
@@ -116,6 +117,7 @@
         "echoes",
         "entry",
         "held_until_ms",
+        "leaving_since_ms",
         "leaving_until_ms",
         "listed",
         "misdirected",
@@ -134,6 +136,7 @@
         self.region = region
         self.same_region = same_region
         self.rtt_ms = SAME_REGION_RTT_MS if same_region else CROSS_REGION_RTT_MS
+        self.leaving_since_ms = 0.0
         self.leaving_until_ms = None
         self.says_leaving = False
         self.held_until_ms = 0.0
--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -106,12 +106,22 @@
     Then a server that is <state> is excluded, as "<reason>"
       | state        | reason                        |
       | misdirected  | its address has another server |
-      | gone         | it has left                   |
-      | held         | it wants no requests          |
+      | gone         | leaving                       |
+      | held         | held by the server            |
       | evacuated    | its failure domain is out     |
       | unreachable  | no share of its connections   |
       | cold         | it is cold                    |
     And a server in no such state may get a request
+    And a server that a request <relation> is excluded for it, as "<reason>"
+      | relation              | reason                              |
+      | has at another server | enough other servers have the request |
+      | leaves to a daemon    | left to another daemon              |
+      | would hedge at        | leaving, so it gets no hedge        |
+      | did not reach         | no connection could be opened       |
+      | waits for             | has the request                     |
+      | has sent twice to     | has got the request often enough    |
+    And a server that a request has lost an answer of may get it once more
+    And the log says of a server that a request did not reach "s1: no connection could be opened"
 
   Scenario: the platform's wire names are used in one folder only
     # Guards against decisions that depend on the names of one platform.
--- a/tests/features/edge_notices.feature
+++ b/tests/features/edge_notices.feature
@@ -31,6 +31,7 @@
     When 2000 ms have passed
     And a caller sends an item request to "e1"
     Then it is refused within 200 ms, and the reason names "item-a1"
+    And the reason says "item-a1: leaving since" and a time of day
     And "item-a1" has got none since then
 
   Scenario: a server that starts again is used again
@@ -67,6 +68,7 @@
     When a caller sends an item request to "e1"
     And a caller sends an order to "e1"
     Then it is refused within 200 ms, and the reason names "item-a1"
+    And the reason says "item-a1: held by the server until" and a time of day
     And its Retry-After is from 1.5 to 2.9 s
     And no server has got it
 
--- a/tests/features/steps/edge_eligibility_steps.py
+++ b/tests/features/steps/edge_eligibility_steps.py
@@ -1,14 +1,18 @@
 """Steps on what a stopping daemon takes, and on the reasons against a server."""
 
+from types import SimpleNamespace
+
 from behave import then
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
 from hemlockspoke.address import Address
 from hemlockspoke.clock import ManualClock
+from hemlockspoke.tier.attempt import Verdict
 from hemlockspoke.tier.directory import Directory
 from hemlockspoke.tier.edge_settings import Bounds
 from hemlockspoke.tier.eligibility import reason_against
+from hemlockspoke.tier.request_servers import RequestServers
 from hemlockspoke.tier.routes import RoutingTable, ServiceLimits
 from hemlockspoke.tier.servers import ServerEntry
 from hemlockspoke.tier.shutdown import ShutdownPlan
@@ -86,3 +90,57 @@
     directory, server = directory_with_server()
     assert reason_against(directory, server, 0.0) is None
     assert directory.candidates("items") == [server]
+
+
+def add_attempt(request, server, verdict):
+    """Add an attempt to the servers of a request; None is for one in progress."""
+    in_flight = verdict is None
+    request.add(SimpleNamespace(server=server, verdict=verdict, in_flight=in_flight))
+
+
+def set_relation(request, server, relation):
+    """Bring a request into a relation to a server that excludes it."""
+    if relation == "has at another server":
+        _, other = directory_with_server()
+        add_attempt(request, other, Verdict.UNKNOWN)
+        request.max_servers = 1
+    elif relation == "leaves to a daemon":
+        request.allowed_ids = frozenset(["s2"])
+    elif relation == "would hedge at":
+        server.leaving_until_ms = 5000.0
+    elif relation == "did not reach":
+        add_attempt(request, server, Verdict.UNSENT)
+        request.unreachable.add(server)
+        request.release_unsent(server)
+    elif relation == "waits for":
+        add_attempt(request, server, None)
+    elif relation == "has sent twice to":
+        add_attempt(request, server, Verdict.UNKNOWN)
+        add_attempt(request, server, Verdict.NOT_RUN)
+
+
+@then('a server that a request <relation> is excluded for it, as "<reason>"')
+def step_excluded_for_request(context):
+    for row in context.table:
+        _, server = directory_with_server()
+        request = RequestServers(max_servers=2)
+        set_relation(request, server, row["relation"])
+        reason = request.reason_against(server, hedge=True)
+        assert reason == row["reason"], (row["relation"], reason)
+        assert request.usable([server], hedge=True) == []
+
+
+@then('the log says of a server that a request did not reach "{text}"')
+def step_described(context, text):
+    directory, server = directory_with_server()
+    request = RequestServers(max_servers=2)
+    set_relation(request, server, "did not reach")
+    assert directory.describe_exclusions("items", (), request) == text
+
+
+@then("a server that a request has lost an answer of may get it once more")
+def step_not_excluded_for_request(context):
+    _, server = directory_with_server()
+    request = RequestServers(max_servers=1)
+    add_attempt(request, server, Verdict.UNKNOWN)
+    assert request.usable([server]) == [server]
--- a/tests/features/steps/edge_notices_steps.py
+++ b/tests/features/steps/edge_notices_steps.py
@@ -1,8 +1,10 @@
 """Steps on servers whose answers say that they leave, or that they want a pause."""
 
 import random
+import re
 import threading
 import time
+from datetime import datetime
 
 from behave import given, then, when
 from hypothesis import given as for_all
@@ -98,6 +100,20 @@
     context.known_count = len(item(context, server_id).received_attempts)
 
 
+@then('the reason says "{text}" and a time of day')
+def step_reason_time(context, text):
+    body = context.reply.body.decode()
+    match = re.search(re.escape(text) + r" (\d\d):(\d\d):(\d\d),\d{3}", body)
+    assert match, body
+    stated_s = sum(
+        int(n) * f for n, f in zip(match.groups(), (3600, 60, 1), strict=True)
+    )
+    now = datetime.now()
+    now_s = now.hour * 3600 + now.minute * 60 + now.second
+    # A server is held for 3 s, or leaves for 2 s; either may be around midnight.
+    assert min(abs(stated_s - now_s), 86_400 - abs(stated_s - now_s)) <= 5, body
+
+
 @when('the server "{server_id}" starts again and says so no more')
 def step_starts_again(context, server_id):
     server = item(context, server_id)
