Close the daemon of each stop scenario at its end

Cause: the scenario on waiting connections never stops its daemon, which went on calling the store of the scenario as a closed one did before. Seen in the timers that are left after each scenario of a whole run; one feed, relay and membership stayed until the end. With the daemon in its world, the world closes it. All 5 scenarios of edge_stop.feature pass.

--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -52,6 +52,8 @@
         context.daemon.close()
 
     context.daemon = run_in_reactor(build, settings, StoppableReactor(end))
+    # Closed with the world if the scenario doesn't stop it.
+    world.daemons[vm] = context.daemon
     run_in_reactor(context.daemon.start)
     context.address = (host, ports["frontend"])
     wait_until(context.daemon.directory.ready)
