Begin with different servers at different daemons

What callers get: with 200 daemons, more requests were refused than needed when the fleet starts or loses a server, although others had free slots.

Cause: of servers that look equal each daemon takes the first in its list, and the list has the order of the store. Ruled out: holds and leaving servers, of which there are none then.

Change: a daemon keeps the servers of a service in an order by a hash of its own name and the server's. Only ties are decided by it.

--- a/hemlockspoke/rendezvous.py
+++ b/hemlockspoke/rendezvous.py
@@ -11,11 +11,12 @@
 
     Adding or removing a name changes the first rank only of keys where it is first.
     """
-    return sorted(
-        names,
-        key=lambda name: (xxhash.xxh64_intdigest(f"{key}\x00{name}".encode()), name),
-        reverse=True,
-    )
+    return sorted(names, key=lambda name: (weight(key, name), name), reverse=True)
+
+
+def weight(key, name):
+    """Return the weight of a name for a key, an integer."""
+    return xxhash.xxh64_intdigest(f"{key}\x00{name}".encode())
 
 
 def group_of(server_name, region):
--- a/hemlockspoke/tier/directory.py
+++ b/hemlockspoke/tier/directory.py
@@ -1,10 +1,12 @@
 """The platform's state as known to this daemon: configuration and servers."""
 
 import logging
+from bisect import insort
 
 from hemlockspoke.http1.pool import ConnectionPool
+from hemlockspoke.rendezvous import weight
 from hemlockspoke.tier.apportion import LimitShares
-from hemlockspoke.tier.eligibility import describe_reason, has_left, reason_against
+from hemlockspoke.tier.eligibility import describe_exclusions, has_left, reason_against
 from hemlockspoke.tier.server_notices import ServerNotices
 from hemlockspoke.tier.servers import ServerState, TrackedServer
 
@@ -19,8 +21,6 @@
 # requests in flight.
 LEAVING_FRACTION = 0.25
 SERVER_LEAVING = "the server is leaving"
-# Limit on the servers that the log of one request names as not usable.
-MAX_DESCRIBED_SERVERS = 4
 
 
 class Directory:
@@ -42,6 +42,7 @@
         "_failure_domains",
         "_reactor",
         "_region",
+        "_vm",
         "age_ms",
         "domains_out",
         "limit_shares",
@@ -54,6 +55,7 @@
     )
 
     def __init__(self, reactor, clock, vm, domain, failure_domains, bounds):
+        self._vm = vm
         self._reactor = reactor
         self._clock = clock
         self._region = failure_domains.get(domain, "")
@@ -263,15 +265,8 @@
 
         With the ``RequestServers`` of a request its own reasons are stated as well.
         """
-        now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
-        texts = []
-        for server in self._in_regions(service, regions):
-            reason = describe_reason(self, server, now_ms, wall_ms)
-            if reason is None and request_servers is not None:
-                reason = request_servers.reason_against(server)
-            if reason is not None:
-                texts.append(f"{server.server_id}: {reason}")
-        return "; ".join(texts[:MAX_DESCRIBED_SERVERS])
+        servers = self._in_regions(service, regions)
+        return describe_exclusions(self, servers, request_servers, self._clock)
 
     def candidates(self, service, regions=()):
         """Return the servers of a service that this daemon may send to now."""
@@ -325,7 +320,13 @@
         )
         server = TrackedServer(entry, pool, region, region == self._region)
         self.servers[entry.server_id] = server
-        self.services.setdefault(entry.service, []).append(server)
+        # Of servers that look equal the first one is used, so their order differs by
+        # daemon. Otherwise the first requests of all daemons go to the same server.
+        insort(
+            self.services.setdefault(entry.service, []),
+            server,
+            key=lambda other: weight(self._vm, other.server_id),
+        )
         self._log_server(entry, "added")
         # The entry of a process may return after it has lapsed, or come from a list
         # that is older than what the process has said.
--- a/hemlockspoke/tier/eligibility.py
+++ b/hemlockspoke/tier/eligibility.py
@@ -9,6 +9,9 @@
 
 from hemlockspoke.registry import Registry
 
+# Limit on the servers that the log of one request names as not usable.
+MAX_DESCRIBED_SERVERS = 4
+
 reasons = Registry("reason against a server")
 own_reasons = Registry("reason against sending to a server")
 # For some reasons, a preposition and the clock time in ms that the log states.
@@ -83,17 +86,24 @@
     return None
 
 
-def describe_reason(directory, server, now_ms, wall_ms):
-    """Return the reason against a server for the log, or None if it may be used.
+def describe_exclusions(directory, servers, request_servers, clock):
+    """Return why servers may get no request, as a text for the log.
 
-    ``wall_ms`` is the time of day at the clock time ``now_ms``. Times are those of the
-    day in the local time zone, as in the lines of the log.
+    ``request_servers`` adds the reasons of one request, unless it is None.
     """
-    name = reason_against(directory, server, now_ms)
-    if name not in details:
-        return name
-    preposition, time_ms = details.get(name)(server)
-    return f"{name} {preposition} {time_of_day(wall_ms + time_ms - now_ms)}"
+    now_ms = clock.now_ms()
+    texts = []
+    for server in servers:
+        reason = reason_against(directory, server, now_ms)
+        if reason in details:
+            preposition, time_ms = details.get(reason)(server)
+            when = time_of_day(clock.wall_ms() + time_ms - now_ms)
+            reason = f"{reason} {preposition} {when}"
+        elif reason is None and request_servers is not None:
+            reason = request_servers.reason_against(server)
+        if reason is not None:
+            texts.append(f"{server.server_id}: {reason}")
+    return "; ".join(texts[:MAX_DESCRIBED_SERVERS])
 
 
 def time_of_day(wall_ms):
--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -101,6 +101,11 @@
     Then in a stop of any length each request that is taken ends before the last answers
     And a port is closed and a process ends in time in a stop of any length
 
+  Scenario: the daemons of a fleet begin with different servers
+    # Guards against a fleet of which all daemons send their first requests to the
+    # server that the store lists first.
+    Then of 200 daemons each of 6 equal servers is the first choice of 20 to 50
+
   Scenario: one list says why a server may get no request
     # Guards against checks at single callers, of which one is forgotten.
     Then a server that is <state> is excluded, as "<reason>"
--- a/tests/features/steps/edge_eligibility_steps.py
+++ b/tests/features/steps/edge_eligibility_steps.py
@@ -1,5 +1,6 @@
 """Steps on what a stopping daemon takes, and on the reasons against a server."""
 
+from collections import Counter
 from types import SimpleNamespace
 
 from behave import then
@@ -44,19 +45,41 @@
     check()
 
 
-def directory_with_server():
-    """Return a directory with the server "s1", which may get requests."""
+def directory_with_servers(server_ids, vm="e1"):
+    """Return the directory of a daemon with servers that may get requests."""
     clock = ManualClock()
     bounds = Bounds(cold_overshoot=1.0)
-    directory = Directory(None, clock, "e1", "a1", {"a1": "a"}, bounds)
+    directory = Directory(None, clock, vm, "a1", {"a1": "a"}, bounds)
     limits = ServiceLimits("items", 50, cold_per_s=1.0)
     directory.adopt_routing(RoutingTable(1, [], [limits]))
-    directory.set_members({"a1": ["e1"]})
-    address = Address.parse("10.0.0.1:80")
-    directory.set_server(ServerEntry("s1", "items", address, "a1"))
+    directory.set_members({"a1": [vm]})
+    for server_id in server_ids:
+        address = Address.parse("10.0.0.1:80")
+        directory.set_server(ServerEntry(server_id, "items", address, "a1"))
+    return directory
+
+
+def directory_with_server():
+    """Return a directory with the server "s1", which may get requests, and that."""
+    directory = directory_with_servers(["s1"])
     return directory, directory.servers["s1"]
 
 
+@then(
+    "of {daemons:d} daemons each of {servers:d} equal servers is the first choice "
+    "of {least:d} to {most:d}"
+)
+def step_first_choices(context, daemons, servers, least, most):
+    server_ids = [f"s{number}" for number in range(servers)]
+    counts = Counter()
+    for number in range(daemons):
+        directory = directory_with_servers(server_ids, f"e{number}")
+        (first,) = directory.fastest_servers("items", (), work_ms=10.0)
+        counts[first.server_id] += 1
+    assert sorted(counts) == server_ids, counts
+    assert least <= min(counts.values()) <= max(counts.values()) <= most, counts
+
+
 def set_state(directory, server, state):
     """Bring a server into a state that excludes it."""
     if state == "misdirected":
