Read what has arrived before a timeout counts

What happens: after a pause of the own process of some 100 ms, a server, the store or another daemon counts as silent although its bytes are there. Calls are aborted and sent once more, a peer gets no parts for 1.5 s, hedges are sent for answers that have arrived.

Cause: the reactor runs due timers before it reads.

Change: ReactorClock.call_after_reads runs the function one turn later, after the reads, for the timeouts of calls to the store, of silent upstream connections and their close, of acknowledgements by other daemons, and for hedges.

--- a/hemlockspoke/adapters/http_connection.py
+++ b/hemlockspoke/adapters/http_connection.py
@@ -125,7 +125,7 @@
             return
         self.closing = True
         self.transport.loseWriteConnection()
-        self._abort_timer = self._clock.call_later(
+        self._abort_timer = self._clock.call_after_reads(
             CLOSE_TIMEOUT_MS, self.transport.abortConnection
         )
 
--- a/hemlockspoke/adapters/http_upstream.py
+++ b/hemlockspoke/adapters/http_upstream.py
@@ -103,7 +103,7 @@
         # reply on a connection, silence does not distinguish a lost connection from a
         # slow server.
         if not self.is_order and connection.requests_sent:
-            self._stall_timer = self._client.clock.call_later(
+            self._stall_timer = self._client.clock.call_after_reads(
                 self._client.stall_ms, self._check_stall
             )
         method = b"POST" if self.payload else b"GET"
--- a/hemlockspoke/clock.py
+++ b/hemlockspoke/clock.py
@@ -31,6 +31,20 @@
         delay_s = max(0.0, delay_ms) / 1000.0
         return Timer(self._reactor.callLater(delay_s, function, *args))
 
+    def call_after_reads(self, delay_ms, function, *args):
+        """Do the same, but read what has arrived before the call.
+
+        The reactor runs due timers before it reads. After a pause of this process a
+        timeout would otherwise take the pause for silence of the other side.
+        """
+
+        def when_due():
+            # What has arrived is read before the timers of the next turn.
+            timer.replace(self._reactor.callLater(0, function, *args))
+
+        timer = self.call_later(delay_ms, when_due)
+        return timer
+
 
 class Timer:
     """A pending call of ``ReactorClock`` that may be cancelled at any time."""
@@ -40,6 +54,10 @@
     def __init__(self, call):
         self._call = call
 
+    def replace(self, call):
+        """Continue with another call of the reactor."""
+        self._call = call
+
     def cancel(self):
         """Cancel the call; does nothing when it has run."""
         if self._call.active():
@@ -80,6 +98,8 @@
         heapq.heappush(self._pending, (due_ms, next(self._sequence), timer))
         return timer
 
+    call_after_reads = call_later
+
     def advance(self, delta_ms):
         """Advance the clock and run every call that becomes due, in order."""
         end_ms = self._now_ms + delta_ms
--- a/hemlockspoke/http1/json_calls.py
+++ b/hemlockspoke/http1/json_calls.py
@@ -70,7 +70,7 @@
         exchange = Exchange(
             lambda: data, on_response, on_failure, max_body_bytes=MAX_REPLY_BYTES
         )
-        pending["timer"] = self._clock.call_later(timeout_ms, on_timeout)
+        pending["timer"] = self._clock.call_after_reads(timeout_ms, on_timeout)
         self._pool.submit(exchange)
 
     def _encode(self, method, path, headers, body):
--- a/hemlockspoke/tier/delegated_forward.py
+++ b/hemlockspoke/tier/delegated_forward.py
@@ -94,7 +94,7 @@
         self._pending[forward_id] = vm
         clock = self._manager.clock
         self._timers.append(
-            clock.call_later(
+            clock.call_after_reads(
                 rtt_ms + ACKNOWLEDGEMENT_ALLOWANCE_MS, self._on_overdue, forward_id
             )
         )
--- a/hemlockspoke/tier/delegation.py
+++ b/hemlockspoke/tier/delegation.py
@@ -88,7 +88,8 @@
 
     def start(self, timeout_ms):
         """Start the timeout for the other daemon's acknowledgement."""
-        self._timer = self._delegation.clock.call_later(timeout_ms, self._on_overdue)
+        clock = self._delegation.clock
+        self._timer = clock.call_after_reads(timeout_ms, self._on_overdue)
 
     def _on_overdue(self):
         self.silent = True
--- a/hemlockspoke/tier/delivery.py
+++ b/hemlockspoke/tier/delivery.py
@@ -235,7 +235,9 @@
                 # The other server is faster than this one is expected to be, so the
                 # hedge need not wait longer than for a healthy server.
                 delay_ms = healthy_ms
-        self._timer = self._tier.clock.call_later(delay_ms, self._on_overdue, attempt)
+        self._timer = self._tier.clock.call_after_reads(
+            delay_ms, self._on_overdue, attempt
+        )
 
     def _on_overdue(self, attempt):
         """Send a hedge for an attempt that takes longer than usual.
