Divide lists that are relayed to other daemons into several frames

What happens: a daemon that takes the list of servers from a peer gets it in one frame. Streams accept frames of 4 MB and are closed at a longer one. With 100,000 servers, or a few entries of 2 MB by another writer, the list never arrives: the stream opens, closes at the list and opens again, and all daemons of the failure domain read the store.

Change: tier/change_parts.py divides changes into messages of at most 1 MB, or one object, and collects them at the receiver until the last one. Parts of a daemon are discarded when its stream ends; over a million changes are dropped as a whole. A list below 1 MB is one message as before.

--- /dev/null
+++ b/hemlockspoke/tier/change_parts.py
@@ -0,0 +1,80 @@
+"""Divides changes of the store into messages that other daemons accept.
+
+A list of all servers of a large system exceeds the limit of a frame between daemons, at
+which the receiver would close the stream.
+"""
+
+import logging
+
+import msgpack
+
+from hemlockspoke.messages import MAX_FRAME_BYTES
+from hemlockspoke.tier.messages import StoreChanges
+
+logger = logging.getLogger(__name__)
+
+# Limit on the changes of one message. A larger object is alone in its message; it is
+# at most half as large as a frame (``MAX_OBJECT_BYTES``).
+MAX_PART_BYTES = MAX_FRAME_BYTES // 4
+# Limit on the changes that are kept until the last part of a list has arrived.
+MAX_PENDING_CHANGES = 1_000_000
+
+
+def changes_messages(kind, changes, since, revision, complete, age_ms=0.0):
+    """Return the messages that relay changes; all but the last one have ``more``."""
+    parts, size_bytes = [[]], 0
+    for change in changes:
+        item = [change.name, change.removed, change.spec]
+        item_bytes = len(msgpack.packb(item, use_bin_type=True))
+        if parts[-1] and size_bytes + item_bytes > MAX_PART_BYTES:
+            parts.append([])
+            size_bytes = 0
+        parts[-1].append(item)
+        size_bytes += item_bytes
+    return [
+        StoreChanges(
+            kind=kind,
+            since=since,
+            revision=revision,
+            changes=part,
+            complete=complete,
+            age_ms=round(age_ms),
+            more=number < len(parts),
+        )
+        for number, part in enumerate(parts, start=1)
+    ]
+
+
+class PendingParts:
+    """Parts of changes that have arrived before the last one, by sender and kind.
+
+    A stream delivers the parts of one kind in order and without others between them.
+    Changes over the limit are dropped as a whole, as a list with gaps would remove
+    servers that exist.
+    """
+
+    __slots__ = ("_changes",)
+
+    def __init__(self):
+        self._changes = {}
+
+    def add(self, vm, message):
+        """Add a part; return all changes if it is the last one, otherwise None."""
+        key = (vm, message.kind)
+        pending = self._changes.pop(key, [])
+        if pending is not None:
+            pending.extend(message.changes)
+            if len(pending) > MAX_PENDING_CHANGES:
+                logger.error(
+                    "too many changes", extra={"peer": vm, "kind": message.kind}
+                )
+                pending = None
+        if not message.more:
+            return pending
+        self._changes[key] = pending
+        return None
+
+    def discard(self, vm):
+        """Discard the parts of a daemon whose stream has ended."""
+        for key in [key for key in self._changes if key[0] == vm]:
+            del self._changes[key]
--- a/hemlockspoke/tier/messages.py
+++ b/hemlockspoke/tier/messages.py
@@ -15,10 +15,19 @@
     ``changes`` is a list of ``[name, removed, spec]`` with the changes after revision
     ``since`` of the store up to ``revision``; ``spec`` is the content of the object.
     With ``complete`` set, it lists every object instead and ``since`` is 0. ``age_ms``
-    is the time since the store confirmed ``revision`` as its newest one.
+    is the time since the store confirmed ``revision`` as its newest one. ``more`` is
+    true if a further message with the same fields continues ``changes``.
     """
 
-    __slots__ = ("kind", "since", "revision", "changes", "complete", "age_ms")
+    __slots__ = (
+        "kind",
+        "since",
+        "revision",
+        "changes",
+        "complete",
+        "age_ms",
+        "more",
+    )
 
 
 @message("store_contact")
--- a/hemlockspoke/tier/relay.py
+++ b/hemlockspoke/tier/relay.py
@@ -9,6 +9,7 @@
 
 import logging
 
+from hemlockspoke.tier.change_parts import PendingParts, changes_messages
 from hemlockspoke.tier.feed import Change
 from hemlockspoke.tier.messages import StoreChanges, StoreHeartbeat, StoreListRequest
 
@@ -54,6 +55,7 @@
         "_heartbeats",
         "_kinds",
         "_max_age_ms",
+        "_pending_parts",
         "_position",
         "_read_delay_until_ms",
         "_send",
@@ -72,6 +74,7 @@
         self._max_age_ms = max_age_ms
         self._kinds = {}
         self._heartbeats = {}
+        self._pending_parts = PendingParts()
         self._position = 0
         self._streams_before = frozenset()
         self._stopped = False
@@ -265,9 +268,10 @@
         """Relay changes that this daemon has read from the store."""
         if not changes and not complete:
             return
-        message = changes_message(followed.kind, changes, since, revision, complete)
+        messages = changes_messages(followed.kind, changes, since, revision, complete)
         for vm in self._domain_peers():
-            self._send(vm, message)
+            for message in messages:
+                self._send(vm, message)
 
     def receive(self, vm, message):
         """Handle a message of another daemon."""
@@ -301,12 +305,13 @@
         followed = self._kinds.get(message.kind)
         if followed is None:
             return
+        items = self._pending_parts.add(vm, message)
+        if items is None:
+            return
         known_revision = followed.revision
         if known_revision is not None and message.revision <= known_revision:
             return
-        changes = [
-            Change(name, spec, removed) for name, removed, spec in message.changes
-        ]
+        changes = [Change(name, spec, removed) for name, removed, spec in items]
         if message.complete:
             followed.replace(changes, message.revision, message.age_ms)
         elif known_revision is not None and message.since <= known_revision:
@@ -319,13 +324,14 @@
         if followed is None or followed.revision is None:
             return
         changes = [Change(name, spec) for name, spec in followed.objects.items()]
-        message = changes_message(
+        for message in changes_messages(
             kind, changes, 0, followed.revision, True, followed.age_ms()
-        )
-        self._send(vm, message)
+        ):
+            self._send(vm, message)
 
     def peer_lost(self, vm):
         """Discard the heartbeat of a daemon whose stream has ended."""
+        self._pending_parts.discard(vm)
         if self._heartbeats.pop(vm, None) is not None:
             for followed in self._kinds.values():
                 self._update_reader(followed)
@@ -334,15 +340,3 @@
         """Return whether a daemon is about to stop."""
         heartbeat = self._heartbeats.get(vm)
         return heartbeat is not None and heartbeat.leaving
-
-
-def changes_message(kind, changes, since, revision, complete, age_ms=0.0):
-    """Return the message that relays changes."""
-    return StoreChanges(
-        kind=kind,
-        since=since,
-        revision=revision,
-        changes=[[change.name, change.removed, change.spec] for change in changes],
-        complete=complete,
-        age_ms=round(age_ms),
-    )
--- a/tests/features/edge_odd_entries.feature
+++ b/tests/features/edge_odd_entries.feature
@@ -45,6 +45,15 @@
   Scenario: odd objects of any kind leave the others as they are
     Then whatever object another writer leaves, the others are followed and relayed
 
+  Scenario: a list of any length reaches the other daemons
+    # Guards against a frame over the limit of the receiver, which closes the stream
+    # each time.
+    Given 100000 servers, and 9 with entries of 1900000 bytes
+    When a daemon reads the list and another one takes it
+    Then both know all servers, and no frame was over the limit
+    When a stream ends within the list, and the next one brings a shorter list
+    Then the other daemon knows the servers of the shorter list
+
   Scenario: an odd registration leaves the other daemons known
     # Guards against a daemon that ceases to read the list of daemons.
     Then whatever registration another writer leaves, the other daemons are known
--- a/tests/features/steps/edge_decisions_steps.py
+++ b/tests/features/steps/edge_decisions_steps.py
@@ -368,6 +368,7 @@
         changes=[["s1", False, {}]],
         complete=False,
         age_ms=0,
+        more=False,
     )
     context.relay.receive("e0", message)
 
