Do not close a connection whose next request waits in the kernel

What callers see: a request on a kept connection ends by a reset, without an answer, if it arrives while the daemon closes idle connections in a planned stop, or at the end of the connection's idle time.

Cause: the channel looks only at what it has read. A close with unread bytes makes the kernel send a reset.

Change: close_if_idle and the idle timeout look at the kernel's buffer (MSG_PEEK) first. Timeouts of a channel, that of a head included, are tried after what has arrived is read, so that a pause of the process does not count. A request that is still on the network when the connection closes can't be told and may be reset as before.

The stop scenarios end their own daemon only: one that ended after its scenario closed the daemon of the next one, as the callback read it from the context.

Tests: edge_stop.feature, "a request that meets the close of its kept connection", and "a request of which a part has arrived" (head, body, next request), which holds before.

--- a/hemlockspoke/http1/channel.py
+++ b/hemlockspoke/http1/channel.py
@@ -145,10 +145,10 @@
     def _set_timer(self, delay_ms, callback):
         if self._timer is not None:
             self._timer.cancel()
-        self._timer = self._clock.call_later(delay_ms, callback)
+        self._timer = self._clock.call_after_reads(delay_ms, callback)
 
     def _on_idle_timeout(self):
-        if self._current is None and not self._queued:
+        if self._current is None and not self._queued and not self._has_unread_bytes():
             self.transport.loseConnection()
 
     def _on_header_timeout(self):
@@ -282,9 +282,23 @@
         """Close the connection unless a request is read, handled or about to come."""
         age_ms = self._clock.now_ms() - self._opened_ms
         is_new = self._is_first_request and age_ms < NEW_CONNECTION_GRACE_MS
-        if self.idle() and not is_new:
+        if self.idle() and not is_new and not self._has_unread_bytes():
             self._close()
 
+    def _has_unread_bytes(self):
+        """Return whether the kernel holds bytes of the caller.
+
+        A close would reset the connection, and the caller's request would be lost.
+        """
+        try:
+            handle = self.transport.getHandle()
+            return bool(handle.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            logger.debug("connection lost", extra={"reason": str(error)})
+            return False
+
     def connectionLost(self, reason):
         """Cancel the request in progress and drop the queued ones."""
         self._site.channels.discard(self)
--- a/tests/features/edge_stop.feature
+++ b/tests/features/edge_stop.feature
@@ -21,6 +21,30 @@
     When 20 callers connect and send a request while the daemon is busy closing its port
     Then all of them get an answer
 
+  Scenario Outline: a request of which a part has arrived is answered
+    Given a platform whose daemon "e1" may stop, with servers that take <work_ms> ms
+    When a caller sends <part>, the daemon "e1" is told to stop, and the rest follows
+    Then the caller gets <count> answers with status 200
+
+    Examples:
+      | part                             | work_ms | count |
+      | half of a head                   | 40      | 1     |
+      | half of a body                   | 40      | 1     |
+      | a request and half of the next   | 40      | 2     |
+
+  Scenario Outline: a request that meets the close of its kept connection is answered
+    # Guards against a close while the request waits in the kernel, which resets the
+    # connection.
+    Given a platform whose daemon "e1" may stop, with servers that take 40 ms
+    And a caller whose kept connection has carried a request
+    When its next request arrives just before <event>
+    Then the caller gets 1 answers with status 200
+
+    Examples:
+      | event                                 |
+      | the daemon closes idle connections    |
+      | the idle time of its connection is up |
+
   Scenario: a stopping daemon refuses orders that it cannot finish
     # Guards against orders that are taken late in a stop and cut off at its end.
     Given a platform whose daemon "e1" may stop, with servers that take 2000 ms
--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -46,15 +46,18 @@
     context.stopped_s = None
 
     def end():
-        context.stopped_s = time.monotonic()
-        for channel in list(context.daemon._site.channels):
+        # A daemon may end after its scenario, when the context is that of another.
+        if context.daemon is daemon:
+            context.stopped_s = time.monotonic()
+        for channel in list(daemon._site.channels):
             channel.transport.abortConnection()
-        context.daemon.close()
+        daemon.close()
 
-    context.daemon = run_in_reactor(build, settings, StoppableReactor(end))
+    daemon = run_in_reactor(build, settings, StoppableReactor(end))
+    context.daemon = daemon
     # Closed with the world if the scenario doesn't stop it.
-    world.daemons[vm] = context.daemon
-    run_in_reactor(context.daemon.start)
+    world.daemons[vm] = daemon
+    run_in_reactor(daemon.start)
     context.address = (host, ports["frontend"])
     wait_until(context.daemon.directory.ready)
 
