Answer a request that was half read when the one before it ended

What callers see: of pipelined requests the last one, half sent when the daemon begins a planned stop, is reset with the answer to the one before.

Cause: while the daemon leaves, each answer closes its connection unless whole requests are queued.

Change: a connection of which a part of the next request has been read is kept as well; the header timeout bounds it.

Tests: two more examples of edge_stop.feature, "a request of which a part has arrived"; the first of them fails without the change.

--- a/hemlockspoke/http1/channel.py
+++ b/hemlockspoke/http1/channel.py
@@ -260,7 +260,8 @@
         self._current = None
         request.on_caller_disconnected = None
         close = close or not request.keep_open or self._site.leaving
-        close = (close and not self._queued) or self._rejected
+        more_follows = self._queued or self._in_message
+        close = (close and not more_follows) or self._rejected
         head_only = request.method == b"HEAD"
         data = encode_response(status, headers, body, close, head_only)
         self.transport.write(data)
--- a/tests/features/edge_stop.feature
+++ b/tests/features/edge_stop.feature
@@ -22,6 +22,7 @@
     Then all of them get an answer
 
   Scenario Outline: a request of which a part has arrived is answered
+    # Guards against a connection that is closed with the answer to the request before.
     Given a platform whose daemon "e1" may stop, with servers that take <work_ms> ms
     When a caller sends <part>, the daemon "e1" is told to stop, and the rest follows
     Then the caller gets <count> answers with status 200
@@ -31,6 +32,8 @@
       | half of a head                   | 40      | 1     |
       | half of a body                   | 40      | 1     |
       | a request and half of the next   | 40      | 2     |
+      | a request and half of the next   | 250     | 2     |
+      | two requests and half of a third | 250     | 3     |
 
   Scenario Outline: a request that meets the close of its kept connection is answered
     # Guards against a close while the request waits in the kernel, which resets the
