--- a/hemlockspoke/clock.py
+++ b/hemlockspoke/clock.py
@@ -32,7 +32,7 @@
         return Timer(self._reactor.callLater(delay_s, function, *args))
 
     def call_after_reads(self, delay_ms, function, *args):
-        """Do the same, but read what has arrived before the call.
+        """Like ``call_later``, but read what has arrived before the call.
 
         The reactor runs due timers before it reads. After a pause of this process a
         timeout would otherwise take the pause for silence of the other side.
