--- a/tests/features/promise_09_graceful_shutdown.feature
+++ b/tests/features/promise_09_graceful_shutdown.feature
@@ -17,3 +17,10 @@
     Then no request to the cluster was interrupted
     And all answers of the cluster match their snapshot and coverage
     And no invariant was violated in the cluster
+
+  Scenario: callers connect in a loop while a daemon is terminated
+    Guards against connections in the kernel's queue that the end of the port resets.
+    When callers connect in a loop while cluster daemon 1 is terminated
+    Then the process of the terminated cluster daemon exited with status zero
+    And no caller that had connected was left without an answer of the cluster
+    And no invariant was violated in the cluster
