--- a/tests/bench/slope_members.py
+++ b/tests/bench/slope_members.py
@@ -4,7 +4,8 @@
 
 from twisted.internet.testing import StringTransport
 
-from hemlockspoke.adapters.peer_stream import PeerProtocol, TcpPeerNetwork
+from hemlockspoke.adapters.peer_protocol import PeerProtocol
+from hemlockspoke.adapters.peer_stream import TcpPeerNetwork
 from hemlockspoke.clock import ManualClock
 from hemlockspoke.config.settings import Timings
 from hemlockspoke.limits.share_plan import plan_group
