--- a/tests/bench/notices.py
+++ b/tests/bench/notices.py
@@ -81,7 +81,7 @@
 
     def __init__(self, reactor, clock, address, limit):
         self._server = self.world.servers[address.port]
-        self._directory = self.world.building
+        self._daemon = self.world.daemon_being_built
         self.limit = limit
         self.connect_ms = 2 * ONE_WAY_MS
 
@@ -95,7 +95,7 @@
         request = re.search(rb"(?i)attempt-id: (\d+)", exchange.encode()).group(1)
         arrive = self._server.arrive
         self.world.clock.call_later(
-            ONE_WAY_MS, arrive, self._directory, int(request), exchange
+            ONE_WAY_MS, arrive, self._daemon, int(request), exchange
         )
 
     def has_capacity(self):
@@ -157,13 +157,18 @@
         self.rng = random.Random(seed)
         self.clock = ManualClock()
         self.servers = [Server(self, number) for number in range(SERVERS)]
-        self.building = None
-        # Request number and start by arrival; first passed-on word of a server that
-        # leaves by daemon and server; refusals with a hold.
+        # Pools are made by the directory of a daemon, which does not tell them its VM.
+        self.daemon_being_built = None
+        # Daemon, server, request and time of each arrival at a server.
         self.arrivals = []
+        # Start of each request, by its number.
         self.started_ms = []
+        # Time of the first answer passed on in which a server says that it leaves, by
+        # daemon and server.
         self.told_ms = {}
+        # Daemon, server and time of each refusal with a hold.
         self.refusals = []
+        # Start, whether it was answered, and duration of each request.
         self.outcomes = []
         ServerPool.world = self
         directory_module.ConnectionPool = ServerPool
@@ -185,7 +190,7 @@
         directory = directory_module.Directory(
             None, self.clock, vm, "a1", {"a1": "a"}, bounds
         )
-        self.building = vm
+        self.daemon_being_built = vm
         limits = ServiceLimits(SERVICE, 2 * len(vms))
         if hasattr(directory, "notices"):
             directory.notices._rng = self.rng
