--- a/hemlockspoke/tier/attempt.py
+++ b/hemlockspoke/tier/attempt.py
@@ -243,7 +243,7 @@
             self._metrics.count("servers.malformed_holds")
 
     def _record_partial_notices(self):
-        """Do the same for interim responses, and for one that broke off."""
+        """Record what interim responses say, and one that broke off."""
         partial = self._exchange.partial
         if partial is not None:
             metadata = self._codec.parse_reply_headers(partial)
--- a/tests/edge_soak/stops.py
+++ b/tests/edge_soak/stops.py
@@ -59,8 +59,7 @@
     ``disturbances`` maps each VM to lists of start, end and kind of its faults, with
     times in seconds.
     """
-    # Daemons of earlier tests in this process may call a port that was their store's;
-    # those requests have no id.
+    # Requests without an id are not those of the soak's callers.
     received = {
         attempt.decode()
         for server in servers
