Log what becomes of open connections at the end of a stop

The users' record of lookups that a stop cut cannot tell the hypotheses apart: no line of the stopping daemons names a lost request, and the last lines of a process that logs a lot were left out without a count.

The last line of a stop now counts the open connections by state (unanswered, half read, closing with unread bytes of the answer, idle) and says how long the stop has taken; it is a warning if any connection is cut. Lines that were left out in the last second of a process are counted at its end.

Ruled out: a line for each connection, which the limit on lines would drop at the moment in which it matters.

Tests: edge_logs.feature, edge_stop.feature, one scenario each; both fail without the change, which adds what they look at.

--- a/hemlockspoke/adapters/json_logs.py
+++ b/hemlockspoke/adapters/json_logs.py
@@ -59,12 +59,14 @@
         """Count a dropped line."""
         self._dropped[event] += 1
 
-    def pop_dropped(self):
+    def pop_dropped(self, at_end=False):
         """Return and reset the number of dropped lines by event.
 
-        It is empty until the second in which they were dropped has passed.
+        It is empty until the second in which they were dropped has passed, except with
+        ``at_end``.
         """
-        if not self._dropped or int(self._now_s()) == self._second:
+        is_over = at_end or int(self._now_s()) != self._second
+        if not self._dropped or not is_over:
             return {}
         dropped, self._dropped = dict(self._dropped), Counter()
         return dropped
@@ -82,13 +84,21 @@
 
     def emit(self, record):
         """Write a line unless a rate limit is reached or the buffer is full."""
-        dropped = self._limit.pop_dropped()
-        if dropped:
-            self._write(self._summary(dropped), "log lines left out")
+        self._write_dropped()
         event = record.getMessage()
         if self._limit.admit(event, record.levelno >= logging.WARNING):
             self._write(record, event)
 
+    def close(self):
+        """Count the lines left out in the last second of the process."""
+        self._write_dropped(at_end=True)
+        super().close()
+
+    def _write_dropped(self, at_end=False):
+        dropped = self._limit.pop_dropped(at_end)
+        if dropped:
+            self._write(self._summary(dropped), "log lines left out")
+
     def _summary(self, dropped):
         return logging.makeLogRecord(
             {
--- a/hemlockspoke/http1/channel.py
+++ b/hemlockspoke/http1/channel.py
@@ -3,7 +3,7 @@
 import logging
 import socket
 import struct
-from collections import deque
+from collections import Counter, deque
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from twisted.internet.protocol import Factory, Protocol
@@ -279,6 +279,17 @@
         """Return whether no request is being read or handled."""
         return self._current is None and not self._queued and not self._in_message
 
+    def state(self):
+        """Return whether a request is unanswered, for the log of a stop.
+
+        ``closing`` is a connection whose caller has not read its last answer yet.
+        """
+        if self._current is not None or self._queued:
+            return "unanswered"
+        if self._in_message:
+            return "half_read"
+        return "closing" if self._closing else "idle"
+
     def close_if_idle(self):
         """Close the connection unless a request is read, handled or about to come."""
         age_ms = self._clock.now_ms() - self._opened_ms
@@ -345,6 +356,10 @@
         """Return the channel of a new connection."""
         return HttpChannel(self)
 
+    def count_states(self):
+        """Return the number of open connections by their state."""
+        return dict(Counter(channel.state() for channel in self.channels))
+
     def close_idle(self):
         """Close all connections without a request in progress."""
         for channel in list(self.channels):
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -293,9 +293,23 @@
         if busy and now_ms < plan.exit_ms:
             self._clock.call_later(SHUTDOWN_POLL_MS, self._stop_when_idle)
             return
-        logger.info("stopped", extra={"active": self._request_handler.active()})
+        self._log_stopped(now_ms, for_peers)
         self._reactor.stop()
 
+    def _log_stopped(self, now_ms, for_peers):
+        """Log how the stop has ended; connections that are open now are cut."""
+        connections = self._site.count_states()
+        logger.log(
+            logging.WARNING if connections else logging.INFO,
+            "stopped",
+            extra={
+                "active": self._request_handler.active(),
+                "connections": connections,
+                "for_peers": for_peers,
+                "elapsed_ms": round(now_ms - self._shutdown.started_ms),
+            },
+        )
+
     def _stop_accepting(self):
         """Accept the connections that wait in the kernel, then close the port.
 
--- a/hemlockspoke/tier/shutdown.py
+++ b/hemlockspoke/tier/shutdown.py
@@ -29,9 +29,16 @@
     (True, False)
     """
 
-    __slots__ = ("accept_until_ms", "answer_ms", "close_idle_ms", "exit_ms")
+    __slots__ = (
+        "accept_until_ms",
+        "answer_ms",
+        "close_idle_ms",
+        "exit_ms",
+        "started_ms",
+    )
 
     def __init__(self, started_ms, shutdown_ms):
+        self.started_ms = started_ms
         self.answer_ms = started_ms + max(0.0, shutdown_ms - ANSWER_RESERVE_MS)
         self.exit_ms = started_ms + max(0.0, shutdown_ms - EXIT_RESERVE_MS)
         self.accept_until_ms = max(
--- a/tests/features/edge_logs.feature
+++ b/tests/features/edge_logs.feature
@@ -6,6 +6,11 @@
     Then at most 40 lines of the first and all of the other are written
     And a second later a line counts the 960 that were left out
 
+  Scenario: lines that are left out in the last second of a process are counted
+    # Guards against a process that ends under load and hides how much it did not log.
+    When 1000 lines of one event and 5 of another are logged in a second
+    Then at the end of the process a line counts the 960 that were left out
+
   Scenario: failures are written although routine lines have reached their limit
     When 400 routine lines of 20 events are logged before 10 failures
     Then at most 150 routine lines and all 10 failures are written
--- a/tests/features/edge_stop.feature
+++ b/tests/features/edge_stop.feature
@@ -64,3 +64,10 @@
     When an order and a lookup are sent, and the daemon "e1" is told to stop
     Then it stops within 6000 ms
     And both get status 502 at least 5000 ms after the start of the stop
+
+  Scenario: the end of a stop says what became of the open connections
+    # Guards against requests that a stop cuts without a trace in the log.
+    Given a platform whose daemon "e1" may stop, with servers that take 40 ms
+    When a caller does not read its answers, and the daemon "e1" is told to stop
+    Then it stops within 6000 ms
+    And its last log line counts 1 connections in the state "closing"
--- a/tests/features/steps/edge_logs_steps.py
+++ b/tests/features/steps/edge_logs_steps.py
@@ -75,6 +75,16 @@
 def step_left_out(context, number):
     context.seconds.now_s += 1.0
     emit(context, "later")
+    check_left_out(context, number)
+
+
+@then("at the end of the process a line counts the {number:d} that were left out")
+def step_left_out_at_end(context, number):
+    context.handler.close()
+    check_left_out(context, number)
+
+
+def check_left_out(context, number):
     (line,) = [
         entry
         for entry in read_lines(context)
--- a/tests/features/steps/edge_stop_parts_steps.py
+++ b/tests/features/steps/edge_stop_parts_steps.py
@@ -1,5 +1,6 @@
 """Steps on requests of which a stopping daemon has only a part, or has read none."""
 
+import logging
 import socket
 import time
 
@@ -11,6 +12,10 @@
 # Time between a part of a request and the rest of it, with the order to stop between.
 PART_S = 0.15
 BODY = b"x" * 1000
+# The kernel's buffers hold less than the answers to these requests.
+LARGE_BODY = b"x" * 900_000
+UNREAD_REQUESTS = 20
+UNREAD_S = 2.0
 
 
 def with_body(attempt):
@@ -92,3 +97,41 @@
             close(channel)
 
     run_in_reactor(send_and_close)
+
+
+class RecordList(logging.Handler):
+    """Keeps log records."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        """Keep a record."""
+        self.records.append(record)
+
+
+@when('a caller does not read its answers, and the daemon "{vm}" is told to stop')
+def step_unread(context, vm):
+    logger = logging.getLogger("hemlockspoke.tier.edge_daemon")
+    handler = RecordList()
+    logger.addHandler(handler)
+    context.add_cleanup(logger.removeHandler, handler)
+    context.log_records = handler.records
+    for server in context.world.servers.values():
+        server.body = LARGE_BODY
+    context.connection = socket.create_connection(context.address, timeout=5)
+    context.add_cleanup(context.connection.close)
+    requests = [encode(f"unread{number}") for number in range(UNREAD_REQUESTS)]
+    context.connection.sendall(b"".join(requests))
+    time.sleep(UNREAD_S)
+    context.told_s = time.monotonic()
+    context.daemon.terminate()
+    wait_until(lambda: context.stopped_s is not None, timeout_s=8)
+
+
+@then('its last log line counts {count:d} connections in the state "{state}"')
+def step_last_line(context, count, state):
+    record = [r for r in context.log_records if r.getMessage() == "stopped"][-1]
+    assert record.levelno == logging.WARNING
+    assert record.connections == {state: count}, record.connections
