Reproduce the cut lookups with stops of two daemons of a failure domain

Callers saw lookups without an answer around the stops of two daemons of one failure domain. The soak did not show them: its callers call each daemon by its address, keep their connections and state 1.5 s, so hardly any request begins late in a stop and waits long.

--- a/tests/edge_soak/processes.py
+++ b/tests/edge_soak/processes.py
@@ -1,6 +1,7 @@
 """The platform's daemons as processes that reach the stand-ins through proxies."""
 
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -24,8 +25,9 @@
 class DaemonProcess:
     """One daemon: its settings file, its process and its log."""
 
-    def __init__(self, vm, folder, settings_text):
+    def __init__(self, vm, folder, settings_text, code_folder=None):
         self.vm = vm
+        self._code_folder = code_folder
         self.settings = folder / f"{vm}.conf"
         self.settings.write_text(settings_text)
         self.log = folder / f"{vm}.log"
@@ -40,10 +42,13 @@
             "PATH": os.environ["PATH"],
             "PYTHONPATH": os.environ.get("PYTHONPATH", str(Path.cwd())),
         }
+        if self._code_folder is not None:
+            environment["PYTHONPATH"] = str(Path(self._code_folder).resolve())
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "hemlockspoke.platform.edge"],
                 env=environment,
+                cwd=self._code_folder,
                 stdout=log,
                 stderr=log,
             )
@@ -60,11 +65,11 @@
         time.sleep(RESTART_DELAY_S)
         self.start()
 
-    def terminate_and_restart(self):
+    def terminate_and_restart(self, grace_s=STOP_GRACE_S):
         """Stop the process with SIGTERM and start it again; return the exit code."""
         self.signal(signal.SIGTERM)
         try:
-            code = self.process.wait(STOP_GRACE_S)
+            code = self.process.wait(grace_s)
         except subprocess.TimeoutExpired:
             self.signal(signal.SIGKILL)
             code = self.process.wait(STOP_TIMEOUT_S)
@@ -83,12 +88,15 @@
 class ProcessWorld(PlatformWorld):
     """A platform whose daemons are processes connected through proxies.
 
-    Each daemon has its own proxy to the store; all share one proxy per server.
+    Each daemon has its own proxy to the store; all share one proxy per server. The
+    daemons run the code of ``code_folder`` if one is given.
     """
 
-    def __init__(self, **options):
+    def __init__(self, code_folder=None, **options):
+        self._code_folder = code_folder
         self.proxies = {}
         self.store_proxies = {}
+        self.domains = {}
         self._folder = tempfile.TemporaryDirectory(prefix="hemlockspoke-soak-")
         self.folder = Path(self._folder.name)
         super().__init__(**options)
@@ -116,8 +124,9 @@
         text, host, ports = self.settings_text(
             vm, domain, first_start, bounds, proxy.address
         )
-        daemon = DaemonProcess(vm, self.folder, text)
+        daemon = DaemonProcess(vm, self.folder, text, self._code_folder)
         self.daemons[vm] = daemon
+        self.domains[vm] = domain
         self.addresses[vm] = host, ports
         daemon.start()
         return daemon
@@ -130,6 +139,10 @@
                 assert time.monotonic() < end, f"{vm} is not ready"
                 time.sleep(0.05)
 
+    def keep_logs(self, folder):
+        """Copy the daemons' logs and settings to a folder."""
+        shutil.copytree(self.folder, folder, dirs_exist_ok=True)
+
     def stop(self):
         """Kill the daemons, close the proxies and the stand-ins and delete the logs."""
         for daemon in self.daemons.values():
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -10,7 +10,6 @@
 import heapq
 import itertools
 import random
-import shutil
 import signal
 import sys
 import time
@@ -362,7 +361,7 @@
         served = sum(1 for outcome in callers.outcomes if outcome.status == 200)
         print(f"seed {seed}: {served} of {len(callers.outcomes)} requests served")
         if findings and keep_logs:
-            shutil.copytree(world.folder, keep_logs, dirs_exist_ok=True)
+            world.keep_logs(keep_logs)
         return findings
     finally:
         world.stop()
--- a/tests/features/edge_soak.feature
+++ b/tests/features/edge_soak.feature
@@ -19,3 +19,8 @@
   Scenario: the soak that failed with seed 7126
     When daemons run as processes for 20 s with seed 7126
     Then the checks of callers and servers report no findings
+
+  Scenario: requests are answered while two daemons of a failure domain stop
+    # Guards against requests cut by a stop while new connections still come.
+    When two daemons of a failure domain stop shortly after each other, 2 times
+    Then the checks of callers and servers report no findings
--- a/tests/standins/shard_server.py
+++ b/tests/standins/shard_server.py
@@ -67,6 +67,9 @@
         self.received_attempts = []
         self.executed_attempts = []
         self.deadlines_ms = []
+        # When the work on each attempt began and ended, in seconds; the end is None
+        # while the work goes on.
+        self.work_s = {}
         self.cancelled = 0
         # The last answer on each connection.
         self.last_answers = {}
@@ -112,16 +115,26 @@
             headers = [(b"X-Hemlockspoke-Instance-Id", self.server_id.encode())]
             request.respond(421, headers, b"")
             return
-        request.on_caller_disconnected = self._count_cancellation
+        attempt = header(request, ATTEMPT_HEADER)
+
+        def cancelled():
+            self.cancelled += 1
+            self.end_work(attempt)
+
+        request.on_caller_disconnected = cancelled
         behaviours.get(self.behaviour)(self, request)
 
-    def _count_cancellation(self):
-        self.cancelled += 1
+    def end_work(self, attempt):
+        """Record that the work on an attempt has ended, unless it had before."""
+        interval = self.work_s.get(attempt)
+        if interval is not None and interval[1] is None:
+            interval[1] = time.monotonic()
 
     def run(self, request):
         """Run the request and return the headers of its answer."""
         attempt = header(request, ATTEMPT_HEADER)
         self.executed_attempts.append(attempt)
+        self.work_s[attempt] = [time.monotonic(), None]
         stamp = f"{self.server_id}.{len(self.executed_attempts)}.{attempt.decode()}"
         leaving = [(b"Server-Leaving", b"1")] if self.says_leaving else []
         return [(STAMP_HEADER, stamp.encode()), (ATTEMPT_HEADER, attempt), *leaving]
@@ -131,7 +144,20 @@
 def serve(server, request):
     """Answer after ``work_ms``."""
     headers = server.run(request)
-    server.clock.call_later(server.work_ms, request.respond, 200, headers, server.body)
+
+    def answer():
+        server.end_work(header(request, ATTEMPT_HEADER))
+        request.respond(200, headers, server.body)
+
+    server.clock.call_later(server.work_ms, answer)
+
+
+@behaviours.register("lose_answer")
+def lose_answer(server, request):
+    """Work for ``work_ms`` and send no answer, on a connection that stays open."""
+    server.run(request)
+    attempt = header(request, ATTEMPT_HEADER)
+    server.clock.call_later(server.work_ms, server.end_work, attempt)
 
 
 @behaviours.register("shed")
