Count the time of a planned stop from its signal

A daemon that is busy when SIGTERM comes began its stop late by that time, and all times of the stop moved with it: with 0.7 s of other work the answers to requests in progress came after the end of the grace time, when the platform kills the process.

The signal handler notes its time, and the plan of the stop counts from it. The log line `leaving` says how long the start of the stop was delayed.

Ruled out: a larger reserve, which costs answers in every stop.

Test: edge_stop.feature, "the time of a stop counts from its signal", with 0.9 s of other work; before, the stop took more than 6 s.

--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -257,19 +257,26 @@
 
     def terminate(self, *_):
         """Handle SIGTERM: shut down after requests in progress have finished."""
-        self._reactor.callFromThread(self._begin_shutdown)
+        self._reactor.callFromThread(self._begin_shutdown, self._clock.now_ms())
 
-    def _begin_shutdown(self):
+    def _begin_shutdown(self, signal_ms):
+        """Begin the shutdown; its time counts from the signal, also if it waited."""
         if self._shutdown is not None:
             return
         now_ms = self._clock.now_ms()
-        plan = ShutdownPlan(now_ms, self._settings.bounds.shutdown_ms)
+        plan = ShutdownPlan(signal_ms, self._settings.bounds.shutdown_ms)
         self._shutdown = plan
         self._site.leaving = True
         self._relay.leaving = True
         self._request_handler.shutdown = plan
         self._forwarding.shutdown = plan
-        logger.info("leaving", extra={"active": self._request_handler.active()})
+        logger.info(
+            "leaving",
+            extra={
+                "active": self._request_handler.active(),
+                "delay_ms": round(now_ms - signal_ms),
+            },
+        )
         self._clock.call_later(plan.close_idle_ms - now_ms, self._stop_when_idle)
 
     def _stop_when_idle(self):
--- a/tests/features/edge_stop.feature
+++ b/tests/features/edge_stop.feature
@@ -65,6 +65,13 @@
     Then it stops within 6000 ms
     And both get status 502 at least 5000 ms after the start of the stop
 
+  Scenario: the time of a stop counts from its signal
+    # Guards against a busy daemon that is killed before it has answered.
+    Given a platform whose daemon "e1" may stop, with servers that take 9000 ms
+    When an order and a lookup are sent, and "e1" is told to stop while busy for 900 ms
+    Then it stops within 6000 ms
+    And both get status 502 at least 5000 ms after the start of the stop
+
   Scenario: the end of a stop says what became of the open connections
     # Guards against requests that a stop cuts without a trace in the log.
     Given a platform whose daemon "e1" may stop, with servers that take 40 ms
--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -197,12 +197,25 @@
 
 @when('an order and a lookup are sent, and the daemon "{vm}" is told to stop')
 def step_stop_in_progress(context, vm):
+    stop_in_progress(context)
+
+
+@when(
+    'an order and a lookup are sent, and "{vm}" is told to stop while busy for {n:d} ms'
+)
+def step_stop_busy(context, vm, n):
+    stop_in_progress(context, busy_ms=n)
+
+
+def stop_in_progress(context, busy_ms=0):
+    """Stop the daemon while requests are in progress and it is busy with other work."""
     context.orders = [
         TimedRequest(context.address, "order", "POST", "/order/a"),
         TimedRequest(context.address, "lookup", "GET", "/item/a"),
     ]
     time.sleep(0.2)
     context.told_s = time.monotonic()
+    reactor.callFromThread(time.sleep, busy_ms / 1000)
     context.daemon.terminate()
     wait_until(lambda: context.stopped_s is not None, timeout_s=8)
     for order in context.orders:
