--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 DURATION_S ?= 60
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: install demo test lint format bench soak edge-soak slopes clean
+.PHONY: install demo test lint format bench soak edge-soak stop-soak slopes clean
 
 install: $(VENV)/.installed
 
@@ -37,6 +37,9 @@
 edge-soak: install
 	$(BIN)/python -m tests.edge_soak.run --seed $(SEED) --duration-s $(DURATION_S)
 
+stop-soak: install
+	$(BIN)/python -m tests.edge_soak.rolling_stops --seed $(SEED)
+
 slopes: install
 	$(BIN)/python -m tests.bench.slopes
 
