End a stopped daemon's process without further work

A daemon that had logged `stopped` could still be killed at the end of the grace time. Its log goes on after `stopped`: each stream that the reactor closes counts as a lost peer, and the daemon begins to read the store itself. The interpreter's own end comes on top.

Test: edge_soak.feature, "a daemon that has stopped does no further work", failed before. edge_stop, edge_fleet and edge_restart pass (48 scenarios).

--- a/hemlockspoke/platform/program.py
+++ b/hemlockspoke/platform/program.py
@@ -1,5 +1,6 @@
 """Builds the daemon that runs on the platform, and runs it."""
 
+import logging
 import os
 import signal
 import sys
@@ -82,3 +83,7 @@
     signal.signal(signal.SIGHUP, daemon.reload)
     reactor.callWhenRunning(daemon.start)
     reactor.run(installSignalHandlers=False)
+    logging.shutdown()
+    # The end of the interpreter takes tenths of a second on a small share of a core,
+    # in which the platform may kill the process.
+    os._exit(0)
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -301,6 +301,8 @@
             self._clock.call_later(SHUTDOWN_POLL_MS, self._stop_when_idle)
             return
         self._log_stopped(now_ms, for_peers)
+        # Else each connection that ends causes work as if the other side were lost.
+        self.close()
         self._reactor.stop()
 
     def _log_stopped(self, now_ms, for_peers):
@@ -332,11 +334,12 @@
         port.stopListening()
 
     def close(self):
-        """Close every socket and stop all timers; used by tests in one process.
+        """Close all sockets but the callers' connections, and stop all timers.
 
         A daemon that went on would call whatever listens at the store's port by then.
         """
         self._caller_port = None
+        self._network.set_loss_listener(None)
         if self._settings_timer is not None:
             self._settings_timer.cancel()
         if self._membership is not None:
--- a/tests/edge_soak/rolling_stops.py
+++ b/tests/edge_soak/rolling_stops.py
@@ -168,9 +168,10 @@
 class RollingStops:
     """One run: the daemons, their callers and the stops."""
 
-    def __init__(self, world, load, seed):
+    def __init__(self, world, load, seed, stopped_per_round=STOPPED_PER_ROUND):
         self.world = world
         self.load = load
+        self._stopped_per_round = stopped_per_round
         self.seed = seed
         self.rng = random.Random(seed)
         self.requests = []
@@ -231,7 +232,7 @@
 
     def _stop_some(self, domain):
         threads = []
-        for vm in self.rng.sample(self.vms_by_domain[domain], STOPPED_PER_ROUND):
+        for vm in self.rng.sample(self.vms_by_domain[domain], self._stopped_per_round):
             thread = threading.Thread(target=self._restart, args=(vm,), daemon=True)
             thread.start()
             threads.append(thread)
@@ -320,8 +321,19 @@
     )
 
 
-def run(seed, rounds, load=None, code_folder=None, keep_logs=None):
-    """Play one run and return its findings."""
+def run(
+    seed,
+    rounds,
+    load=None,
+    code_folder=None,
+    keep_logs=None,
+    daemons=DAEMONS_PER_DOMAIN,
+    stopped=STOPPED_PER_ROUND,
+):
+    """Play one run and return its findings.
+
+    Each failure domain has ``daemons``, of which ``stopped`` are stopped in a round.
+    """
     load = load or Load()
     world = ProcessWorld(
         shards=1,
@@ -333,10 +345,10 @@
         for domain in ("a1", "b1"):
             for number in range(SERVERS_PER_DOMAIN):
                 world.add_server(f"more-{number}-{domain}", "items", 91, domain)
-            for number in range(DAEMONS_PER_DOMAIN):
+            for number in range(daemons):
                 world.add_daemon(f"{domain}-{number}", domain, bounds={"grace_s": 6})
         world.wait_ready()
-        stops = RollingStops(world, load, seed)
+        stops = RollingStops(world, load, seed, stopped)
         stops.play(rounds)
         findings = stops.findings()
         statuses = collections.Counter(str(sent.status) for sent in stops.requests)
@@ -358,6 +370,12 @@
     parser.add_argument("--rounds", type=int, default=4)
     parser.add_argument("--code", help="folder of the code that the daemons run")
     parser.add_argument("--keep-logs", help="folder for the logs of failed runs")
+    parser.add_argument(
+        "--daemons", type=int, default=DAEMONS_PER_DOMAIN, help="by failure domain"
+    )
+    parser.add_argument(
+        "--stopped", type=int, default=STOPPED_PER_ROUND, help="daemons in each round"
+    )
     for name in Load.__slots__:
         option = "--" + name.replace("_", "-")
         parser.add_argument(option, type=float, default=getattr(Load(), name))
@@ -369,7 +387,15 @@
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = f"{options.keep_logs}/{seed}" if options.keep_logs else None
-        findings = run(seed, options.rounds, load, options.code, folder)
+        findings = run(
+            seed,
+            options.rounds,
+            load,
+            options.code,
+            folder,
+            options.daemons,
+            options.stopped,
+        )
         for finding in findings:
             print(f"seed {seed}: {finding}", flush=True)
         failed += bool(findings)
--- a/tests/features/edge_soak.feature
+++ b/tests/features/edge_soak.feature
@@ -24,3 +24,9 @@
     # Guards against requests cut by a stop while new connections still come.
     When two daemons of a failure domain stop shortly after each other, 2 times
     Then the checks of callers and servers report no findings
+
+  Scenario: a daemon that has stopped does no further work
+    # Guards against a process that is killed since it reads the store at its end.
+    Given daemons "e0,e1,e2" as processes with streams to each other
+    When the process of "e1" is told to stop
+    Then it ends with 0 and its last log line is "stopped"
--- a/tests/features/steps/edge_soak_steps.py
+++ b/tests/features/steps/edge_soak_steps.py
@@ -1,9 +1,14 @@
 """Steps for soaks of the platform's daemons as processes."""
 
-from behave import then, when
+import json
+import signal
+
+from behave import given, then, when
 
 from tests.edge_soak import rolling_stops
+from tests.edge_soak.processes import STOP_GRACE_S, ProcessWorld
 from tests.edge_soak.run import run
+from tests.reactor_thread import wait_until
 
 
 @when("daemons run as processes for {duration_s:d} s with seed {seed:d}")
@@ -19,3 +24,38 @@
 @then("the checks of callers and servers report no findings")
 def step_no_findings(context):
     assert not context.findings, "\n".join(context.findings)
+
+
+@given('daemons "{vms}" as processes with streams to each other')
+def step_processes(context, vms):
+    world = context.world = ProcessWorld(shards=1)
+    context.add_cleanup(world.stop)
+    for vm in vms.split(","):
+        world.add_daemon(vm)
+    world.wait_ready()
+    peers = len(world.daemons) - 1
+    for daemon in world.daemons.values():
+        wait_until(lambda d=daemon: count_events(d, "peer connected") >= peers)
+
+
+def events(daemon):
+    """Return the events of a daemon's log."""
+    lines = daemon.log.read_text().splitlines()
+    return [json.loads(line)["message"] for line in lines]
+
+
+def count_events(daemon, event):
+    return events(daemon).count(event)
+
+
+@when('the process of "{vm}" is told to stop')
+def step_stop_process(context, vm):
+    context.daemon = context.world.daemons[vm]
+    context.daemon.signal(signal.SIGTERM)
+    context.exit_code = context.daemon.process.wait(STOP_GRACE_S)
+
+
+@then('it ends with {code:d} and its last log line is "{event}"')
+def step_ended(context, code, event):
+    assert context.exit_code == code, context.exit_code
+    assert events(context.daemon)[-1] == event, events(context.daemon)[-5:]
