Close the ports of a stopped daemon once

Tests close a daemon again that has stopped by itself; Twisted then printed an unhandled AttributeError, as each call closes the socket in the next turn.

--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -344,7 +344,8 @@
             self._settings_timer.cancel()
         if self._membership is not None:
             self._membership.stop()
-        for port in self._ports:
+        ports, self._ports = self._ports, []
+        for port in ports:
             port.stopListening()
         self._relay.stop()
         self._network.stop()
