Send the last answers of a stop, also if they are late

The new fields of `stopped` show the cause: elapsed_ms 5858 and three connections `closing`, while both lookups are logged as answered with 502 in the same millisecond. The check that gives up on requests at 5.3 s came 0.55 s late, after the time at which the process ends, so it wrote the answers and stopped the reactor in one turn; the reactor sends in the next.

The first check that writes final answers never ends the process, and 100 ms remain to send them from then on. The process still ends before the grace time.

Ruled out: a kill (exit code 0), and an answer lost by the caller's side (the daemon counts the connections itself).

Test: edge_stop.feature, "the last answers of a stop are sent although the daemon was busy", failed before.

--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -21,6 +21,8 @@
 logger = logging.getLogger(__name__)
 
 SHUTDOWN_POLL_MS = 50.0
+# The same once the final answers are written, as little time remains then.
+ANSWER_POLL_MS = 10.0
 STOPPED = "the daemon has stopped before the answer"
 # At the first start traffic arrives some seconds later, so the daemons can wait for the
 # one in each failure domain that reads the store for all.
@@ -285,20 +287,24 @@
         Before that, all requests that are still in progress get an answer.
         """
         plan, now_ms = self._shutdown, self._clock.now_ms()
+        must_send = False
         if now_ms >= plan.answer_ms:
             self._request_handler.give_up_all(STOPPED)
             self._forwarding.give_up_all(STOPPED)
+            # The reactor sends what has been written in its next turn.
+            must_send = plan.record_answers(now_ms)
         self._site.close_idle()
         for_peers = (
             self._delegation.peer_gather_count() + self._forwarding.peer_forward_count()
         )
-        busy = self._site.channels or for_peers
+        busy = must_send or self._site.channels or for_peers
         is_open = self._caller_port is not None
         if is_open and (not busy or now_ms >= plan.accept_until_ms):
             self._stop_accepting()
             busy = True
         if busy and now_ms < plan.exit_ms:
-            self._clock.call_later(SHUTDOWN_POLL_MS, self._stop_when_idle)
+            poll_ms = SHUTDOWN_POLL_MS if now_ms < plan.answer_ms else ANSWER_POLL_MS
+            self._clock.call_later(poll_ms, self._stop_when_idle)
             return
         self._log_stopped(now_ms, for_peers)
         # Else each connection that ends causes work as if the other side were lost.
--- a/hemlockspoke/tier/shutdown.py
+++ b/hemlockspoke/tier/shutdown.py
@@ -11,6 +11,8 @@
 # Time before the end of the shutdown time at which the process ends, even if a caller
 # has not read its answer.
 EXIT_RESERVE_MS = 300.0
+# Time to send the final answers if they are late, from when they are written.
+SEND_RESERVE_MS = 100.0
 # The port is closed at least this long before the final answers.
 ACCEPT_RESERVE_MS = 1000.0
 # A request is accepted only if this many times its usual longest time remains.
@@ -27,6 +29,8 @@
     >>> plan = ShutdownPlan(10_000.0, shutdown_ms=6000.0)
     >>> plan.may_start(13_000.0, 1000.0), plan.may_start(14_000.0, 1000.0)
     (True, False)
+    >>> plan.record_answers(15_900.0), plan.exit_ms
+    (True, 16000.0)
     """
 
     __slots__ = (
@@ -35,6 +39,7 @@
         "close_idle_ms",
         "exit_ms",
         "started_ms",
+        "_answers_written",
     )
 
     def __init__(self, started_ms, shutdown_ms):
@@ -45,9 +50,22 @@
             started_ms,
             min(started_ms + ACCEPT_MS, self.answer_ms - ACCEPT_RESERVE_MS),
         )
+        self._answers_written = False
         # Until then the load balancer may still send connections.
         self.close_idle_ms = min(started_ms + ROTATION_LAG_MS, self.accept_until_ms)
 
     def may_start(self, now_ms, duration_ms):
         """Return whether a request that takes ``duration_ms`` will be answered."""
         return now_ms + DURATION_MARGIN * duration_ms <= self.answer_ms
+
+    def record_answers(self, now_ms):
+        """Record that the final answers have been written, and leave time to send them.
+
+        A process that got no processor time may write them after ``exit_ms``. Returns
+        whether this is the first time.
+        """
+        if self._answers_written:
+            return False
+        self._answers_written = True
+        self.exit_ms = max(self.exit_ms, now_ms + SEND_RESERVE_MS)
+        return True
--- a/tests/features/edge_stop.feature
+++ b/tests/features/edge_stop.feature
@@ -72,6 +72,13 @@
     Then it stops within 6000 ms
     And both get status 502 at least 5000 ms after the start of the stop
 
+  Scenario: the last answers of a stop are sent although the daemon was busy
+    # Guards against answers that are written in the moment in which the process ends.
+    Given a platform whose daemon "e1" may stop, with servers that take 9000 ms
+    When an order and a lookup are sent, and "e1" is busy from 5200 to 5750 ms of its stop
+    Then it stops within 6000 ms
+    And both get status 502 at least 5000 ms after the start of the stop
+
   Scenario: the end of a stop says what became of the open connections
     # Guards against requests that a stop cuts without a trace in the log.
     Given a platform whose daemon "e1" may stop, with servers that take 40 ms
--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -207,15 +207,28 @@
     stop_in_progress(context, busy_ms=n)
 
 
-def stop_in_progress(context, busy_ms=0):
-    """Stop the daemon while requests are in progress and it is busy with other work."""
+@when(
+    'an order and a lookup are sent, and "{vm}" is busy from {begin:d} to {end:d} ms '
+    "of its stop"
+)
+def step_stop_busy_at_end(context, vm, begin, end):
+    stop_in_progress(context, busy_ms=end - begin, busy_after_ms=begin)
+
+
+def stop_in_progress(context, busy_ms=0, busy_after_ms=0):
+    """Stop the daemon while requests are in progress.
+
+    It is busy with other work for ``busy_ms``, from ``busy_after_ms`` after the signal.
+    """
     context.orders = [
         TimedRequest(context.address, "order", "POST", "/order/a"),
         TimedRequest(context.address, "lookup", "GET", "/item/a"),
     ]
     time.sleep(0.2)
     context.told_s = time.monotonic()
-    reactor.callFromThread(time.sleep, busy_ms / 1000)
+    reactor.callFromThread(
+        reactor.callLater, busy_after_ms / 1000, time.sleep, busy_ms / 1000
+    )
     context.daemon.terminate()
     wait_until(lambda: context.stopped_s is not None, timeout_s=8)
     for order in context.orders:
