Answer earlier in a stop whose process gets little processor time

A stop now takes the time for which the process's timers are overdue when the handler runs as time that the signal has waited, and its answers and its end count from there. Each check of the stop that comes late moves the answers forward by twice that time. Both are bounded, and in calm neither changes anything: answers stay at 0.7 s before the end.

Ruled out: a fixed larger reserve, which costs every stop the answers of that time. Not mended: a process that is not run at all from before its answers are due until it is killed, without a delay before.

Test: edge_stop.feature, "the time of a stop counts from a signal that is seen late", failed before; all 16 scenarios pass.

--- a/hemlockspoke/clock.py
+++ b/hemlockspoke/clock.py
@@ -26,6 +26,16 @@
         """Return the time of day in ms since the epoch."""
         return int(time.time() * 1000)
 
+    def overdue_ms(self):
+        """Return for how long the first due call has waited, or 0 if none is due.
+
+        The process has had no time for its timers for at least so long.
+        """
+        due_s = min(
+            (call.getTime() for call in self._reactor.getDelayedCalls()), default=0
+        )
+        return max(0.0, (self._reactor.seconds() - due_s) * 1000.0) if due_s else 0.0
+
     def call_later(self, delay_ms, function, *args):
         """Call ``function`` after ``delay_ms``; the result has ``cancel()``."""
         delay_s = max(0.0, delay_ms) / 1000.0
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -58,6 +58,8 @@
         self._clock = clock
         self._metrics = metrics
         self._shutdown = None
+        # When the next check of the stop is due, as a time of the clock.
+        self._stop_check_due_ms = 0.0
         self._membership = None
         self._ports = []
         self._caller_port = None
@@ -259,14 +261,18 @@
 
     def terminate(self, *_):
         """Handle SIGTERM: shut down after requests in progress have finished."""
-        self._reactor.callFromThread(self._begin_shutdown, self._clock.now_ms())
+        # A handler runs late in a process without processor time, as its timers do.
+        self._reactor.callFromThread(
+            self._begin_shutdown, self._clock.now_ms(), self._clock.overdue_ms()
+        )
 
-    def _begin_shutdown(self, signal_ms):
+    def _begin_shutdown(self, signal_ms, overdue_ms):
         """Begin the shutdown; its time counts from the signal, also if it waited."""
         if self._shutdown is not None:
             return
         now_ms = self._clock.now_ms()
-        plan = ShutdownPlan(signal_ms, self._settings.bounds.shutdown_ms)
+        shutdown_ms = self._settings.bounds.shutdown_ms
+        plan = ShutdownPlan(signal_ms, shutdown_ms, overdue_ms)
         self._shutdown = plan
         self._site.leaving = True
         self._relay.leaving = True
@@ -276,10 +282,15 @@
             "leaving",
             extra={
                 "active": self._request_handler.active(),
-                "delay_ms": round(now_ms - signal_ms),
+                "delay_ms": round(now_ms - signal_ms + overdue_ms),
             },
         )
-        self._clock.call_later(plan.close_idle_ms - now_ms, self._stop_when_idle)
+        self._check_stop_later(plan.close_idle_ms - now_ms)
+
+    def _check_stop_later(self, delay_ms):
+        delay_ms = max(0.0, delay_ms)
+        self._stop_check_due_ms = self._clock.now_ms() + delay_ms
+        self._clock.call_later(delay_ms, self._stop_when_idle)
 
     def _stop_when_idle(self):
         """Stop once no request is in progress, or when the shutdown time is over.
@@ -287,6 +298,7 @@
         Before that, all requests that are still in progress get an answer.
         """
         plan, now_ms = self._shutdown, self._clock.now_ms()
+        plan.record_delay(now_ms - self._stop_check_due_ms)
         must_send = False
         if now_ms >= plan.answer_ms:
             self._request_handler.give_up_all(STOPPED)
@@ -304,7 +316,7 @@
             busy = True
         if busy and now_ms < plan.exit_ms:
             poll_ms = SHUTDOWN_POLL_MS if now_ms < plan.answer_ms else ANSWER_POLL_MS
-            self._clock.call_later(poll_ms, self._stop_when_idle)
+            self._check_stop_later(poll_ms)
             return
         self._log_stopped(now_ms, for_peers)
         # Else each connection that ends causes work as if the other side were lost.
--- a/tests/features/edge_stop.feature
+++ b/tests/features/edge_stop.feature
@@ -72,6 +72,13 @@
     Then it stops within 6000 ms
     And both get status 502 at least 5000 ms after the start of the stop
 
+  Scenario: the time of a stop counts from a signal that is seen late
+    # Guards against a process without processor time that is killed before it answers.
+    Given a platform whose daemon "e1" may stop, with servers that take 9000 ms
+    When an order and a lookup are sent, and "e1" sees its signal 900 ms late
+    Then it stops within 6000 ms
+    And both get status 502 at least 4000 ms after the start of the stop
+
   Scenario: the last answers of a stop are sent although the daemon was busy
     # Guards against answers that are written in the moment in which the process ends.
     Given a platform whose daemon "e1" may stop, with servers that take 9000 ms
--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -215,10 +215,22 @@
     stop_in_progress(context, busy_ms=end - begin, busy_after_ms=begin)
 
 
-def stop_in_progress(context, busy_ms=0, busy_after_ms=0):
+@when('an order and a lookup are sent, and "{vm}" sees its signal {delay:d} ms late')
+def step_stop_seen_late(context, vm, delay):
+    def pause_and_terminate():
+        time.sleep(delay / 1000)
+        context.daemon.terminate()
+
+    stop_in_progress(
+        context, terminate=lambda: reactor.callFromThread(pause_and_terminate)
+    )
+
+
+def stop_in_progress(context, busy_ms=0, busy_after_ms=0, terminate=None):
     """Stop the daemon while requests are in progress.
 
     It is busy with other work for ``busy_ms``, from ``busy_after_ms`` after the signal.
+    ``terminate`` sends the signal.
     """
     context.orders = [
         TimedRequest(context.address, "order", "POST", "/order/a"),
@@ -229,7 +241,7 @@
     reactor.callFromThread(
         reactor.callLater, busy_after_ms / 1000, time.sleep, busy_ms / 1000
     )
-    context.daemon.terminate()
+    (terminate or context.daemon.terminate)()
     wait_until(lambda: context.stopped_s is not None, timeout_s=8)
     for order in context.orders:
         order.join()
