Shorten the time in which SIGHUP ends a daemon that starts

The process ends by the default action until it ignores the signal. Before that line the interpreter ran `site` with the .pth files it finds, `runpy` and the `__init__` files for `-m`, and `import signal`, which loads `enum` and more. The run line now starts edge.py by its path with -S, and edge.py ignores the signal through the built-in `_signal` first. The daemon needs nothing of `site`: target/deps comes through PYTHONPATH, which -S keeps. `-m` still works.

Ruled out: -I and -E drop PYTHONPATH and with it target/deps; -X frozen_modules and -X utf8 change nothing that could be told from noise; a zip takes longer, as zipimport loads modules; a compiled file gains nothing; -c gains nothing and is hard to read; sitecustomize runs only after the .pth files.

Test: edge_settings.feature, "has loaded no module yet". Each module that a start might load first sends SIGHUP to its own process, so it depends on no time. It fails on the earlier code and on the new run line with the earlier edge.py. The tests start daemons with the run line of the deploy file, and with the libraries on PYTHONPATH as on the platform.

--- a/hemlockspoke/platform/edge.py
+++ b/hemlockspoke/platform/edge.py
@@ -1,7 +1,9 @@
 """Entry point of the daemon that runs on the platform."""
 
+# Built into the interpreter, while `signal` loads further modules, some from files.
+import _signal
 import gc
-import signal
+import sys
 
 
 def main():
@@ -11,10 +13,13 @@
     of the daemon are imported, which takes some tenths of a second; the settings are
     read after that.
     """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
     # Collections during the imports free nothing and take a tenth of the start. Later
     # ones leave out the objects of the modules.
     gc.disable()
+    if __spec__ is None:
+        # Started by its path, so the first entry is the folder of this file.
+        sys.path[0] = repository_root()
     from hemlockspoke.platform.program import run
 
     gc.freeze()
@@ -22,5 +27,12 @@
     run()
 
 
+def repository_root():
+    """Return the folder that contains the package ``hemlockspoke``."""
+    from os.path import abspath, dirname
+
+    return dirname(dirname(dirname(abspath(__file__))))
+
+
 if __name__ == "__main__":
     main()
--- a/tests/edge_soak/processes.py
+++ b/tests/edge_soak/processes.py
@@ -1,16 +1,15 @@
 """The platform's daemons as processes that reach the stand-ins through proxies."""
 
-import os
 import shutil
 import signal
 import subprocess
-import sys
 import tempfile
 import time
 from pathlib import Path
 
 from twisted.internet import reactor
 
+from tests.deploy_file import ROOT, run_command, run_environment
 from tests.edge_soak.proxy import LoopbackProxy
 from tests.platform_world import PlatformWorld
 from tests.reactor_thread import run_in_reactor
@@ -25,7 +24,7 @@
 class DaemonProcess:
     """One daemon: its settings file, its process and its log."""
 
-    def __init__(self, vm, folder, settings_text, code_folder=None):
+    def __init__(self, vm, folder, settings_text, code_folder=ROOT):
         self.vm = vm
         self._code_folder = code_folder
         self.settings = folder / f"{vm}.conf"
@@ -37,17 +36,10 @@
 
     def start(self):
         """Start the process with its output appended to the log file."""
-        environment = {
-            "HEMLOCKSPOKE_SETTINGS": str(self.settings),
-            "PATH": os.environ["PATH"],
-            "PYTHONPATH": os.environ.get("PYTHONPATH", str(Path.cwd())),
-        }
-        if self._code_folder is not None:
-            environment["PYTHONPATH"] = str(Path(self._code_folder).resolve())
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "hemlockspoke.platform.edge"],
-                env=environment,
+                run_command(self._code_folder),
+                env=run_environment(self.settings),
                 cwd=self._code_folder,
                 stdout=log,
                 stderr=log,
@@ -93,7 +85,7 @@
     """
 
     def __init__(self, code_folder=None, **options):
-        self._code_folder = code_folder
+        self._code_folder = Path(code_folder or ROOT).resolve()
         self.proxies = {}
         self.store_proxies = {}
         self.domains = {}
--- a/tests/features/edge_settings.feature
+++ b/tests/features/edge_settings.feature
@@ -47,3 +47,9 @@
     Given the process of a daemon is importing its modules
     When it is told to reload its settings
     Then it goes on and reports its settings as invalid
+
+  Scenario: a signal to reload does not end a daemon that has loaded no module yet
+    # Guards against SIGHUP while the start loads modules before it ignores the signal.
+    Given a copy of the daemon whose modules send SIGHUP when they are loaded
+    When it is started as the deploy file says
+    Then the first of them does not end the process
--- a/tests/features/steps/edge_settings_steps.py
+++ b/tests/features/steps/edge_settings_steps.py
@@ -1,9 +1,8 @@
 """Steps on the platform's settings file."""
 
-import os
+import shutil
 import signal
 import subprocess
-import sys
 import tempfile
 import threading
 import time
@@ -19,6 +18,7 @@
     settings_version,
 )
 from hemlockspoke.tier.edge_settings import Bounds
+from tests.deploy_file import ROOT, run_command, run_environment
 from tests.platform_world import PlatformWorld
 from tests.reactor_thread import run_in_reactor, wait_until
 
@@ -27,6 +27,14 @@
 START_TIMEOUT_S = 20.0
 EXIT_INVALID_SETTINGS = 2
 
+# Sends SIGHUP to its own process; one that survives it ends with this code.
+EXIT_SURVIVED = 7
+HANGUP_MODULE = f"""
+import posix
+posix.kill(posix.getpid(), {int(signal.SIGHUP)})
+posix._exit({EXIT_SURVIVED})
+"""
+
 VALID_FIELDS = {
     "node_name": "e1",
     "zone": "a1",
@@ -134,8 +142,9 @@
 @given("the process of a daemon is importing its modules")
 def step_starting(context):
     context.process = subprocess.Popen(
-        [sys.executable, "-m", "hemlockspoke.platform.edge"],
-        env={**os.environ, "HEMLOCKSPOKE_SETTINGS": "/nonexistent/boot.conf"},
+        run_command(),
+        env=run_environment("/nonexistent/boot.conf"),
+        cwd=ROOT,
         stderr=subprocess.PIPE,
         text=True,
     )
@@ -161,6 +170,40 @@
     assert "/nonexistent/boot.conf" in errors, errors
 
 
+@given("a copy of the daemon whose modules send SIGHUP when they are loaded")
+def step_hangup_modules(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.copy = Path(folder.name)
+    entry = context.copy / "hemlockspoke" / "platform" / "edge.py"
+    entry.parent.mkdir(parents=True)
+    shutil.copy(ROOT / "hemlockspoke" / "platform" / "edge.py", entry)
+    for package in (entry.parent.parent, entry.parent):
+        (package / "__init__.py").write_text(HANGUP_MODULE)
+    context.modules = context.copy / "deps"
+    context.modules.mkdir()
+    for name in ("sitecustomize", "signal", "enum"):
+        (context.modules / f"{name}.py").write_text(HANGUP_MODULE)
+
+
+@when("it is started as the deploy file says")
+def step_start_copy(context):
+    context.process = subprocess.Popen(
+        run_command(),
+        env=run_environment("/nonexistent/boot.conf", context.modules),
+        cwd=context.copy,
+        stderr=subprocess.PIPE,
+    )
+    context.add_cleanup(context.process.kill)
+
+
+@then("the first of them does not end the process")
+def step_first_module(context):
+    _, errors = context.process.communicate(timeout=START_TIMEOUT_S)
+    code = context.process.returncode
+    assert code == EXIT_SURVIVED, (code, errors)
+
+
 @given("a settings file of which half has been written")
 def step_half_file(context):
     world = PlatformWorld(shards=1)
