Handle signals that come just before the reactor waits

A stop could begin late: SIGTERM, SIGINT or SIGHUP that arrived at a daemon just before its wait for events was handled only after the next event or timer. An idle daemon has timers of 300 ms (heartbeats) and 1 s (check of the settings).

The interpreter runs the handler of a signal between bytecodes. A signal between its last check and the system call does not interrupt the wait, and the reactor runs with installSignalHandlers=False, so it sets no wakeup descriptor. Both daemons now give the interpreter a pipe, which the reactor reads: it gets a byte at each signal, so the wait ends also if the signal came before it.

Ruled out: a signal that is lost. Twisted's own handlers are not used, as they stop the reactor at once.

--- a/hemlockspoke/daemon.py
+++ b/hemlockspoke/daemon.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import ensureDeferred
 
 from hemlockspoke.adapters.json_logs import configure_logs
+from hemlockspoke.adapters.signals import run_with_signals
 from hemlockspoke.clock import ReactorClock
 from hemlockspoke.config.settings import Settings
 from hemlockspoke.errors import HumanReadableError
@@ -148,7 +149,7 @@
     reactor.callWhenRunning(daemon.start)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, daemon.terminate)
-    reactor.run(installSignalHandlers=False)
+    run_with_signals(reactor)
 
 
 def main():
--- a/hemlockspoke/platform/program.py
+++ b/hemlockspoke/platform/program.py
@@ -6,6 +6,7 @@
 import time
 
 from hemlockspoke.adapters.json_logs import configure_logs
+from hemlockspoke.adapters.signals import run_with_signals
 from hemlockspoke.clock import ReactorClock
 from hemlockspoke.errors import HumanReadableError
 from hemlockspoke.platform.feeds import KindSource, sinks_by_kind
@@ -81,4 +82,4 @@
     signal.signal(signal.SIGINT, daemon.terminate)
     signal.signal(signal.SIGHUP, daemon.reload)
     reactor.callWhenRunning(daemon.start)
-    reactor.run(installSignalHandlers=False)
+    run_with_signals(reactor)
