Accept the connections that wait as hemlockspoked closes its port

Callers that had connected, and had sent their query, saw a reset when the daemon closed its port after drain_lag_ms of a planned stop.

Cause: the close of a listening port resets the connections in the kernel's queue. The tier's daemon accepts them first; hemlockspoked did not. Its queue also held only 50 connections.

Ruled out: a longer drain_lag_ms, as callers connect until the port is closed.

--- a/hemlockspoke/daemon.py
+++ b/hemlockspoke/daemon.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import ensureDeferred
 
 from hemlockspoke.adapters.json_logs import configure_logs
+from hemlockspoke.adapters.listening_port import LISTEN_BACKLOG, stop_accepting
 from hemlockspoke.clock import ReactorClock
 from hemlockspoke.config.settings import Settings
 from hemlockspoke.errors import HumanReadableError
@@ -68,7 +69,10 @@
         from hemlockspoke.adapters.operator_http import operator_site
 
         self._node.peers.listen(self._settings.peer_address)
-        self._listen(self._settings.operator_address, operator_site(self._node))
+        address = self._settings.operator_address
+        self._reactor.listenTCP(
+            address.port, operator_site(self._node), interface=address.host
+        )
         self._caller_site = CallerSite(
             queries=self._node.queries,
             orders=self._node.orders,
@@ -76,15 +80,16 @@
             caller_idle_timeout_ms=self._settings.timings.caller_idle_timeout_ms,
             reactor=self._reactor,
         )
-        self._caller_port = self._listen(
-            self._settings.caller_address, self._caller_site
+        address = self._settings.caller_address
+        self._caller_port = self._reactor.listenTCP(
+            address.port,
+            self._caller_site,
+            backlog=LISTEN_BACKLOG,
+            interface=address.host,
         )
         self._node.start()
         logger.info("started", extra={"failure_domain": self._settings.failure_domain})
 
-    def _listen(self, address, site):
-        return self._reactor.listenTCP(address.port, site, interface=address.host)
-
     def terminate(self, *_):
         """Handle SIGTERM and SIGINT: shut down gracefully, or at once if repeated."""
         if self._stopping:
@@ -106,7 +111,7 @@
     def _close_caller_port(self):
         """Refuse new work: the load balancer has had time to see the lost readiness."""
         self._node.draining = True
-        self._caller_port.stopListening()
+        stop_accepting(self._caller_port, self._reactor)
 
     async def _drain(self):
         await self._node.sleep(self._settings.timings.drain_lag_ms)
