Answer what is in progress before hemlockspoked's drain limit

Callers saw their connection end without an answer when a planned stop reached drain_limit_ms: queries, orders that wait for their claim, and by chance orders at a server, which were answered only because the end of the holder cancelled them.

Cause: at the limit the reactor was stopped whatever was in progress, the class of fault of the cut lookups (docs/incidents/lookups-cut-at-paired-stops.md).

Change: 0.7 s before the limit the daemon ends all waits. A query is answered as at its deadline: with the parts that are there, `failed` if they are too few, `not_run` if it had not started. An order is answered as at its deadline too: `not_run` if nothing was sent, since it is settled as never to be sent, `unknown` if it may have run. The process exits once these answers are written, at the limit at the latest. Work for other daemons needs no answer here: the loss of the stream makes the entry repeat its sub-queries and answer its orders (queries/query.py and orders/order_replies.py, `peer_lost`).

Evidence: daemon_stop.feature, through real sockets.

--- a/hemlockspoke/daemon.py
+++ b/hemlockspoke/daemon.py
@@ -18,6 +18,9 @@
 
 EXIT_BAD_SETTINGS = 2
 DRAIN_POLL_MS = 20
+# Time before the drain limit at which every request that is still in progress gets its
+# final answer.
+ANSWER_RESERVE_MS = 700
 
 
 class Daemon:
@@ -26,6 +29,7 @@
     __slots__ = (
         "_caller_port",
         "_caller_site",
+        "_exiting",
         "_node",
         "_reactor",
         "_settings",
@@ -39,6 +43,7 @@
         self._caller_port = None
         self._caller_site = None
         self._stopping = False
+        self._exiting = False
 
     @classmethod
     def from_config(cls, settings, reactor):
@@ -106,6 +111,10 @@
         ensureDeferred(self._drain()).addErrback(self._exit_after_failure)
         clock = self._node.clock
         clock.call_later(timings.drain_lag_ms, self._close_caller_port)
+        answer_ms = max(
+            timings.drain_lag_ms, timings.drain_limit_ms - ANSWER_RESERVE_MS
+        )
+        clock.call_later(answer_ms, self._give_up, "drain limit")
         clock.call_later(timings.drain_limit_ms, self._exit, "drain limit")
 
     def _close_caller_port(self):
@@ -113,6 +122,22 @@
         self._node.draining = True
         stop_accepting(self._caller_port, self._reactor)
 
+    def _give_up(self, reason):
+        """Answer all requests in progress with what is known, then exit."""
+        logger.warning("giving up requests", extra={"reason": reason})
+        self._node.queries.give_up_all()
+        self._node.orders.give_up_all()
+        end_ms = self._node.clock.now_ms() + ANSWER_RESERVE_MS
+        self._exit_when_sent(reason, end_ms)
+
+    def _exit_when_sent(self, reason, end_ms):
+        """Exit once all answers are sent, at the latest at the time ``end_ms``."""
+        clock = self._node.clock
+        if self._caller_site.busy() and clock.now_ms() < end_ms:
+            clock.call_later(DRAIN_POLL_MS, self._exit_when_sent, reason, end_ms)
+        else:
+            self._exit(reason)
+
     async def _drain(self):
         await self._node.sleep(self._settings.timings.drain_lag_ms)
         await self._node.finish_work()
@@ -125,7 +150,8 @@
         self._exit("shutdown failed")
 
     def _exit(self, reason):
-        if self._reactor.running:
+        if self._reactor.running and not self._exiting:
+            self._exiting = True
             logger.info("exit", extra={"reason": reason})
             self._node.stop()
             # Leave time to flush answers from the send buffers.
--- a/hemlockspoke/orders/order_replies.py
+++ b/hemlockspoke/orders/order_replies.py
@@ -60,10 +60,17 @@
 
     def _time_out(self, request_id):
         pending = self._pending.pop(request_id)
+        pending.timer.cancel()
         if pending.attempt is not None:
             self._expect_late_answer(request_id, pending)
         pending.deferred.callback(Reply("timeout"))
 
+    def time_out_all(self):
+        """End all requests as if the time for their answers had passed."""
+        for request_id in list(self._pending):
+            if request_id in self._pending:
+                self._time_out(request_id)
+
     def _expect_late_answer(self, request_id, pending):
         self._late_orders[request_id] = pending
         pending.timer = self._clock.call_later(
--- a/hemlockspoke/orders/orders.py
+++ b/hemlockspoke/orders/orders.py
@@ -70,6 +70,7 @@
         "_send",
         "_timings",
         "_vm",
+        "_waits",
     )
 
     def __init__(
@@ -98,6 +99,8 @@
         self._attempts = {}
         self._replies = PendingReplies(clock, metrics, self._record_late_answer)
         self._running_count = 0
+        # Deferreds of the waits that have a time limit.
+        self._waits = set()
 
     def in_flight(self):
         """Return the number of orders of callers that are in progress."""
@@ -114,6 +117,15 @@
         done.addBoth(self._order_finished)
         return done
 
+    def give_up_all(self):
+        """End all waits now, so that each order is answered with what is known."""
+        now_ms = self._clock.now_ms()
+        for attempt in self._attempts.values():
+            attempt.deadline_ms = min(attempt.deadline_ms, now_ms)
+        for waiting in list(self._waits):
+            _fire_once(waiting)
+        self._replies.time_out_all()
+
     def _order_finished(self, result):
         self._running_count -= 1
         return result
@@ -172,9 +184,11 @@
     async def _wait_at_most(self, timeout_ms, deferred):
         """Return the result of a deferred, or None if it does not fire in time."""
         waiting = Deferred()
-        timer = self._clock.call_later(timeout_ms, _fire_once, waiting)
+        self._waits.add(waiting)
+        timer = self._clock.call_later(max(0.0, timeout_ms), _fire_once, waiting)
         deferred.addCallback(lambda result: _fire_once(waiting, result))
         result = await waiting
+        self._waits.discard(waiting)
         timer.cancel()
         return result
 
@@ -287,7 +301,7 @@
         return result
 
     async def _wait_until_recorded(self, attempt, recorded):
-        wait_ms = max(0.0, min(MAX_RECORD_WAIT_MS, self._remaining_ms(attempt)))
+        wait_ms = min(MAX_RECORD_WAIT_MS, self._remaining_ms(attempt))
         await self._wait_at_most(wait_ms, recorded)
 
     async def _answer_from_record(self, attempt, record):
@@ -320,7 +334,9 @@
                 return await self._claim_again(attempt, record)
             if self._remaining_ms(attempt) <= IN_PROGRESS_POLL_MS:
                 return self._discard(attempt, Error(in_progress()))
-            await self._sleep(IN_PROGRESS_POLL_MS)
+            await self._wait_at_most(IN_PROGRESS_POLL_MS, Deferred())
+            if self._remaining_ms(attempt) <= 0:
+                return self._discard(attempt, Error(in_progress()))
 
     async def _ask_for_attempt(self, attempt, record):
         if record.vm == self._vm:
@@ -377,11 +393,6 @@
     def _remaining_ms(self, attempt):
         return attempt.deadline_ms - self._clock.now_ms()
 
-    def _sleep(self, delay_ms):
-        waiting = Deferred()
-        self._clock.call_later(delay_ms, waiting.callback, None)
-        return waiting
-
 
 def _fire_once(waiting, result=None):
     """Fire a deferred unless it has fired already."""
--- a/hemlockspoke/queries/query.py
+++ b/hemlockspoke/queries/query.py
@@ -14,7 +14,12 @@
     overloaded,
     unknown_target,
 )
-from hemlockspoke.queries.query_task import Answers, HolderLost, Query
+from hemlockspoke.queries.query_task import (
+    Answers,
+    DeadlinePassed,
+    HolderLost,
+    Query,
+)
 
 # If a plan was complete within this time, a missing part is probably due to a share
 # that is moving to another holder. After that, the part counts as unavailable.
@@ -123,6 +128,14 @@
         for query in list(self._queries.values()):
             query.deliver(HolderLost(vm))
 
+    def give_up_all(self):
+        """Answer all queries with what is known, as if their time had passed.
+
+        Queued queries are first, as the end of a running one would start them.
+        """
+        for query in [*self._queued, *self._queries.values()]:
+            query.deliver(DeadlinePassed())
+
     def in_flight(self):
         """Return the number of queries that are running or queued."""
         return len(self._queries) + len(self._queued)
--- a/tests/features/steps/daemon_stop_steps.py
+++ b/tests/features/steps/daemon_stop_steps.py
@@ -18,7 +18,7 @@
 ORDER_PATH = f"/v1/services/{SERVICE}/orders/refill"
 # Longer than any stop here, so that only the stop ends a request.
 DEADLINE_MS = 9000
-LONG_ANSWER_ROWS = 5_000
+LONG_ANSWER_ROWS = 12_000
 
 
 def encode_query(body=None):
