Answer what is in progress at a second signal to hemlockspoked

Callers saw their connection end without an answer when an operator repeated SIGTERM.

Cause: the second signal stopped the reactor 100 ms later with requests in progress, as the drain limit did.

A third signal, or the limit meanwhile, changes nothing.

Evidence: daemon_stop.feature, "a second signal answers requests in progress": the query had no answer before; passes now, as does "requests in progress at the drain limit".

--- a/hemlockspoke/daemon.py
+++ b/hemlockspoke/daemon.py
@@ -30,6 +30,7 @@
         "_caller_port",
         "_caller_site",
         "_exiting",
+        "_giving_up",
         "_node",
         "_reactor",
         "_settings",
@@ -43,6 +44,7 @@
         self._caller_port = None
         self._caller_site = None
         self._stopping = False
+        self._giving_up = False
         self._exiting = False
 
     @classmethod
@@ -96,9 +98,9 @@
         logger.info("started", extra={"failure_domain": self._settings.failure_domain})
 
     def terminate(self, *_):
-        """Handle SIGTERM and SIGINT: shut down gracefully, or at once if repeated."""
+        """Handle SIGTERM and SIGINT: shut down gracefully; if repeated, give up."""
         if self._stopping:
-            self._reactor.callFromThread(self._exit, "second signal")
+            self._reactor.callFromThread(self._give_up, "second signal")
             return
         self._stopping = True
         self._reactor.callFromThread(self._shut_down)
@@ -119,12 +121,18 @@
 
     def _close_caller_port(self):
         """Refuse new work: the load balancer has had time to see the lost readiness."""
+        if self._node.draining:
+            return
         self._node.draining = True
         stop_accepting(self._caller_port, self._reactor)
 
     def _give_up(self, reason):
         """Answer all requests in progress with what is known, then exit."""
+        if self._giving_up:
+            return
+        self._giving_up = True
         logger.warning("giving up requests", extra={"reason": reason})
+        self._close_caller_port()
         self._node.queries.give_up_all()
         self._node.orders.give_up_all()
         end_ms = self._node.clock.now_ms() + ANSWER_RESERVE_MS
--- a/tests/features/daemon_stop.feature
+++ b/tests/features/daemon_stop.feature
@@ -23,3 +23,11 @@
     When an order waits for its claim as the daemon is terminated
     Then the daemon exits with status zero within 6000 ms
     And the order gets status 503 with outcome "not_run" and has not run
+
+  Scenario: a second signal answers requests in progress
+    # Guards against requests that are cut off when an operator repeats the signal.
+    Given cluster servers take 9000 ms
+    When an order and a query are in progress as the daemon is terminated twice
+    Then the daemon exits with status zero within 6000 ms
+    And the order gets status 504 with outcome "unknown" and has run at most once
+    And the query gets status 503 with outcome "failed"
