Close hemlockspoked's kept connections, and send answers whole, before its exit

Callers saw three things at the end of a planned stop: a long answer that broke off, as its caller read it slowly; a kept connection that stayed open until the process ended, so that a next request met the exit; and answers to requests from before the stop that said nothing of the close that was to follow.

Cause: the daemon exited 100 ms after its last request had an answer, whatever was still in the send buffers and whichever connections were open.

Change: from the close of its port on the daemon closes idle connections, but none with bytes in the kernel and none that is new and has carried no request for 500 ms, as the tier's daemon does (`has_unread_bytes` is shared). It exits when all connections are closed, and so all answers sent, or at the drain limit. An answer closes its connection if the daemon is leaving when it is written, unless a part of a next request has arrived.

Evidence: daemon_stop.feature, before / after: "an answer that its caller reads slowly" cut off / passes; "an idle kept connection is closed before the process ends" still open after 2 s / passes; "the answer to a request that began before the stop closes its connection" no such header / passes.

Ruled out: a longer wait before the exit, as no fixed time fits a slow reader.

--- a/hemlockspoke/adapters/caller_http.py
+++ b/hemlockspoke/adapters/caller_http.py
@@ -13,6 +13,7 @@
 
 from hemlockspoke.adapters.caller_requests import parse_order, parse_query
 from hemlockspoke.errors import Outcome, Problem
+from hemlockspoke.http1.channel import NEW_CONNECTION_GRACE_MS, has_unread_bytes
 
 logger = logging.getLogger(__name__)
 
@@ -47,13 +48,7 @@
     def process(self):
         """Parse the request and start its query or order."""
         site = self.channel.factory
-        reason = site.refusal_reason()
-        if reason is not None or site.leaving:
-            # The caller sends its next request to another daemon, so that none is
-            # in transit when this daemon exits.
-            self.setHeader(b"Connection", b"close")
-            self.channel.persistent = False
-        result = self._parse(reason)
+        result = self._parse(site.refusal_reason())
         if result.is_error():
             self.answer_problem(result.error)
             return
@@ -118,7 +113,20 @@
             self.setHeader(b"Retry-After", b"%d" % seconds)
         self._answer(problem.status, b"application/problem+json", problem.to_json())
 
+    def _close_after_answer(self):
+        """Close the connection with the answer if this daemon takes no more work.
+
+        The caller sends its next request to another daemon, so that none is in transit
+        when this daemon exits. One of which a part has arrived is still answered.
+        """
+        site = self.channel.factory
+        is_leaving = site.leaving or site.refusal_reason() is not None
+        if is_leaving and not self.channel.receiving():
+            self.setHeader(b"Connection", b"close")
+            self.channel.persistent = False
+
     def _answer(self, status, content_type, value):
+        self._close_after_answer()
         body = json.dumps(value, separators=(",", ":")).encode("utf-8")
         self.setResponseCode(status)
         self.setHeader(b"Content-Type", content_type)
@@ -142,16 +150,33 @@
         self._receiving = False
         self._refused = False
         self._linger_timer = None
+        self._opened_s = None
+        self._is_first_request = True
 
     def connectionMade(self):
         """Register the connection with the site."""
         super().connectionMade()
+        self._opened_s = self.factory.seconds()
         self.factory.channels.add(self)
 
+    def receiving(self):
+        """Return whether a part of a request has been received."""
+        return self._receiving
+
     def busy(self):
         """Return whether a request is being received or awaits its response."""
         return self._receiving or bool(self.requests)
 
+    def close_if_idle(self):
+        """Close the connection unless a request is received, handled or about to come.
+
+        It stays open until its last answer has been sent.
+        """
+        age_ms = (self.factory.seconds() - self._opened_s) * 1000
+        is_new = self._is_first_request and age_ms < NEW_CONNECTION_GRACE_MS
+        if not self.busy() and not is_new and not has_unread_bytes(self.transport):
+            self.loseConnection()
+
     def dataReceived(self, data):
         """Receive bytes; only the first byte of a request restarts the time limit."""
         if self._refused:
@@ -159,6 +184,7 @@
         if not self._receiving:
             self._receiving = True
             self.resetTimeout()
+            self._is_first_request = False
         basic.LineReceiver.dataReceived(self, data)
 
     def lineReceived(self, line):
@@ -243,12 +269,14 @@
         self.queries = queries
         self.orders = orders
         self.refusal_reason = refusal_reason
+        self.seconds = reactor.seconds
         self.leaving = False
         self.channels = set()
 
-    def busy(self):
-        """Return whether any connection has a request in progress."""
-        return any(channel.busy() for channel in self.channels)
+    def close_idle(self):
+        """Close all connections without a request in progress."""
+        for channel in list(self.channels):
+            channel.close_if_idle()
 
     def startFactory(self):
         """Skip the access log and the timer of the base class."""
--- a/hemlockspoke/daemon.py
+++ b/hemlockspoke/daemon.py
@@ -125,6 +125,12 @@
             return
         self._node.draining = True
         stop_accepting(self._caller_port, self._reactor)
+        self._close_idle()
+
+    def _close_idle(self):
+        """Close idle connections, again and again until the process ends."""
+        self._caller_site.close_idle()
+        self._node.clock.call_later(DRAIN_POLL_MS, self._close_idle)
 
     def _give_up(self, reason):
         """Answer all requests in progress with what is known, then exit."""
@@ -141,7 +147,7 @@
     def _exit_when_sent(self, reason, end_ms):
         """Exit once all answers are sent, at the latest at the time ``end_ms``."""
         clock = self._node.clock
-        if self._caller_site.busy() and clock.now_ms() < end_ms:
+        if self._caller_site.channels and clock.now_ms() < end_ms:
             clock.call_later(DRAIN_POLL_MS, self._exit_when_sent, reason, end_ms)
         else:
             self._exit(reason)
@@ -149,7 +155,7 @@
     async def _drain(self):
         await self._node.sleep(self._settings.timings.drain_lag_ms)
         await self._node.finish_work()
-        while self._caller_site.busy():
+        while self._caller_site.channels:
             await self._node.sleep(DRAIN_POLL_MS)
         self._exit("drained")
 
--- a/hemlockspoke/http1/channel.py
+++ b/hemlockspoke/http1/channel.py
@@ -148,7 +148,8 @@
         self._timer = self._clock.call_after_reads(delay_ms, callback)
 
     def _on_idle_timeout(self):
-        if self._current is None and not self._queued and not self._has_unread_bytes():
+        unread = has_unread_bytes(self.transport)
+        if self._current is None and not self._queued and not unread:
             self.transport.loseConnection()
 
     def _on_header_timeout(self):
@@ -294,23 +295,9 @@
         """Close the connection unless a request is read, handled or about to come."""
         age_ms = self._clock.now_ms() - self._opened_ms
         is_new = self._is_first_request and age_ms < NEW_CONNECTION_GRACE_MS
-        if self.idle() and not is_new and not self._has_unread_bytes():
+        if self.idle() and not is_new and not has_unread_bytes(self.transport):
             self._close()
 
-    def _has_unread_bytes(self):
-        """Return whether the kernel holds bytes of the caller.
-
-        A close would reset the connection, and the caller's request would be lost.
-        """
-        try:
-            handle = self.transport.getHandle()
-            return bool(handle.recv(1, socket.MSG_PEEK))
-        except BlockingIOError:
-            return False
-        except OSError as error:
-            logger.debug("connection lost", extra={"reason": str(error)})
-            return False
-
     def connectionLost(self, reason):
         """Cancel the request in progress and drop the queued ones."""
         self._site.channels.discard(self)
@@ -323,6 +310,20 @@
             request.on_caller_disconnected()
 
 
+def has_unread_bytes(transport):
+    """Return whether the kernel holds bytes of the caller.
+
+    A close would reset the connection, and the caller's request would be lost.
+    """
+    try:
+        return bool(transport.getHandle().recv(1, socket.MSG_PEEK))
+    except BlockingIOError:
+        return False
+    except OSError as error:
+        logger.debug("connection lost", extra={"reason": str(error)})
+        return False
+
+
 def round_trip_ms(transport):
     """Return the kernel's smoothed round trip time of a connection in ms."""
     try:
--- a/tests/features/steps/daemon_stop_steps.py
+++ b/tests/features/steps/daemon_stop_steps.py
@@ -260,6 +260,13 @@
     assert answer[2]["outcome"] == outcome, answer
 
 
+@then("the caller gets an answer with status {first:d} or {second:d}")
+def step_caller_any_answer(context, first, second):
+    answer = read_answer(context.connection)
+    assert answer is not None, "the connection ended without an answer"
+    assert answer[0] in (first, second), answer
+
+
 @when("a caller reads a long answer slowly while the daemon is terminated")
 def step_slow_reader(context):
     configure_servers(context, rows_per_part=LONG_ANSWER_ROWS)
@@ -276,3 +283,45 @@
     answer = read_answer(context.connection)
     assert answer is not None, "the answer was cut off"
     assert answer[0] == 200, answer[0]
+
+
+@given("a caller whose kept connection to the daemon has carried a request")
+def step_kept_connection(context):
+    context.connection = connect(context)
+    # An unknown path is answered at once, however slow the servers are.
+    context.connection.sendall(b"GET /unknown HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert read_answer(context.connection)[0] == 404
+
+
+@then("the kept connection is closed within {limit_ms:d} ms, before the process ends")
+def step_kept_closed(context, limit_ms):
+    context.connection.settimeout(limit_ms / 1000)
+    assert context.connection.recv(1) == b""
+    assert context.daemon.process.poll() is None, "the process has ended"
+
+
+@when("its next request arrives while the daemon is suspended as it closes its port")
+def step_request_while_suspended(context):
+    tell_to_stop(context)
+    time.sleep(0.3)
+    context.daemon.signal(signal.SIGSTOP)
+    context.connection.sendall(encode_query())
+    time.sleep(0.6)
+    context.daemon.signal(signal.SIGCONT)
+
+
+@when("a caller sends a query and {delay_ms:d} ms later the daemon is terminated")
+def step_query_then_stop(context, delay_ms):
+    context.connection = connect(context)
+    context.connection.sendall(encode_query())
+    time.sleep(delay_ms / 1000)
+    tell_to_stop(context)
+
+
+@then("the caller's answer closes its connection")
+def step_answer_closes(context):
+    answer = read_answer(context.connection)
+    assert answer is not None, "the connection ended without an answer"
+    headers = {name.lower(): value for name, value in answer[1].items()}
+    assert answer[0] == 200, answer
+    assert headers.get("connection") == "close", headers
