Refuse what is half received at hemlockspoked's drain limit

A caller whose request had arrived in part saw its connection end without an answer when the drain limit of a planned stop, or a second signal, ended the process.

Cause: only requests that are received whole reach the engines, which answer theirs.

Change: with the final answers the daemon refuses what is half received: 503 `not-ready`, `not_run`.

Evidence: daemon_stop.feature, "a request of which only a part has arrived at the drain limit": no answer before, passes after.

--- a/hemlockspoke/adapters/caller_http.py
+++ b/hemlockspoke/adapters/caller_http.py
@@ -32,6 +32,8 @@
     def __init__(self, channel, queued=False):
         super().__init__(channel, queued, parsePOSTFormSubmission=False)
         self.body_bytes = 0
+        # True once the request has been received completely.
+        self.received = False
 
     def gotLength(self, length):
         """Buffer the body in memory, since a daemon has no disk to spool it to."""
@@ -47,6 +49,7 @@
 
     def process(self):
         """Parse the request and start its query or order."""
+        self.received = True
         site = self.channel.factory
         result = self._parse(site.refusal_reason())
         if result.is_error():
@@ -177,6 +180,11 @@
         if not self.busy() and not is_new and not has_unread_bytes(self.transport):
             self.loseConnection()
 
+    def refuse_partial(self, problem):
+        """Refuse a request of which only a part has been received."""
+        if self._receiving and not any(request.received for request in self.requests):
+            self._refuse_current(problem)
+
     def dataReceived(self, data):
         """Receive bytes; only the first byte of a request restarts the time limit."""
         if self._refused:
@@ -244,12 +252,15 @@
 
     def _respondToBadRequestAndDisconnect(self):
         # Overrides the empty response of the base class to malformed HTTP.
+        self._refuse_current(malformed_http())
+
+    def _refuse_current(self, problem):
         if self._refused:
             return
         request = self.requests[-1] if self.requests else CallerRequest(self)
         if not self.requests:
             self.requests.append(request)
-        self.refuse(request, malformed_http())
+        self.refuse(request, problem)
 
 
 class CallerSite(http.HTTPFactory):
@@ -278,6 +289,11 @@
         for channel in list(self.channels):
             channel.close_if_idle()
 
+    def refuse_partial(self, reason):
+        """Refuse all requests of which only a part has been received."""
+        for channel in list(self.channels):
+            channel.refuse_partial(not_ready(reason))
+
     def startFactory(self):
         """Skip the access log and the timer of the base class."""
 
--- a/hemlockspoke/daemon.py
+++ b/hemlockspoke/daemon.py
@@ -141,6 +141,7 @@
         self._close_caller_port()
         self._node.queries.give_up_all()
         self._node.orders.give_up_all()
+        self._caller_site.refuse_partial(reason)
         end_ms = self._node.clock.now_ms() + ANSWER_RESERVE_MS
         self._exit_when_sent(reason, end_ms)
 
--- a/tests/features/daemon_stop.feature
+++ b/tests/features/daemon_stop.feature
@@ -32,6 +32,12 @@
     And the order gets status 504 with outcome "unknown" and has run at most once
     And the query gets status 503 with outcome "failed"
 
+  Scenario: a request of which only a part has arrived at the drain limit is refused
+    # Guards against a connection that ends without an answer to a slow sender.
+    When a caller sends half of a query and the daemon is terminated
+    Then the daemon exits with status zero within 6000 ms
+    And the caller gets status 503 with outcome "not_run"
+
   Scenario: an answer that its caller reads slowly is sent whole
     # Guards against an exit that cuts an answer in the send buffer.
     When a caller reads a long answer slowly while the daemon is terminated
--- a/tests/features/steps/daemon_stop_steps.py
+++ b/tests/features/steps/daemon_stop_steps.py
@@ -56,6 +56,7 @@
         self._daemon = daemon
         self._arguments = (path, body, headers)
         self.answer = None
+        self.ended = False
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
@@ -65,6 +66,7 @@
             self.answer = self._daemon.call("POST", path, body, headers, timeout_s=15)
         except OSError:
             self.answer = None
+        self.ended = True
 
     def join(self):
         """Wait for the answer or the end of the connection."""
@@ -87,8 +89,12 @@
     start_order(context)
     body = {"query": {}, "deadline_ms": DEADLINE_MS}
     context.query = Call(context.daemon, QUERY_PATH, body, {})
-    wait_until(lambda: cluster.counter_total("orders") > orders)
-    wait_until(lambda: cluster.counter_total("queries") > queries)
+    wait_until(lambda: context.order.ended or cluster.counter_total("orders") > orders)
+    wait_until(
+        lambda: context.query.ended or cluster.counter_total("queries") > queries
+    )
+    for call in (context.order, context.query):
+        assert not call.ended, call.answer and call.answer.body
 
 
 def tell_to_stop(context):
