--- a/hemlockspoke/daemon.py
+++ b/hemlockspoke/daemon.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import ensureDeferred
 
 from hemlockspoke.adapters.json_logs import configure_logs
+from hemlockspoke.adapters.listening_port import LISTEN_BACKLOG, stop_accepting
 from hemlockspoke.adapters.signals import run_with_signals
 from hemlockspoke.clock import ReactorClock
 from hemlockspoke.config.settings import Settings
@@ -18,6 +19,9 @@
 
 EXIT_BAD_SETTINGS = 2
 DRAIN_POLL_MS = 20
+# Time before the drain limit at which every request that is still in progress gets its
+# final answer.
+ANSWER_RESERVE_MS = 700
 
 
 class Daemon:
@@ -26,6 +30,8 @@
     __slots__ = (
         "_caller_port",
         "_caller_site",
+        "_exiting",
+        "_giving_up",
         "_node",
         "_reactor",
         "_settings",
@@ -39,6 +45,8 @@
         self._caller_port = None
         self._caller_site = None
         self._stopping = False
+        self._giving_up = False
+        self._exiting = False
 
     @classmethod
     def from_config(cls, settings, reactor):
@@ -69,7 +77,10 @@
         from hemlockspoke.adapters.operator_http import operator_site
 
         self._node.peers.listen(self._settings.peer_address)
-        self._listen(self._settings.operator_address, operator_site(self._node))
+        address = self._settings.operator_address
+        self._reactor.listenTCP(
+            address.port, operator_site(self._node), interface=address.host
+        )
         self._caller_site = CallerSite(
             queries=self._node.queries,
             orders=self._node.orders,
@@ -77,19 +88,20 @@
             caller_idle_timeout_ms=self._settings.timings.caller_idle_timeout_ms,
             reactor=self._reactor,
         )
-        self._caller_port = self._listen(
-            self._settings.caller_address, self._caller_site
+        address = self._settings.caller_address
+        self._caller_port = self._reactor.listenTCP(
+            address.port,
+            self._caller_site,
+            backlog=LISTEN_BACKLOG,
+            interface=address.host,
         )
         self._node.start()
         logger.info("started", extra={"failure_domain": self._settings.failure_domain})
 
-    def _listen(self, address, site):
-        return self._reactor.listenTCP(address.port, site, interface=address.host)
-
     def terminate(self, *_):
-        """Handle SIGTERM and SIGINT: shut down gracefully, or at once if repeated."""
+        """Handle SIGTERM and SIGINT: shut down gracefully; if repeated, give up."""
         if self._stopping:
-            self._reactor.callFromThread(self._exit, "second signal")
+            self._reactor.callFromThread(self._give_up, "second signal")
             return
         self._stopping = True
         self._reactor.callFromThread(self._shut_down)
@@ -102,17 +114,50 @@
         ensureDeferred(self._drain()).addErrback(self._exit_after_failure)
         clock = self._node.clock
         clock.call_later(timings.drain_lag_ms, self._close_caller_port)
+        answer_ms = max(
+            timings.drain_lag_ms, timings.drain_limit_ms - ANSWER_RESERVE_MS
+        )
+        clock.call_later(answer_ms, self._give_up, "drain limit")
         clock.call_later(timings.drain_limit_ms, self._exit, "drain limit")
 
     def _close_caller_port(self):
         """Refuse new work: the load balancer has had time to see the lost readiness."""
+        if self._node.draining:
+            return
         self._node.draining = True
-        self._caller_port.stopListening()
+        stop_accepting(self._caller_port, self._reactor)
+        self._close_idle()
+
+    def _close_idle(self):
+        """Close idle connections, again and again until the process ends."""
+        self._caller_site.close_idle()
+        self._node.clock.call_later(DRAIN_POLL_MS, self._close_idle)
+
+    def _give_up(self, reason):
+        """Answer all requests in progress with what is known, then exit."""
+        if self._giving_up:
+            return
+        self._giving_up = True
+        logger.warning("giving up requests", extra={"reason": reason})
+        self._close_caller_port()
+        self._node.queries.give_up_all()
+        self._node.orders.give_up_all()
+        self._caller_site.refuse_partial(reason)
+        end_ms = self._node.clock.now_ms() + ANSWER_RESERVE_MS
+        self._exit_when_sent(reason, end_ms)
+
+    def _exit_when_sent(self, reason, end_ms):
+        """Exit once all answers are sent, at the latest at the time ``end_ms``."""
+        clock = self._node.clock
+        if self._caller_site.channels and clock.now_ms() < end_ms:
+            clock.call_later(DRAIN_POLL_MS, self._exit_when_sent, reason, end_ms)
+        else:
+            self._exit(reason)
 
     async def _drain(self):
         await self._node.sleep(self._settings.timings.drain_lag_ms)
         await self._node.finish_work()
-        while self._caller_site.busy():
+        while self._caller_site.channels:
             await self._node.sleep(DRAIN_POLL_MS)
         self._exit("drained")
 
@@ -121,7 +166,8 @@
         self._exit("shutdown failed")
 
     def _exit(self, reason):
-        if self._reactor.running:
+        if self._reactor.running and not self._exiting:
+            self._exiting = True
             logger.info("exit", extra={"reason": reason})
             self._node.stop()
             # Leave time to flush answers from the send buffers.
