Read what servers have sent before a stop gives up on requests

Callers of a stopping daemon could get 502 although the server's answer lay in the kernel: after a pause of the process the check that writes the final answers ran first, as the reactor runs due timers before it reads. Since the answers move forward with each late check, a pause also makes them due.

The check of the stop now runs after the reads of one turn, as other timeouts do.

Ruled out: a pause inside the reactor's wait, after which it reads before timers.

Test: edge_stop.feature, "answers of servers that wait to be read when the final answers are due", failed before (502 instead of 200).

--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -290,7 +290,8 @@
     def _check_stop_later(self, delay_ms):
         delay_ms = max(0.0, delay_ms)
         self._stop_check_due_ms = self._clock.now_ms() + delay_ms
-        self._clock.call_later(delay_ms, self._stop_when_idle)
+        # Answers of servers that arrived while the process was busy are read first.
+        self._clock.call_after_reads(delay_ms, self._stop_when_idle)
 
     def _stop_when_idle(self):
         """Stop once no request is in progress, or when the shutdown time is over.
--- a/tests/features/edge_stop.feature
+++ b/tests/features/edge_stop.feature
@@ -86,6 +86,13 @@
     Then it stops within 6000 ms
     And both get status 502 at least 5000 ms after the start of the stop
 
+  Scenario: answers of servers that wait to be read when the final answers are due
+    # Guards against a busy daemon that gives up on requests whose answers have arrived.
+    Given a platform whose daemon "e1" may stop, with servers that take 9000 ms
+    When an order and a lookup are sent, and "e1" is busy while the servers answer, from 4500 to 5500 ms of its stop
+    Then it stops within 6000 ms
+    And both get status 200 at least 5000 ms after the start of the stop
+
   Scenario: the end of a stop says what became of the open connections
     # Guards against requests that a stop cuts without a trace in the log.
     Given a platform whose daemon "e1" may stop, with servers that take 40 ms
--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -226,6 +226,37 @@
     )
 
 
+@when(
+    'an order and a lookup are sent, and "{vm}" is busy while the servers answer, '
+    "from {begin:d} to {end:d} ms of its stop"
+)
+def step_stop_busy_while_answered(context, vm, begin, end):
+    def answer_and_block():
+        for server in context.world.servers.values():
+            for channel in server.site.channels:
+                send_answer_now(server, channel)
+        time.sleep((end - begin) / 1000)
+
+    # Calls from threads run before due timers, which run before the next reads.
+    timer = threading.Timer(
+        begin / 1000, reactor.callFromThread, args=(answer_and_block,)
+    )
+
+    def terminate():
+        timer.start()
+        context.daemon.terminate()
+
+    stop_in_progress(context, terminate=terminate)
+
+
+def send_answer_now(server, channel):
+    """Send the answer to the request of a server's connection, if it has one."""
+    request = channel._current
+    if request is not None:
+        request.respond(200, server.run(request), server.body)
+        channel.transport.doWrite()
+
+
 def stop_in_progress(context, busy_ms=0, busy_after_ms=0, terminate=None):
     """Stop the daemon while requests are in progress.
 
