Send the final answers of a stop before the process ends

Callers lost the final answers to their requests if the stop of their daemon was held up, as by a lack of processor time, from before the time of these answers to the end of the stop: they were written and the reactor was stopped in one and the same turn, which discards what has not been sent. What a hub reports to the daemons that asked it was lost in every stop in which no caller was connected to the hub; they saw the loss of the stream instead, so their callers got an answer, but one that knows less (502 where the hub could say "not run").

Cause: the check of the end looked only at what was left after all had been given up.

Change: after giving up requests the daemon waits for one more check, 50 ms later, also if its time is over; the platform kills it 300 ms after that time.

Evidence: Twisted, trial with a write followed by reactor.stop in one turn: the other end receives 0 bytes. edge_stop.feature, "a stop that is held up until its end answers what is in progress": both callers without an answer before, 502 after. edge_stop_pairs.feature, "a caller is answered when only the asked daemon stops": "lost the daemon that sent the request" before, the hub's report after.

The other scenarios of edge_stop_pairs.feature passed before as well. They show that a caller gets its answer when its daemon and the one that it asked both stop, in either order, and when routes, services, servers, their entries or the bounds change beside its request (close_gracefully in http1/pool.py leaves exchanges in progress alone).

edge_stop, edge_stop_pairs and edge_forward: 46 scenarios passed. Ruled out: a larger reserve, which a longer delay uses up as well.

--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -282,12 +282,11 @@
     def _stop_when_idle(self):
         """Stop once no request is in progress, or when the shutdown time is over.
 
-        Before that, all requests that are still in progress get an answer.
+        Before that, all requests that are still in progress get an answer. The process
+        does not end in the same turn of the reactor, which has not yet sent them.
         """
         plan, now_ms = self._shutdown, self._clock.now_ms()
-        if now_ms >= plan.answer_ms:
-            self._request_handler.give_up_all(STOPPED)
-            self._forwarding.give_up_all(STOPPED)
+        gave_up = now_ms >= plan.answer_ms and self._give_up_all()
         self._site.close_idle()
         for_peers = (
             self._delegation.peer_gather_count() + self._forwarding.peer_forward_count()
@@ -297,12 +296,19 @@
         if is_open and (not busy or now_ms >= plan.accept_until_ms):
             self._stop_accepting()
             busy = True
-        if busy and now_ms < plan.exit_ms:
+        if gave_up or (busy and now_ms < plan.exit_ms):
             self._clock.call_later(SHUTDOWN_POLL_MS, self._stop_when_idle)
             return
         self._log_stopped(now_ms, for_peers)
         self._reactor.stop()
 
+    def _give_up_all(self):
+        """Answer all requests in progress; return whether there were any."""
+        count = self._request_handler.active() + self._forwarding.peer_forward_count()
+        self._request_handler.give_up_all(STOPPED)
+        self._forwarding.give_up_all(STOPPED)
+        return count > 0
+
     def _log_stopped(self, now_ms, for_peers):
         """Log how the stop has ended; connections that are open now are cut."""
         connections = self._site.count_states()
--- a/tests/features/edge_stop.feature
+++ b/tests/features/edge_stop.feature
@@ -72,6 +72,13 @@
     Then it stops within 6000 ms
     And both get status 502 at least 5000 ms after the start of the stop
 
+  Scenario: a stop that is held up until its end answers what is in progress
+    # Guards against final answers that the end of the process discards.
+    Given a platform whose daemon "e1" may stop, with servers that take 9000 ms
+    When an order and a lookup are sent, and the stop of "e1" is held up from 5000 to 5800 ms
+    Then it stops within 6000 ms
+    And both get status 502 at least 5000 ms after the start of the stop
+
   Scenario: the end of a stop says what became of the open connections
     # Guards against requests that a stop cuts without a trace in the log.
     Given a platform whose daemon "e1" may stop, with servers that take 40 ms
--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -19,6 +19,8 @@
     "X-Hemlockspoke-Deadline-Ms: {budget_ms}\r\nContent-Length: 0\r\n\r\n"
 )
 ORDER_BUDGET_MS = 10_000
+# Time for requests to reach their servers before the daemon is told to stop.
+START_S = 0.2
 
 
 class StoppableReactor:
@@ -207,13 +209,25 @@
     stop_in_progress(context, busy_ms=n)
 
 
+@when(
+    'an order and a lookup are sent, and the stop of "{vm}" is held up '
+    "from {start_ms:d} to {end_ms:d} ms"
+)
+def step_stop_held_up(context, vm, start_ms, end_ms):
+    held_up_s = (end_ms - start_ms) / 1000
+    reactor.callFromThread(
+        reactor.callLater, START_S + start_ms / 1000, time.sleep, held_up_s
+    )
+    stop_in_progress(context)
+
+
 def stop_in_progress(context, busy_ms=0):
     """Stop the daemon while requests are in progress and it is busy with other work."""
     context.orders = [
         TimedRequest(context.address, "order", "POST", "/order/a"),
         TimedRequest(context.address, "lookup", "GET", "/item/a"),
     ]
-    time.sleep(0.2)
+    time.sleep(START_S)
     context.told_s = time.monotonic()
     reactor.callFromThread(time.sleep, busy_ms / 1000)
     context.daemon.terminate()
