Answer connections that arrive while a stop is held up until its end

Callers whose connections waited in the kernel while a stop was held up until its end got a reset: the daemon accepted them as it closed its port, and stopped the reactor in the same turn, before it could read their requests.

--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -283,10 +283,11 @@
         """Stop once no request is in progress, or when the shutdown time is over.
 
         Before that, all requests that are still in progress get an answer. The process
-        does not end in the same turn of the reactor, which has not yet sent them.
+        does not end in the same turn of the reactor, which has not yet sent them, nor
+        in that which accepts the last connections.
         """
         plan, now_ms = self._shutdown, self._clock.now_ms()
-        gave_up = now_ms >= plan.answer_ms and self._give_up_all()
+        owes_turn = now_ms >= plan.answer_ms and self._give_up_all()
         self._site.close_idle()
         for_peers = (
             self._delegation.peer_gather_count() + self._forwarding.peer_forward_count()
@@ -295,8 +296,8 @@
         is_open = self._caller_port is not None
         if is_open and (not busy or now_ms >= plan.accept_until_ms):
             self._stop_accepting()
-            busy = True
-        if gave_up or (busy and now_ms < plan.exit_ms):
+            owes_turn = True
+        if owes_turn or (busy and now_ms < plan.exit_ms):
             self._clock.call_later(SHUTDOWN_POLL_MS, self._stop_when_idle)
             return
         self._log_stopped(now_ms, for_peers)
--- a/tests/features/edge_stop.feature
+++ b/tests/features/edge_stop.feature
@@ -79,6 +79,13 @@
     Then it stops within 6000 ms
     And both get status 502 at least 5000 ms after the start of the stop
 
+  Scenario: callers that connect while a stop is held up until its end are refused
+    # Guards against connections that are accepted and cut in the same turn.
+    Given a platform whose daemon "e1" may stop, with servers that take 40 ms
+    And a caller whose kept connection has carried a request
+    When 20 callers connect and send a request while the stop is held up from 200 to 5800 ms
+    Then each of them gets status 503
+
   Scenario: the end of a stop says what became of the open connections
     # Guards against requests that a stop cuts without a trace in the log.
     Given a platform whose daemon "e1" may stop, with servers that take 40 ms
--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -304,6 +304,36 @@
     run_in_reactor(connect_and_close)
 
 
+@when(
+    "{count:d} callers connect and send a request while the stop is held up "
+    "from {start_ms:d} to {end_ms:d} ms"
+)
+def step_connect_while_held_up(context, count, start_ms, end_ms):
+    context.told_s = time.monotonic()
+    context.daemon.terminate()
+    held_up_s = (end_ms - start_ms) / 1000
+    reactor.callFromThread(reactor.callLater, start_ms / 1000, time.sleep, held_up_s)
+    time.sleep(start_ms / 1000 + START_S)
+    context.connections = []
+    for number in range(count):
+        connection = socket.create_connection(context.address, timeout=5)
+        connection.sendall(encode(f"q{number}"))
+        context.connections.append(connection)
+    wait_until(lambda: context.stopped_s is not None, timeout_s=8)
+
+
+@then("each of them gets status {status:d}")
+def step_all_status(context, status):
+    answers = []
+    for connection in context.connections:
+        with connection:
+            try:
+                answers.append(connection.recv(65536)[:12])
+            except ConnectionResetError:
+                answers.append(b"reset")
+    assert set(answers) == {b"HTTP/1.1 %d" % status}, answers
+
+
 @then("all of them get an answer")
 def step_all_answered(context):
     for connection in context.connections:
