--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -296,27 +296,28 @@
     def _stop_when_idle(self):
         """Stop once no request is in progress, or when the shutdown time is over.
 
-        Before that, all requests that are still in progress get an answer.
+        Before that, all requests that are still in progress get an answer. The process
+        does not end in the same turn of the reactor, which has not yet sent them, nor
+        in that which accepts the last connections.
         """
         plan, now_ms = self._shutdown, self._clock.now_ms()
         plan.record_delay(now_ms - self._stop_check_due_ms)
-        must_send = False
+        poll_ms, owes_turn = SHUTDOWN_POLL_MS, False
         if now_ms >= plan.answer_ms:
+            poll_ms = ANSWER_POLL_MS
             self._request_handler.give_up_all(STOPPED)
             self._forwarding.give_up_all(STOPPED)
-            # The reactor sends what has been written in its next turn.
-            must_send = plan.record_answers(now_ms)
+            owes_turn = plan.record_answers(now_ms)
         self._site.close_idle()
         for_peers = (
             self._delegation.peer_gather_count() + self._forwarding.peer_forward_count()
         )
-        busy = must_send or self._site.channels or for_peers
+        busy = self._site.channels or for_peers
         is_open = self._caller_port is not None
         if is_open and (not busy or now_ms >= plan.accept_until_ms):
             self._stop_accepting()
-            busy = True
-        if busy and now_ms < plan.exit_ms:
-            poll_ms = SHUTDOWN_POLL_MS if now_ms < plan.answer_ms else ANSWER_POLL_MS
+            poll_ms, owes_turn = SHUTDOWN_POLL_MS, True
+        if owes_turn or (busy and now_ms < plan.exit_ms):
             self._check_stop_later(poll_ms)
             return
         self._log_stopped(now_ms, for_peers)
--- a/tests/features/edge_stop.feature
+++ b/tests/features/edge_stop.feature
@@ -82,7 +82,7 @@
   Scenario: the last answers of a stop are sent although the daemon was busy
     # Guards against answers that are written in the moment in which the process ends.
     Given a platform whose daemon "e1" may stop, with servers that take 9000 ms
-    When an order and a lookup are sent, and "e1" is busy from 5200 to 5750 ms of its stop
+    When an order and a lookup are sent, and the stop of "e1" is held up from 5200 to 5750 ms
     Then it stops within 6000 ms
     And both get status 502 at least 5000 ms after the start of the stop
 
@@ -93,6 +93,20 @@
     Then it stops within 6000 ms
     And both get status 200 at least 5000 ms after the start of the stop
 
+  Scenario: a stop that is held up until its end answers what is in progress
+    # Guards against final answers that the end of the process discards.
+    Given a platform whose daemon "e1" may stop, with servers that take 9000 ms
+    When an order and a lookup are sent, and the stop of "e1" is held up from 5000 to 5800 ms
+    Then it stops within 6000 ms
+    And both get status 502 at least 5000 ms after the start of the stop
+
+  Scenario: callers that connect while a stop is held up until its end are refused
+    # Guards against connections that are accepted and cut in the same turn.
+    Given a platform whose daemon "e1" may stop, with servers that take 40 ms
+    And a caller whose kept connection has carried a request
+    When 20 callers connect and send a request while the stop is held up from 200 to 5800 ms
+    Then each of them gets status 503
+
   Scenario: the end of a stop says what became of the open connections
     # Guards against requests that a stop cuts without a trace in the log.
     Given a platform whose daemon "e1" may stop, with servers that take 40 ms
--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -19,6 +19,8 @@
     "X-Hemlockspoke-Deadline-Ms: {budget_ms}\r\nContent-Length: 0\r\n\r\n"
 )
 ORDER_BUDGET_MS = 10_000
+# Time for requests to reach their servers before the daemon is told to stop.
+START_S = 0.2
 
 
 class StoppableReactor:
@@ -208,10 +210,10 @@
 
 
 @when(
-    'an order and a lookup are sent, and "{vm}" is busy from {begin:d} to {end:d} ms '
-    "of its stop"
+    'an order and a lookup are sent, and the stop of "{vm}" is held up '
+    "from {begin:d} to {end:d} ms"
 )
-def step_stop_busy_at_end(context, vm, begin, end):
+def step_stop_held_up(context, vm, begin, end):
     stop_in_progress(context, busy_ms=end - begin, busy_after_ms=begin)
 
 
@@ -267,7 +269,7 @@
         TimedRequest(context.address, "order", "POST", "/order/a"),
         TimedRequest(context.address, "lookup", "GET", "/item/a"),
     ]
-    time.sleep(0.2)
+    time.sleep(START_S)
     context.told_s = time.monotonic()
     reactor.callFromThread(
         reactor.callLater, busy_after_ms / 1000, time.sleep, busy_ms / 1000
@@ -346,6 +348,36 @@
     run_in_reactor(connect_and_close)
 
 
+@when(
+    "{count:d} callers connect and send a request while the stop is held up "
+    "from {start_ms:d} to {end_ms:d} ms"
+)
+def step_connect_while_held_up(context, count, start_ms, end_ms):
+    context.told_s = time.monotonic()
+    context.daemon.terminate()
+    held_up_s = (end_ms - start_ms) / 1000
+    reactor.callFromThread(reactor.callLater, start_ms / 1000, time.sleep, held_up_s)
+    time.sleep(start_ms / 1000 + START_S)
+    context.connections = []
+    for number in range(count):
+        connection = socket.create_connection(context.address, timeout=5)
+        connection.sendall(encode(f"q{number}"))
+        context.connections.append(connection)
+    wait_until(lambda: context.stopped_s is not None, timeout_s=8)
+
+
+@then("each of them gets status {status:d}")
+def step_all_status(context, status):
+    answers = []
+    for connection in context.connections:
+        with connection:
+            try:
+                answers.append(connection.recv(65536)[:12])
+            except ConnectionResetError:
+                answers.append(b"reset")
+    assert set(answers) == {b"HTTP/1.1 %d" % status}, answers
+
+
 @then("all of them get an answer")
 def step_all_answered(context):
     for connection in context.connections:
