--- a/hemlockspoke/daemon.py
+++ b/hemlockspoke/daemon.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import ensureDeferred
 
 from hemlockspoke.adapters.json_logs import configure_logs
-from hemlockspoke.adapters.listening_port import LISTEN_BACKLOG, stop_accepting
+from hemlockspoke.adapters.listening_port import LISTEN_BACKLOG, close_port
 from hemlockspoke.adapters.signals import run_with_signals
 from hemlockspoke.clock import ReactorClock
 from hemlockspoke.config.settings import Settings
@@ -125,7 +125,7 @@
         if self._node.draining:
             return
         self._node.draining = True
-        stop_accepting(self._caller_port, self._reactor)
+        close_port(self._caller_port, self._node.clock)
         self._close_idle()
 
     def _close_idle(self):
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from hemlockspoke.adapters.listening_port import LISTEN_BACKLOG, close_port
 from hemlockspoke.adapters.peer_stream import TcpPeerNetwork
 from hemlockspoke.errors import HumanReadableError
 from hemlockspoke.http1.channel import HttpSite
@@ -13,7 +14,6 @@
 from hemlockspoke.tier.forward_manager import ForwardManager
 from hemlockspoke.tier.members import Membership
 from hemlockspoke.tier.peer_directory import PeerDirectory
-from hemlockspoke.tier.port_close import close_port
 from hemlockspoke.tier.relay import Relay
 from hemlockspoke.tier.request_handler import RequestHandler, TierContext
 from hemlockspoke.tier.shutdown import ShutdownPlan
@@ -31,8 +31,6 @@
 # Interval of checks for changed settings. They may change without a signal, and the
 # change must be applied within seconds.
 SETTINGS_CHECK_MS = 1000.0
-# Number of connections that may wait to be accepted while the daemon is busy.
-LISTEN_BACKLOG = 512
 
 
 class PeerTimings:
--- a/tests/edge_soak/rolling_stops.py
+++ b/tests/edge_soak/rolling_stops.py
@@ -22,6 +22,7 @@
 from hemlockspoke.http1.pool import ConnectionPool
 from tests.edge_soak.ingress import Ingress
 from tests.edge_soak.processes import ProcessWorld
+from tests.edge_soak.stop_losses import GRACE_S, Sent, describe_loss
 from tests.edge_soak.throttle import Throttle
 from tests.platform_world import ITEM_PATH, ORDER_PATH
 
@@ -29,21 +30,10 @@
 STOPPED_PER_ROUND = 2
 SERVERS_PER_DOMAIN = 4
 CALLERS = 48
-GRACE_S = 6.0
 # Longer than the bound stable_window_ms, so that the daemons count as undisturbed.
 SETTLE_S = 3.0
 # Longest time between the signals to two daemons of a round.
 MAX_GAP_S = 1.5
-# The rule excuses a request if it was sent at most this long after the signal and its
-# server was still at work in the last sixth of the grace time.
-EXCUSED_S = 3.0
-LAST_SIXTH_S = GRACE_S * 5 / 6
-# A request that was cut counts until this long after the grace time.
-AFTER_GRACE_S = 1.0
-# A connection that ends later than this after a request was sent has been read.
-LOSS_SLACK_S = 0.2
-# Requests that have used this share of their time are not counted.
-USED_UP_SHARE = 0.9
 
 
 class Load:
@@ -87,31 +77,6 @@
         self.cpu_share = cpu_share
 
 
-class Sent:
-    """One request of a caller; ``status`` is None if its connection ended."""
-
-    __slots__ = (
-        "attempt",
-        "ended_s",
-        "path",
-        "reused",
-        "sent",
-        "sent_s",
-        "status",
-        "vm",
-    )
-
-    def __init__(self, attempt, path, vm, reused):
-        self.attempt = attempt
-        self.path = path
-        self.vm = vm
-        self.reused = reused
-        self.sent = True
-        self.sent_s = time.monotonic()
-        self.ended_s = None
-        self.status = None
-
-
 class Caller(threading.Thread):
     """Sends one request after the other and keeps its connection until it is closed."""
 
@@ -258,7 +223,9 @@
             for attempt, interval in server.work_s.items():
                 work[attempt.decode()].append((server.server_id, *interval))
         for sent in self.requests:
-            loss = describe_loss(sent, work[sent.attempt], self.terminated_s, self.load)
+            signals_s = self.terminated_s[sent.vm]
+            budget_ms = self.load.budget_ms
+            loss = describe_loss(sent, work[sent.attempt], signals_s, budget_ms)
             if loss:
                 findings.append(loss)
         return findings
@@ -285,42 +252,6 @@
         return ", ".join(f"{count} {kind}" for kind, count in counts.items())
 
 
-def describe_loss(sent, work, terminated_s, load):
-    """Return a text if the rule counts a request as lost, or None.
-
-    ``work`` holds the id of each server that ran the request, and when its work began
-    and ended, which is None while it goes on.
-    """
-    took_s = sent.ended_s - sent.sent_s
-    was_read = bool(work) or (sent.sent and took_s > LOSS_SLACK_S)
-    is_over = took_s > USED_UP_SHARE * load.budget_ms / 1000
-    if sent.status is not None or not was_read or is_over:
-        return None
-    signals_s = [at_s for at_s in terminated_s[sent.vm] if at_s < sent.ended_s]
-    if not signals_s or sent.sent_s > signals_s[-1] + GRACE_S + AFTER_GRACE_S:
-        return None
-    signal_s = signals_s[-1]
-    since_s = sent.sent_s - signal_s
-    late_work = any(
-        begin_s - signal_s < GRACE_S
-        and (end_s is None or end_s - signal_s > LAST_SIXTH_S)
-        for _, begin_s, end_s in work
-    )
-    if since_s <= EXCUSED_S and late_work:
-        return None
-    texts = [
-        f"{server_id} from {begin_s - signal_s:.2f} s to "
-        + ("the end" if end_s is None else f"{end_s - signal_s:.2f} s")
-        for server_id, begin_s, end_s in work
-    ]
-    return (
-        f"{sent.attempt}: {sent.path} cut by the stop of {sent.vm},"
-        f" sent {since_s:.2f} s after the signal on a"
-        f" {'kept' if sent.reused else 'new'} connection, ended after {took_s:.2f} s,"
-        f" ran at {', '.join(texts) or 'no server'}"
-    )
-
-
 def run(
     seed,
     rounds,
@@ -354,7 +285,7 @@
         statuses = collections.Counter(str(sent.status) for sent in stops.requests)
         counts = ", ".join(f"{count} x {name}" for name, count in statuses.items())
         print(f"seed {seed}: {len(stops.requests)} requests: {counts}")
-        print(f"seed {seed}: {stops.describe_unanswered()}")
+        print(f"seed {seed}: {stops.describe_unanswered()}", flush=True)
         if findings and keep_logs:
             world.keep_logs(keep_logs)
         return findings
--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -1,18 +1,14 @@
 """Steps on planned stops of a daemon, under callers in threads of their own."""
 
-import errno
-import select
 import socket
 import threading
 import time
-from unittest import mock
 
 from behave import given, then, when
 from twisted.internet import reactor
 
 from hemlockspoke.platform.program import build
 from hemlockspoke.platform.settings import parse_settings
-from hemlockspoke.tier import port_close
 from tests.platform_world import HOST, PlatformWorld
 from tests.reactor_thread import run_in_reactor, wait_until
 
@@ -206,63 +202,6 @@
     stop_in_progress(context)
 
 
-@when(
-    'an order and a lookup are sent, and "{vm}" is told to stop while busy for {n:d} ms'
-)
-def step_stop_busy(context, vm, n):
-    stop_in_progress(context, busy_ms=n)
-
-
-@when(
-    'an order and a lookup are sent, and the stop of "{vm}" is held up '
-    "from {begin:d} to {end:d} ms"
-)
-def step_stop_held_up(context, vm, begin, end):
-    stop_in_progress(context, busy_ms=end - begin, busy_after_ms=begin)
-
-
-@when('an order and a lookup are sent, and "{vm}" sees its signal {delay:d} ms late')
-def step_stop_seen_late(context, vm, delay):
-    def pause_and_terminate():
-        time.sleep(delay / 1000)
-        context.daemon.terminate()
-
-    stop_in_progress(
-        context, terminate=lambda: reactor.callFromThread(pause_and_terminate)
-    )
-
-
-@when(
-    'an order and a lookup are sent, and "{vm}" is busy while the servers answer, '
-    "from {begin:d} to {end:d} ms of its stop"
-)
-def step_stop_busy_while_answered(context, vm, begin, end):
-    def answer_and_block():
-        for server in context.world.servers.values():
-            for channel in server.site.channels:
-                send_answer_now(server, channel)
-        time.sleep((end - begin) / 1000)
-
-    # Calls from threads run before due timers, which run before the next reads.
-    timer = threading.Timer(
-        begin / 1000, reactor.callFromThread, args=(answer_and_block,)
-    )
-
-    def terminate():
-        timer.start()
-        context.daemon.terminate()
-
-    stop_in_progress(context, terminate=terminate)
-
-
-def send_answer_now(server, channel):
-    """Send the answer to the request of a server's connection, if it has one."""
-    request = channel._current
-    if request is not None:
-        request.respond(200, server.run(request), server.body)
-        channel.transport.doWrite()
-
-
 def stop_in_progress(context, busy_ms=0, busy_after_ms=0, terminate=None):
     """Stop the daemon while requests are in progress.
 
@@ -387,77 +326,3 @@
     for connection in context.connections:
         with connection:
             assert connection.recv(65536).startswith(b"HTTP/1.1 200 ")
-
-
-@when("a caller connects between the last accept of its port and the close")
-def step_connect_at_close(context):
-    caller = context.caller = socket.socket()
-    context.add_cleanup(caller.close)
-    caller.setblocking(False)
-
-    def stop_accepting():
-        port = context.daemon._caller_port
-        close = port.connectionLost
-
-        def connect_and_close(reason):
-            caller.connect_ex(context.address)
-            context.established = is_established(caller)
-            close(reason)
-
-        port.connectionLost = connect_and_close
-        context.daemon._stop_accepting()
-
-    run_in_reactor(stop_accepting)
-    wait_until(lambda: hasattr(context, "established"))
-
-
-def is_established(connection):
-    """Return whether the other end has completed the connection."""
-    try:
-        connection.getpeername()
-    except OSError:
-        return False
-    return True
-
-
-@then("its connection is never established, and is refused within {limit_ms:d} ms")
-def step_refused(context, limit_ms):
-    assert not context.established
-    _, writable, _ = select.select([], [context.caller], [], limit_ms / 1000)
-    assert writable
-    error = context.caller.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-    assert error == errno.ECONNREFUSED, errno.errorcode.get(error, error)
-
-
-@when("a caller connects before the close of its port, and sends a request later")
-def step_connect_before_close(context):
-    caller = socket.socket()
-    context.connections = [caller]
-    caller.settimeout(5)
-    # Its packets pass the filter of the port, as those of a handshake in progress do.
-    caller.setsockopt(socket.IPPROTO_IP, socket.IP_TTL, port_close.MAX_TTL)
-
-    def stop_and_connect():
-        context.daemon._stop_accepting()
-        caller.connect(context.address)
-
-    run_in_reactor(stop_and_connect)
-    time.sleep(0.1)
-    caller.setsockopt(socket.IPPROTO_IP, socket.IP_TTL, 64)
-    caller.sendall(encode("later"))
-
-
-@given("a system that cannot drop opening packets")
-def step_no_option(context):
-    unknown_option = mock.patch.object(port_close, "IP_MINTTL", 9999)
-    unknown_option.start()
-    context.add_cleanup(unknown_option.stop)
-
-
-@then("the port refuses connections")
-def step_port_refuses(context):
-    try:
-        socket.create_connection(context.address, timeout=5).close()
-    except ConnectionRefusedError:
-        return
-    raise AssertionError("the port is still open")
