Read what servers have sent before a request times out

A caller got 504 although the server's answer lay in the kernel when the request's time was over: in a busy daemon the timer ran before the reads, as in the check of a stop.

The timeouts of forwarded, gathered and delegated requests now run after the reads of one turn. A timeout comes that much later.

--- a/hemlockspoke/tier/delegated_forward.py
+++ b/hemlockspoke/tier/delegated_forward.py
@@ -55,7 +55,7 @@
         """Ask a daemon to send the request, and start the timeout."""
         clock = self._manager.clock
         delay_ms = self._request.give_up_ms - clock.now_ms()
-        self._timers.append(clock.call_later(delay_ms, self._on_timeout))
+        self._timers.append(clock.call_after_reads(delay_ms, self._on_timeout))
         if not self._ask_next():
             self._refuse()
 
--- a/hemlockspoke/tier/forward.py
+++ b/hemlockspoke/tier/forward.py
@@ -39,7 +39,7 @@
             self._on_delivery,
         )
         now_ms = self._tier.clock.now_ms()
-        self._timer = self._tier.clock.call_later(
+        self._timer = self._tier.clock.call_after_reads(
             request.give_up_ms - now_ms, self._on_timeout
         )
         self._delivery.start()
--- a/hemlockspoke/tier/gather.py
+++ b/hemlockspoke/tier/gather.py
@@ -88,7 +88,7 @@
         request = self._request
         clock = self._tier.clock
         now_ms = clock.now_ms()
-        self._deadline_timer = clock.call_later(
+        self._deadline_timer = clock.call_after_reads(
             request.give_up_ms - now_ms, self._on_timeout
         )
         if request.aim_ms > now_ms:
--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -144,12 +144,12 @@
     the answer or the end of the connection was seen.
     """
 
-    def __init__(self, address, attempt, method, path):
+    def __init__(self, address, attempt, method, path, budget_ms=ORDER_BUDGET_MS):
         self.attempt = attempt
         self.status = self.ended_s = None
         self.sent_s = time.monotonic()
         self.connection = socket.create_connection(address, timeout=12)
-        self.connection.sendall(encode(attempt, method, path, ORDER_BUDGET_MS))
+        self.connection.sendall(encode(attempt, method, path, budget_ms))
         self._thread = threading.Thread(target=self._read, daemon=True)
         self._thread.start()
 
@@ -231,22 +231,43 @@
     "from {begin:d} to {end:d} ms of its stop"
 )
 def step_stop_busy_while_answered(context, vm, begin, end):
-    def answer_and_block():
+    timer = threading.Timer(begin / 1000, answer_and_block, args=(context, end - begin))
+
+    def terminate():
+        timer.start()
+        context.daemon.terminate()
+
+    stop_in_progress(context, terminate=terminate)
+
+
+def answer_and_block(context, busy_ms):
+    """Have all servers answer, and keep the daemon busy before it reads the answers."""
+
+    def run():
         for server in context.world.servers.values():
             for channel in server.site.channels:
                 send_answer_now(server, channel)
-        time.sleep((end - begin) / 1000)
+        time.sleep(busy_ms / 1000)
 
     # Calls from threads run before due timers, which run before the next reads.
-    timer = threading.Timer(
-        begin / 1000, reactor.callFromThread, args=(answer_and_block,)
-    )
+    reactor.callFromThread(run)
 
-    def terminate():
-        timer.start()
-        context.daemon.terminate()
 
-    stop_in_progress(context, terminate=terminate)
+@when(
+    "{method} {path} is sent with {budget_ms:d} ms, and the daemon is busy while the "
+    "servers answer, from {begin:d} to {end:d} ms after that"
+)
+def step_busy_at_timeout(context, method, path, budget_ms, begin, end):
+    request = TimedRequest(context.address, "late", method, path, budget_ms)
+    time.sleep(begin / 1000)
+    answer_and_block(context, end - begin)
+    request.join()
+    context.request = request
+
+
+@then("the request gets status {status:d}")
+def step_status(context, status):
+    assert context.request.status == status, context.request.status
 
 
 def send_answer_now(server, channel):
