--- a/tests/features/steps/edge_stop_steps.py
+++ b/tests/features/steps/edge_stop_steps.py
@@ -146,12 +146,12 @@
     the answer or the end of the connection was seen.
     """
 
-    def __init__(self, address, attempt, method, path):
+    def __init__(self, address, attempt, method, path, budget_ms=ORDER_BUDGET_MS):
         self.attempt = attempt
         self.status = self.ended_s = None
         self.sent_s = time.monotonic()
         self.connection = socket.create_connection(address, timeout=12)
-        self.connection.sendall(encode(attempt, method, path, ORDER_BUDGET_MS))
+        self.connection.sendall(encode(attempt, method, path, budget_ms))
         self._thread = threading.Thread(target=self._read, daemon=True)
         self._thread.start()
 
