--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -101,6 +101,12 @@
     Then in a stop of any length each request that is taken ends before the last answers
     And a port is closed and a process ends in time in a stop of any length
 
+  Scenario: a stop that is held up answers in the time that is left
+    # Guards against requests that are cut in a process with little processor time.
+    Then a stop whose signal came late ends in the time that counts from the signal
+    And checks that come late leave twice their delay for the answers
+    And answers that are written late get time to be sent, once
+
   Scenario: the daemons of a fleet begin with different servers
     # Guards against a fleet of which all daemons send their first requests to the
     # server that the store lists first.
--- a/tests/features/steps/edge_eligibility_steps.py
+++ b/tests/features/steps/edge_eligibility_steps.py
@@ -16,9 +16,14 @@
 from hemlockspoke.tier.request_servers import RequestServers
 from hemlockspoke.tier.routes import RoutingTable, ServiceLimits
 from hemlockspoke.tier.servers import ServerEntry
-from hemlockspoke.tier.shutdown import ShutdownPlan
+from hemlockspoke.tier.shutdown import (
+    MAX_SIGNAL_DELAY_MS,
+    SEND_RESERVE_MS,
+    ShutdownPlan,
+)
 
 SHUTDOWN_MS = st.floats(0.0, 60_000.0)
+ROUNDING_MS = 0.001
 
 
 @then("in a stop of any length each request that is taken ends before the last answers")
@@ -45,6 +50,46 @@
     check()
 
 
+@then("a stop whose signal came late ends in the time that counts from the signal")
+def step_late_signal(context):
+    @for_all(SHUTDOWN_MS, st.floats(0.0, MAX_SIGNAL_DELAY_MS))
+    def check(shutdown_ms, delay_ms):
+        plan = ShutdownPlan(10_000.0, shutdown_ms, delay_ms)
+        end_ms = 10_000.0 - delay_ms + shutdown_ms
+        assert plan.answer_ms <= plan.exit_ms <= max(10_000.0, end_ms)
+
+    check()
+
+
+@then("checks that come late leave twice their delay for the answers")
+def step_late_checks(context):
+    @for_all(st.lists(st.floats(0.0, 500.0), min_size=1))
+    def check(delays_ms):
+        plan = ShutdownPlan(1000.0, 6000.0)
+        for delay_ms in delays_ms:
+            before_ms = plan.answer_ms
+            plan.record_delay(delay_ms)
+            assert plan.answer_ms <= before_ms
+        reserve_ms = plan.exit_ms - plan.answer_ms
+        assert reserve_ms >= 2.0 * max(delays_ms) - ROUNDING_MS
+
+    check()
+
+
+@then("answers that are written late get time to be sent, once")
+def step_late_answers(context):
+    @for_all(st.floats(1000.0, 10_000.0))
+    def check(now_ms):
+        plan = ShutdownPlan(1000.0, 6000.0)
+        assert plan.record_answers(now_ms)
+        assert plan.exit_ms >= now_ms + SEND_RESERVE_MS
+        end_ms = plan.exit_ms
+        assert not plan.record_answers(now_ms + 1000.0)
+        assert plan.exit_ms == end_ms
+
+    check()
+
+
 def directory_with_servers(server_ids, vm="e1"):
     """Return the directory of a daemon with servers that may get requests."""
     clock = ManualClock()
