Let a daemon of the paired stops end after its scenario without an error

The end of a daemon that stops without a time set for it raised AttributeError in the reactor, since the context of its scenario was gone. 16 scenarios pass.

--- a/tests/features/steps/edge_stop_pairs_steps.py
+++ b/tests/features/steps/edge_stop_pairs_steps.py
@@ -25,9 +25,13 @@
 def make_stoppable(context, vm):
     """Let a daemon of this process end alone, as the end of its process would."""
     daemon = context.world.daemons[vm]
+    if "ended_s" not in context:
+        context.ended_s = {}
+    # A daemon may end after its scenario.
+    ended_s = context.ended_s
 
     def end():
-        context.ended_s[vm] = time.monotonic()
+        ended_s[vm] = time.monotonic()
         # The end of a process discards what has not been sent.
         streams = daemon._network._streams.values()
         for protocol in [*daemon._site.channels, *streams]:
@@ -39,7 +43,6 @@
 
 @given('"{first}" and "{second}" have {stop_ms:d} ms for a stop')
 def step_time_for_stop(context, first, second, stop_ms):
-    context.ended_s = {}
     for vm in (first, second):
         make_stoppable(context, vm)
         context.world.daemons[vm]._settings.bounds.shutdown_ms = float(stop_ms)
