Send an answer that becomes possible right after the aim at once

Cause: a query without its minimum coverage at the aim was held back for half of the target time even if a gatherer's report gave the coverage a few ms later. Change: within half of the allowance for the daemon's own work after the aim the answer goes out as soon as the minimum coverage is reached. The times are a class of their own. Ruled out: a smaller allowance for all queries, which would answer fewer parts.

--- a/hemlockspoke/tier/requests/gather.py
+++ b/hemlockspoke/tier/requests/gather.py
@@ -5,6 +5,7 @@
 is the clock time at which the answer must be sent to meet the route's target latency.
 """
 
+from hemlockspoke.tier.requests.answer_time import AnswerTime
 from hemlockspoke.tier.requests.delegated_hedges import DelegatedHedges
 from hemlockspoke.tier.requests.gather_plan import GatherPlan
 from hemlockspoke.tier.sending.attempt import OutgoingRequest
@@ -12,9 +13,6 @@
 from hemlockspoke.tier.sending.merge import PartialAnswer, greatest_records
 from hemlockspoke.tier.sending.replies import ErrorReply
 
-# An answer that misses the aim is worth little, so it is held back for this fraction of
-# the route's target latency, in which missing parts may still arrive.
-LATE_WAIT_FRACTION = 0.5
 NO_ANSWER_IN_TIME = "no answer in time"
 
 
@@ -23,8 +21,9 @@
 
     ``tier`` has the components that all requests share. Unless the query is cancelled,
     ``on_answer(status, headers, body, outcome, reason)`` is called once: when no part
-    can still arrive, or at the aim if the minimum coverage is reached by then, or once
-    it is reached and the wait after the aim is over; or with an error.
+    can still arrive, or at the aim if the minimum coverage is reached by then, or when
+    it is reached right after the aim, or once it is reached and the wait after the aim
+    is over; or with an error.
 
     A delivery sends the request to servers of one service until one answers. Most parts
     of other failure domains are delegated to a daemon there, the gatherer; if it is
@@ -52,6 +51,7 @@
         "_shard_count",
         "_source_counts",
         "_tier",
+        "_times",
     )
 
     def __init__(self, tier, request, on_answer):
@@ -73,6 +73,7 @@
         # Set if parts are delegated.
         self._plan = None
         self._hedges = None
+        self._times = AnswerTime.from_request(request)
         self._aim_timer = None
         self._deadline_timer = None
         self._shard_count = len(request.route.shards)
@@ -321,26 +322,22 @@
             self._respond()
         elif len(self._answered) + len(self._pending) < self._needed_count:
             self._refuse("too few shards can answer")
-        elif self.has_coverage() and self._late_wait_ms() < 0.0:
+        elif self.has_coverage() and self._times.is_due(self._tier.clock.now_ms()):
             self._respond()
 
     def has_coverage(self):
         """Return whether the minimum coverage is reached."""
         return len(self._answered) >= self._needed_count
 
-    def _late_wait_ms(self):
-        """Return for how long missing parts are still waited for."""
-        late_ms = LATE_WAIT_FRACTION * self._request.route.target_ms
-        return self._request.aim_ms + late_ms - self._tier.clock.now_ms()
-
     def _on_aim(self):
         if self._finished:
             return
         if self.has_coverage():
             self._respond()
             return
-        self._aim_timer = self._tier.clock.call_later(
-            self._late_wait_ms(), self._on_late_wait_end
+        clock = self._tier.clock
+        self._aim_timer = clock.call_later(
+            self._times.late_ms - clock.now_ms(), self._on_late_wait_end
         )
 
     def _on_late_wait_end(self):
--- a/hemlockspoke/tier/requests/tier_request.py
+++ b/hemlockspoke/tier/requests/tier_request.py
@@ -7,6 +7,9 @@
 WORK_ALLOWANCE_MS = 5.0
 WORK_ALLOWANCE_FRACTION = 0.02
 MERGE_ALLOWANCE_MS = 0.05
+# Fraction of that allowance within which an answer that becomes possible after the aim
+# is sent at once, as it mostly still arrives in time.
+LATE_START_FRACTION = 0.5
 # Margin before the caller's deadline and the route's timeout, so that an answer or
 # error sent at the end still arrives in time.
 DEADLINE_ALLOWANCE_MS = 15.0
@@ -15,12 +18,13 @@
 class TierRequest:
     """A caller's request with its route and its times, which are clock times.
 
-    ``aim_ms`` is when an answer must be sent to meet the route's target latency,
-    ``give_up_ms`` when an answer or error must be sent at the latest, and
-    ``caller_deadline_ms`` until when the caller waits. ``version`` is that of the
-    configuration, ``timing`` the ``RouteTiming`` of the route. ``headers`` are those
-    that other daemons and servers may get. ``account`` is the caller's ``Account``, or
-    None. ``priority`` is the rank of the request; 0 is the most urgent.
+    ``aim_ms`` is when an answer must be sent to meet the route's target latency, and
+    ``latest_aim_ms`` until when one that is sent may still meet it. ``give_up_ms`` is
+    when an answer or error must be sent at the latest, and ``caller_deadline_ms`` until
+    when the caller waits. ``version`` is that of the configuration, ``timing`` the
+    ``RouteTiming`` of the route. ``headers`` are those that other daemons and servers
+    may get. ``account`` is the caller's ``Account``, or None. ``priority`` is the rank
+    of the request; 0 is the most urgent.
 
     Servers and daemons outside ``regions`` get nothing of the request, but for the
     daemon to which its caller has connected. An empty set allows any region. It is None
@@ -37,6 +41,7 @@
         "give_up_ms",
         "headers",
         "http",
+        "latest_aim_ms",
         "priority",
         "regions",
         "route",
@@ -70,17 +75,23 @@
         self.caller_deadline_ms = start_ms + budget_ms
         limit_ms = min(budget_ms, route.timeout_ms)
         self.give_up_ms = start_ms + max(0.0, limit_ms - DEADLINE_ALLOWANCE_MS)
-        aim_ms = start_ms + route.target_ms - spent_ms - allowance_ms(http, route)
+        target_ms = start_ms + route.target_ms - spent_ms
+        work_ms = work_allowance_ms(route)
+        aim_ms = target_ms - network_ms(http) - work_ms
         self.aim_ms = min(aim_ms, self.give_up_ms)
+        self.latest_aim_ms = self.aim_ms + LATE_START_FRACTION * work_ms
 
 
-def allowance_ms(http, route):
-    """Return how much of the target latency the network and this daemon need, in ms.
+def network_ms(http):
+    """Return how long a request and its answer take between caller and daemon, in ms.
 
-    Callers measure from their first packet, so a new connection adds a round trip to
-    that of the request and its answer.
+    Callers measure from their first packet, so a new connection adds a round trip.
     """
     round_trips = 2.0 if http.opened_connection else 1.0
+    return round_trips * http.caller_rtt_ms
+
+
+def work_allowance_ms(route):
+    """Return how much of the target latency the daemon's own work may take, in ms."""
     work_ms = WORK_ALLOWANCE_MS + WORK_ALLOWANCE_FRACTION * route.target_ms
-    work_ms += MERGE_ALLOWANCE_MS * len(route.shards)
-    return round_trips * http.caller_rtt_ms + work_ms
+    return work_ms + MERGE_ALLOWANCE_MS * len(route.shards)
