Compress what one daemon relays to many, and encode it once

Cause: the daemon that reads the store for its failure domain sends each change to all others of the domain in full. Change: frames of relayed changes are compressed by zlib from 1 kB on, and encoded once for all receivers, as heartbeats and states of rollouts are. The protocol version is 5: old and new daemons do without each other during an upgrade. Ruled out: higher levels (a tenth smaller, up to three times the time); relaying along a tree, whose inner daemons can fail; compressing all frames, as reports of parts have random proofs. Measured: a made-up configuration of 33,326 bytes takes 6,922, a list of 690 servers 14,450 of 71,709, in 0.2 and 0.3 ms.

--- a/hemlockspoke/messages.py
+++ b/hemlockspoke/messages.py
@@ -8,14 +8,26 @@
 ``incarnation`` is the id of its current process. A holder is a daemon that may send
 requests to a server and reports its state. Fields whose names end in ``_ms`` are
 durations in ms, except ``sent_ms``.
+
+Frames of a message that is sent to many daemons are compressed from some size on. They
+begin with the header of zlib, which no array of msgpack does.
 """
 
+import zlib
+
 import msgpack
 
 from hemlockspoke.registry import Registry
 
+# Limit on a frame, and on what a compressed one expands to.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
-PROTOCOL_VERSION = 4
+PROTOCOL_VERSION = 5
+# Smaller frames gain little.
+MIN_COMPRESSED_BYTES = 1024
+# The lowest level makes lists of objects a fifth as large; higher ones gain a tenth
+# more and take up to three times as long.
+COMPRESSION_LEVEL = 1
+ZLIB_HEADER = b"\x78"
 
 message_types = Registry("message type")
 
@@ -31,10 +43,13 @@
     7
     """
 
-    __slots__ = ()
+    __slots__ = ("_frame",)
     type_name = ""
+    # Set for messages that are sent to many daemons: they are encoded once.
+    is_broadcast = False
 
     def __init__(self, **fields):
+        self._frame = None
         for name in self.__slots__:
             setattr(self, name, fields.pop(name))
         if fields:
@@ -68,7 +83,30 @@
 
 def encode(item):
     """Return the frame of a message, without its length prefix."""
-    return msgpack.packb([item.type_name, *item.to_fields()], use_bin_type=True)
+    if item._frame is not None:
+        return item._frame
+    frame = msgpack.packb([item.type_name, *item.to_fields()], use_bin_type=True)
+    if item.is_broadcast:
+        if len(frame) >= MIN_COMPRESSED_BYTES:
+            frame = zlib.compress(frame, COMPRESSION_LEVEL)
+        item._frame = frame
+    return frame
+
+
+def decompress(frame):
+    """Return what a compressed frame expands to, or raise ``BadFrame``.
+
+    >>> decompress(zlib.compress(b"abc"))
+    b'abc'
+    """
+    expander = zlib.decompressobj()
+    try:
+        expanded = expander.decompress(frame, MAX_FRAME_BYTES)
+    except zlib.error as error:
+        raise BadFrame(f"not compressed by zlib: {error}") from error
+    if not expander.eof or expander.unused_data:
+        raise BadFrame("a compressed frame is cut, too large or has bytes behind it")
+    return expanded
 
 
 def fits_in_message(value, max_bytes):
@@ -86,6 +124,8 @@
 
 def decode(frame):
     """Return the message of a frame, or raise ``BadFrame``."""
+    if frame[:1] == ZLIB_HEADER:
+        frame = decompress(frame)
     try:
         values = msgpack.unpackb(frame, raw=False, strict_map_key=False)
     except (ValueError, TypeError, RecursionError, msgpack.UnpackException) as error:
--- a/hemlockspoke/tier/messages.py
+++ b/hemlockspoke/tier/messages.py
@@ -28,6 +28,7 @@
         "age_ms",
         "more",
     )
+    is_broadcast = True
 
 
 @message("store_contact")
@@ -41,6 +42,7 @@
     """
 
     __slots__ = ("kinds", "leaving")
+    is_broadcast = True
 
 
 @message("store_news_wanted")
@@ -301,3 +303,4 @@
         "share",
         "reason",
     )
+    is_broadcast = True
