Report parts that arrive after the aim at once

Cause: after its aim a gathering daemon reported nothing until its last part had come or the query's time was over, so one slow server held back the parts of all others. A query that lacked its minimum coverage at the aim got its answer much later or not at all. Change: each later result is reported after 3 ms, in which others may join it. Ruled out: a second fixed report, which comes too early or too late.

--- a/hemlockspoke/tier/peers/peer_gather.py
+++ b/hemlockspoke/tier/peers/peer_gather.py
@@ -12,22 +12,31 @@
 
 logger = logging.getLogger(__name__)
 
+# Results after the aim wait for this time, so that several share a report.
+LATE_REPORT_DELAY_MS = 3.0
+
 
 class PeerGather:
     """Parts of one query that this daemon gathers on behalf of ``peer``.
 
     ``message`` is the ``GatherRequest``. Results go to the peer as ``GatherReport``
     messages: an empty one at once, one when the peer needs the first answers, one at
-    the aim if there are new results, and the last one when all results are known or the
-    time is over. For hedges each result is reported at once.
+    the aim if there are new results, further ones soon after each later result, and the
+    last one when all results are known or the time is over. For hedges each result is
+    reported at once.
+
+    After the aim the peer still waits for a result only if it lacks the minimum
+    coverage, so one slow server must not hold back the results of others.
     """
 
     __slots__ = (
+        "_aim_passed",
         "_answers",
         "_delegation",
         "_deliveries",
         "_failed",
         "_finished",
+        "_late_report",
         "_message",
         "_peer",
         "_query_id",
@@ -49,6 +58,8 @@
         self._failed = []
         self._resolved_count = 0
         self._finished = False
+        self._aim_passed = False
+        self._late_report = None
         self._timers = []
         self._deliveries = []
         self.attempt_id = None
@@ -103,13 +114,19 @@
             self._report(last=True)
         elif self._message.repeat:
             self._report(last=False)
+        elif self._aim_passed and self._late_report is None:
+            self._late_report = self._delegation.clock.call_after_reads(
+                LATE_REPORT_DELAY_MS, self._report, False
+            )
 
     def _on_aim(self):
-        """Report the results since the last report; later ones follow in the last."""
+        """Report the results since the last report."""
+        self._aim_passed = True
         if not self._finished and (self._answers or self._failed):
             self._report(last=False)
 
     def _report(self, last):
+        self._late_report = None
         if self._finished:
             return
         answers, self._answers = self._answers, []
@@ -157,6 +174,7 @@
                     "sends": sends,
                 },
             )
-        for timer in self._timers:
-            timer.cancel()
+        for timer in (*self._timers, self._late_report):
+            if timer is not None:
+                timer.cancel()
         self._delegation.remove_gather(self._peer, self._query_id)
--- a/tests/features/edge_peers.feature
+++ b/tests/features/edge_peers.feature
@@ -122,6 +122,18 @@
     Then it gets 200 with 4 proofs and 0 parts missing
     And no server of shard 0 has got it more than 1 times
 
+  Scenario: one slow server does not hold back the results of others after the aim
+    # Guards against queries without an answer as the gathering daemon reported results
+    # after the aim only together with the last one.
+    Given the daemon "e3" runs in "b1" connected to "e1"
+    And the servers of "a1" are removed
+    And the server "s0-b1" is "hang"
+    And the server "s1-b1" takes 450 ms
+    And the server "s2-b1" takes 450 ms
+    When a caller sends a query to "e1"
+    Then it gets 200 with 3 proofs and 1 parts missing
+    And the answer has come within 1000 ms
+
   Scenario: a silent hedging daemon does not lead to a third server
     # Guards against more servers than the route allows when the daemon that was to
     # send a hedge counts as silent.
--- a/tests/features/steps/edge_requests_steps.py
+++ b/tests/features/steps/edge_requests_steps.py
@@ -213,6 +213,11 @@
     assert context.elapsed_ms < limit_ms, context.elapsed_ms
 
 
+@then("the answer has come within {limit_ms:d} ms")
+def step_answered_within(context, limit_ms):
+    assert context.elapsed_ms < limit_ms, context.elapsed_ms
+
+
 @then("it gets 503 with a retry time")
 def step_retry_time(context):
     step_status(context, 503)
