Count requests of accounts with a quota by account in the metrics

Cause: `quota_refused_total` counts the refusals of all accounts, so an operator had to sum log lines to see which account is over its quota, and where. Change: the observer of the quotas counts by account what was admitted, what was refused for which reason, and the waits for tokens; the metrics also have rate and burst of the quota in force. The first 200 accounts of the configuration are named, as all daemons then name the same ones, and the others are one sum `other`. MetricsRegistry gets groups of samples with labels, which are escaped and set when the metrics are read. `metrics_text.py` writes these lines and reads them, for the command line. Ruled out: naming the first 200 accounts with requests, as daemons would name different ones; labelled counters that are never removed, as the number of accounts that come and go is not limited. Counts of an account that is no longer named go to `other`.

--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -185,6 +185,7 @@
         metrics.gauge("requests_active", self._request_handler.active())
         set_caller_gauges(metrics, self._site, self._memory_budget)
         set_directory_gauges(metrics, self.directory)
+        metrics.set_group("accounts", self._quotas.account_samples())
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
         request.respond(200, headers, metrics.to_text().encode())
 
--- a/hemlockspoke/tier/metrics.py
+++ b/hemlockspoke/tier/metrics.py
@@ -2,6 +2,7 @@
 
 from bisect import bisect_left
 
+from hemlockspoke.metrics_text import format_sample
 from hemlockspoke.ports import Metrics
 
 # Upper bounds of the histogram buckets; they double from 1 ms to 16 s.
@@ -9,13 +10,18 @@
 
 
 class MetricsRegistry(Metrics):
-    """Keeps counters, gauges and latency histograms in memory."""
+    """Keeps counters, gauges and latency histograms in memory.
 
-    __slots__ = ("_counters", "_gauges", "_histograms", "_sums")
+    Samples with labels are set by group, as a whole, when the metrics are read; who
+    sets them limits their number.
+    """
+
+    __slots__ = ("_counters", "_gauges", "_groups", "_histograms", "_sums")
 
     def __init__(self):
         self._counters = {}
         self._gauges = {}
+        self._groups = {}
         self._histograms = {}
         self._sums = {}
 
@@ -35,6 +41,16 @@
         buckets[bisect_left(BUCKETS_MS, duration_ms)] += 1
         self._sums[name] = self._sums.get(name, 0.0) + duration_ms
 
+    def set_group(self, group, samples):
+        """Replace the samples of a group: names, pairs of labels, and values.
+
+        >>> metrics = MetricsRegistry()
+        >>> metrics.set_group("accounts", [("served_total", [("account", "a")], 2)])
+        >>> metrics.to_text()
+        'hemlockspoke_served_total{account="a"} 2\\n'
+        """
+        self._groups[group] = list(samples)
+
     def to_text(self):
         """Return all metrics in the Prometheus text format."""
         lines = [
@@ -46,6 +62,11 @@
         ]
         for name, buckets in self._histograms.items():
             lines += _histogram_lines(metric_name(name), buckets, self._sums[name])
+        for samples in self._groups.values():
+            lines += [
+                format_sample(metric_name(name), labels, value)
+                for name, labels, value in samples
+            ]
         return "\n".join(sorted(lines)) + "\n"
 
 
--- a/hemlockspoke/tier/quotas/observer.py
+++ b/hemlockspoke/tier/quotas/observer.py
@@ -1,7 +1,9 @@
-"""Metrics and log lines on quotas, with no label for each account."""
+"""Metrics and log lines on quotas."""
 
 import logging
 
+from hemlockspoke.tier.quotas.account_counts import CountsByAccount
+
 logger = logging.getLogger(__name__)
 
 # Interval of log lines on grants that fail: while keepers are cut off, each request
@@ -10,18 +12,23 @@
 
 
 class QuotaObserver:
-    """Counts what the queues and keepers of this daemon do."""
+    """Counts what the queues and keepers of this daemon do.
+
+    ``by_account`` has the counts by account; the other metrics are those of all.
+    """
 
-    __slots__ = ("_clock", "_failed", "_log_after_ms", "_metrics")
+    __slots__ = ("_clock", "_failed", "_log_after_ms", "_metrics", "by_account")
 
     def __init__(self, clock, metrics):
         self._clock = clock
         self._metrics = metrics
         self._failed = 0
         self._log_after_ms = 0.0
+        self.by_account = CountsByAccount()
 
-    def admitted(self, waited_ms):
-        """Count a request that proceeds."""
+    def admitted(self, name, waited_ms):
+        """Count a request of an account that proceeds."""
+        self.by_account.of(name).admit(waited_ms)
         self._metrics.count("quota.granted")
         if waited_ms > 0.0:
             self._metrics.count("quota.waited")
@@ -29,6 +36,7 @@
 
     def refused(self, name, reason):
         """Count a refusal; the request's own log line has the reason."""
+        self.by_account.of(name).refuse(reason)
         self._metrics.count("quota.refused")
 
     def asked(self, count):
@@ -66,3 +74,34 @@
                 extra={"reason": reason, "peer": vm, "count": self._failed},
             )
             self._failed = 0
+
+
+class QueueObserver:
+    """The observer of one account's queue, whose name it adds.
+
+    ``keeper_silent(vm)`` and ``unreachable(name)`` are passed to the ``QuotaManager``.
+    """
+
+    __slots__ = ("_name", "_observer", "keeper_silent", "unreachable")
+
+    def __init__(self, name, observer, manager):
+        self._name = name
+        self._observer = observer
+        self.keeper_silent = manager.keeper_silent
+        self.unreachable = manager.unreachable
+
+    def admitted(self, waited_ms):
+        """Count a request that proceeds."""
+        self._observer.admitted(self._name, waited_ms)
+
+    def refused(self, name, reason):
+        """Count a refusal."""
+        self._observer.refused(name, reason)
+
+    def asked(self, count):
+        """Count tokens that are asked of a keeper."""
+        self._observer.asked(count)
+
+    def granted(self, count):
+        """Count tokens that a keeper has granted."""
+        self._observer.granted(count)
--- a/hemlockspoke/tier/quotas/quota_manager.py
+++ b/hemlockspoke/tier/quotas/quota_manager.py
@@ -8,7 +8,7 @@
 from hemlockspoke.tier.quotas.account_keeper import AccountKeeper
 from hemlockspoke.tier.quotas.account_queue import AccountQueue
 from hemlockspoke.tier.quotas.keepers import KeeperMap
-from hemlockspoke.tier.quotas.observer import QuotaObserver
+from hemlockspoke.tier.quotas.observer import QueueObserver, QuotaObserver
 from hemlockspoke.tier.quotas.quota_gate import QuotaGate
 from hemlockspoke.tier.quotas.quota_table import QuotaTable
 from hemlockspoke.tier.quotas.tenure import Tenure
@@ -78,6 +78,7 @@
             account = table.accounts.by_name(name)
             if account.rate_per_s > 0:
                 accounts[name] = account
+        self._observer.by_account.set_accounts(accounts)
         had_quotas = bool(self._queues)
         if not accounts and not had_quotas:
             # The next quota is none of the first configuration.
@@ -111,7 +112,7 @@
                 self._clock,
                 self._keeper_to_ask,
                 self._ask_keeper,
-                self,
+                QueueObserver(name, self._observer, self),
             )
         else:
             queue.granted_ms = plan.granted_ms
@@ -142,6 +143,10 @@
             for name in self._queues:
                 self._update_keeper(name, now_ms)
 
+    def account_samples(self):
+        """Return the metrics by account: names, labels and values."""
+        return self._observer.by_account.samples()
+
     def stream_vms(self):
         """Return the VMs of other domains that this daemon needs streams to."""
         keeper_map = self._table.tenure.current
@@ -275,22 +280,6 @@
         else:
             self._network.send(vm, message)
 
-    def admitted(self, waited_ms):
-        """Count a request that proceeds."""
-        self._observer.admitted(waited_ms)
-
-    def refused(self, name, reason):
-        """Count a refusal."""
-        self._observer.refused(name, reason)
-
-    def asked(self, count):
-        """Count tokens that are asked of a keeper."""
-        self._observer.asked(count)
-
-    def granted(self, count):
-        """Count tokens that a keeper has granted."""
-        self._observer.granted(count)
-
     def keeper_silent(self, vm):
         """Prefer other keepers to one that has not answered."""
         now_ms = self._clock.now_ms()
