--- a/tests/features/edge_views.feature
+++ b/tests/features/edge_views.feature
@@ -25,5 +25,19 @@
     And servers of the version "v2" of items that answer as "fail"
     When an order moves items to "v2" within 8 s
     And callers send 30 requests a second for 5 s
-    And an operator asks all daemons for rollouts
+    Then the status of the order is "rolled_back" for "v2"
+    When an operator asks all daemons for rollouts
     Then the view has the order from "v1" to "v2", which was rolled back
+
+  Scenario: operators see how far a rollout is
+    # Guards against an order in progress that looks like one that has ended.
+    Given three daemons with bounds for rollouts
+    And servers of the version "v2" of items that answer as "serve"
+    When an order moves items to "v2" within 8 s
+    And callers send 30 requests a second for 3 s
+    And an operator asks all daemons for rollouts
+    Then the view has the open order with a share and evidence, and no verdict
+    When callers send 30 requests a second for 6 s
+    Then the status of the order is "completed" for "v2"
+    When an operator asks all daemons for rollouts
+    Then the view has the completed order, which sends all requests to "v2"
