--- a/hemlockspoke/tier/rollouts/manager.py
+++ b/hemlockspoke/tier/rollouts/manager.py
@@ -13,6 +13,11 @@
 from hemlockspoke.tier.rollouts.decider import Decider, Situation
 from hemlockspoke.tier.rollouts.evidence import Tally
 from hemlockspoke.tier.rollouts.exposure import ExposureLimit
+from hemlockspoke.tier.rollouts.messages import (
+    evidence_message,
+    rollout_of,
+    state_message,
+)
 from hemlockspoke.tier.rollouts.order import TARGET_PHASES, Phase
 from hemlockspoke.tier.rollouts.rollout import LEASE_MS, Rollout
 from hemlockspoke.tier.rollouts.rollout_log import log_progress, log_step
@@ -222,30 +227,19 @@
         elif isinstance(message, RolloutState):
             self._on_state(vm, message)
 
-    def _rollout_of(self, message):
-        """Return the rollout that a message is about, or None."""
-        if not isinstance(message.service, str) or type(message.revision) is not int:
-            return None
-        rollout = self.versions.rollouts.get(message.service)
-        if rollout is None:
-            return None
-        same_target = message.target_version == rollout.order.target_version
-        is_old = message.revision < rollout.start_revision
-        return rollout if same_target and not is_old else None
-
     def _on_evidence(self, vm, message):
         numbers = (message.process, message.sequence)
         if not self._peers.knows(vm) or any(type(n) is not int for n in numbers):
             return
         if not isinstance(message.phase, str):
             return
-        rollout = self._rollout_of(message)
+        rollout = rollout_of(self.versions.rollouts, message)
         tally = None if rollout is None else Tally.from_message(message)
         if tally is not None:
             rollout.collected.add(vm, *numbers, message.phase, tally)
 
     def _on_state(self, vm, message):
-        rollout = self._rollout_of(message)
+        rollout = rollout_of(self.versions.rollouts, message)
         collectors = [] if rollout is None else self.collectors(message.service)
         share = message.share
         if vm not in collectors or not isinstance(share, int | float):
@@ -308,24 +302,16 @@
         if rollout.is_reported and now_ms < rollout.reported_ms + REPORT_REPEAT_MS:
             return
         rollout.is_reported, rollout.reported_ms = True, now_ms
-        tally, order, phase = rollout.tally, rollout.order, rollout.phase(now_ms)
         self._sequence += 1
         if self.vm in collectors:
             rollout.collected.add(
-                self.vm, self._process, self._sequence, phase.value, tally
+                self.vm,
+                self._process,
+                self._sequence,
+                rollout.phase(now_ms).value,
+                rollout.tally,
             )
-        report = RolloutEvidence(
-            service=order.service,
-            target_version=order.target_version,
-            revision=order.revision,
-            process=self._process,
-            sequence=self._sequence,
-            phase=phase.value,
-            sent_target=tally.sent_target,
-            sent_total=tally.sent_total,
-            old_in_progress=max(0, tally.old_in_progress),
-            rows=tally.to_rows(),
-        )
+        report = evidence_message(rollout, self._process, self._sequence, now_ms)
         for vm in collectors:
             if vm != self.vm:
                 self._network.send(vm, report)
@@ -365,15 +351,7 @@
     def _tell(self, rollout):
         """Tell all connected daemons the phase in force."""
         now_ms = rollout.told_ms = self._clock.now_ms()
-        decider, order = rollout.decider, rollout.order
-        state = RolloutState(
-            service=order.service,
-            target_version=order.target_version,
-            revision=order.revision,
-            phase=rollout.phase(now_ms).value,
-            share=rollout.sampling_share(now_ms),
-            reason="" if decider is None else decider.reason,
-        )
+        state = state_message(rollout, now_ms)
         for vm in self._network.connected():
             self._network.send(vm, state)
 
