Write the status running of an order once, before its end

Cause: operators could not see from the status that an order was accepted.

Change: the daemon that decides writes "running" when it begins, with the revision of the order as the condition. The call is not waited for. A write of the end whose revision was out of date is repeated at once instead of after 400 ms. A daemon that first sees an order as running does not know its first revision, and would drop the messages of daemons that know the earlier one only. It takes them, unless they state a final phase, which may be that of an earlier order.

Ruled out: a revision of the order in the status, as the status has two fields only. Left: if a call of running takes effect between a write of the end and its processing by a store that answers after 5 s, the end needs another call of 5 s.

Tests: the step "was changed once" is replaced by one on all states in their order, and the lost reply is tried for both states. New are stores that answer after 5 s or not at all while an order ends.

--- a/hemlockspoke/platform/objects.py
+++ b/hemlockspoke/platform/objects.py
@@ -12,7 +12,7 @@
 from hemlockspoke.platform.account_objects import decode_accounts, relayable_accounts
 from hemlockspoke.registry import Registry
 from hemlockspoke.tier.placement.servers import ServerEntry, ServerState
-from hemlockspoke.tier.rollouts.order import FINAL_PHASES, Order
+from hemlockspoke.tier.rollouts.order import FINAL_PHASES, RUNNING_STATE, Order
 from hemlockspoke.tier.state.routes import Route, RoutingTable, ServiceLimits
 
 CONFIG_KIND = "config"
@@ -213,14 +213,22 @@
         if _text(fields["service"]) != name or not 0 < duration_ms <= MAX_INTEGER:
             return None
         status = fields.get("status")
-        final_phase = None
+        state = None
         # The status may still be that of an earlier order for another version.
         if isinstance(status, dict) and status.get("target_version") == target_version:
-            final_phase = FINAL_PHASES.get(status.get("state"))
+            state = status.get("state")
         revision = _integer(fields["revision"])
     except _MALFORMED:
         return None
-    return Order(name, name, target_version, duration_ms, revision, final_phase)
+    return Order(
+        name,
+        name,
+        target_version,
+        duration_ms,
+        revision,
+        FINAL_PHASES.get(state),
+        is_running=state == RUNNING_STATE,
+    )
 
 
 def _integer(value):
--- a/hemlockspoke/platform/rollouts.py
+++ b/hemlockspoke/platform/rollouts.py
@@ -1,4 +1,4 @@
-"""Writes the end of a rollout to the status of its object in the store."""
+"""Writes the state of a rollout to the status of its object in the store."""
 
 from hemlockspoke.platform import objects
 from hemlockspoke.platform.feeds import HTTP_OK, KindSource, decode_change
@@ -14,8 +14,8 @@
     def __init__(self, calls):
         self._calls = calls
 
-    def write(self, order, phase, on_written):
-        """Write the final phase of an order; ``on_written`` gets a ``WriteOutcome``.
+    def write(self, order, state, on_written):
+        """Write the state of an order; ``on_written`` gets a ``WriteOutcome``.
 
         A reply with the object is decoded, also that to a conflict.
         """
@@ -30,7 +30,7 @@
             outcome = WriteOutcome(reply.status == HTTP_OK, written_order, detail)
             on_written(outcome)
 
-        status = {"state": phase.value, "target_version": order.target_version}
+        status = {"state": state, "target_version": order.target_version}
         self._calls.put_status(
             objects.ROLLOUT_KIND, order.name, status, order.revision, decode
         )
--- a/hemlockspoke/tier/rollouts/manager.py
+++ b/hemlockspoke/tier/rollouts/manager.py
@@ -338,6 +338,7 @@
         if rollout.set_told(decider.phase, decider.share, position, now_ms):
             log_step(rollout, decider.phase.value, self.vm, decider.reason)
             self._apply(rollout)
+        self._settling.note_running(rollout)
         if changed or now_ms >= rollout.told_ms + STATE_REPEAT_MS:
             self._tell(rollout)
 
--- a/hemlockspoke/tier/rollouts/messages.py
+++ b/hemlockspoke/tier/rollouts/messages.py
@@ -1,6 +1,7 @@
 """Messages between daemons on the rollout of an order."""
 
 from hemlockspoke.tier.messages import RolloutEvidence, RolloutState
+from hemlockspoke.tier.rollouts.order import FINAL_PHASES
 
 
 def evidence_message(rollout, process, sequence, now_ms):
@@ -36,11 +37,17 @@
 def rollout_of(rollouts, message):
     """Return the ``Rollout`` that a message is about, or None.
 
-    ``rollouts`` maps services to them.
+    ``rollouts`` maps services to them. Messages of a lower revision than the first one
+    that this daemon has seen are about an earlier order. If it has joined late, they
+    may come from daemons that do not know of the status ``running`` yet. Those with a
+    final phase are not taken even then: an earlier order may have ended with it.
     """
     if not isinstance(message.service, str) or type(message.revision) is not int:
         return None
     rollout = rollouts.get(message.service)
     if rollout is None or message.target_version != rollout.order.target_version:
         return None
-    return None if message.revision < rollout.start_revision else rollout
+    if message.revision >= rollout.start_revision:
+        return rollout
+    is_final = message.phase in list(FINAL_PHASES)
+    return rollout if rollout.joined_late and not is_final else None
--- a/hemlockspoke/tier/rollouts/order.py
+++ b/hemlockspoke/tier/rollouts/order.py
@@ -16,6 +16,8 @@
     ROLLED_BACK = "rolled_back"
 
 
+# State of the stored status from when a decider has begun until the order ends.
+RUNNING_STATE = "running"
 # States of the stored status that end an order.
 FINAL_PHASES = {phase.value: phase for phase in (Phase.COMPLETED, Phase.ROLLED_BACK)}
 # Phases in which the target version gets all requests.
@@ -27,12 +29,13 @@
 
     ``name`` is that of the object and ``revision`` its revision in the store.
     ``final_phase`` is the phase that its status states for ``target_version``, or None
-    while the order is open.
+    while the order is open. ``is_running`` is whether it states ``RUNNING_STATE``.
     """
 
     __slots__ = (
         "duration_ms",
         "final_phase",
+        "is_running",
         "name",
         "revision",
         "service",
@@ -40,7 +43,14 @@
     )
 
     def __init__(
-        self, name, service, target_version, duration_ms, revision, final_phase=None
+        self,
+        name,
+        service,
+        target_version,
+        duration_ms,
+        revision,
+        final_phase=None,
+        is_running=False,
     ):
         self.name = name
         self.service = service
@@ -48,6 +58,7 @@
         self.duration_ms = duration_ms
         self.revision = revision
         self.final_phase = final_phase
+        self.is_running = is_running
 
     def continues(self, earlier):
         """Return whether this is a later state of the same order.
--- a/hemlockspoke/tier/rollouts/rollout.py
+++ b/hemlockspoke/tier/rollouts/rollout.py
@@ -16,7 +16,8 @@
     ``lease_ms``, until ``lease_until_ms``, unless the phase is a final one.
     ``final_ms`` is the clock time at which a final phase became known. ``decider`` is
     set at daemons that collect. ``saw_old`` is whether the service has had servers of
-    another version since the order was seen.
+    another version since the order was seen. ``joined_late`` is whether its status was
+    ``running`` by then, so that its first revision is not known.
     """
 
     __slots__ = (
@@ -26,10 +27,12 @@
         "decider",
         "final_ms",
         "is_reported",
+        "joined_late",
         "leader_rank",
         "lease_until_ms",
         "order",
         "reported_ms",
+        "running_at_ms",
         "saw_old",
         "seen_ms",
         "settled_ms",
@@ -46,6 +49,7 @@
         self.order = order
         # Messages about an earlier order with the same target have a lower revision.
         self.start_revision = order.revision
+        self.joined_late = order.is_running
         self.seen_ms = now_ms
         self._phase = Phase.SAMPLING
         self.share = 0.0
@@ -63,6 +67,8 @@
         self.settled_ms = None
         self.write_at_ms = 0.0
         self.writing = False
+        # Earliest time of the next attempt to write that the order is running.
+        self.running_at_ms = 0.0
 
     def phase(self, now_ms):
         """Return the phase in force: that of an expired lease is ``SAMPLING``."""
--- a/tests/features/rollouts.feature
+++ b/tests/features/rollouts.feature
@@ -58,13 +58,76 @@
     And the bad version got at most its exposure
 
     Examples:
-      | failure                                             |
-      | the decider is killed between verdict and write     |
-      | the decider is killed between write and reply       |
-      | a third of the daemons is cut off from 3 s to 8 s   |
-      | the store is away from 3 s to 12 s                  |
-      | the replies to writes are lost                      |
-      | a daemon that collects starts again at 4 s          |
+      | failure                                           |
+      | the decider is killed between verdict and write   |
+      | the decider is killed between write and reply     |
+      | a third of the daemons is cut off from 3 s to 8 s |
+      | the store is away from 3 s to 12 s                |
+      | the replies to writes are lost                    |
+      | a daemon that collects starts again at 4 s        |
+
+  Scenario Outline: the status says that an order runs, once and before it ends
+    # Guards against a state "running" that is missing, written twice or written over
+    # the end, and against an end that waits for a call that is slow or fails.
+    Given fleets of 88 daemons with 20 requests a second, seeds 0 to 1, calm
+    And <failure>
+    When orders move the service to <version>
+    Then all orders end as "<end>" within <limit> s
+    And the status had the states <states> one after the other
+
+    Examples:
+      | failure                                                       | version                          | end         | limit | states               |
+      | the store is up                                               | a good version                   | completed   | 11    | running, completed   |
+      | the store is up                                               | a version that is bad: 100% fail | rolled_back | 6     | running, rolled_back |
+      | the replies to writes are lost                                | a good version                   | completed   | 11    | running, completed   |
+      | the decider is killed between write and reply                 | a version that is bad: 100% fail | rolled_back | 16    | running, rolled_back |
+      | a third of the daemons is cut off from 3 s to 8 s             | a good version                   | completed   | 12    | running, completed   |
+      | a daemon that collects starts again at 4 s                    | a version that is bad: 100% fail | rolled_back | 16    | running, rolled_back |
+      | writes of "running" take effect after 2000 ms                 | a version that is bad: 100% fail | rolled_back | 6     | running, rolled_back |
+      | writes of "running" take effect after 20000 ms                | a good version                   | completed   | 11    | completed            |
+      | the store is away from 0 s to 2 s                             | a good version                   | completed   | 11    | running, completed   |
+      | the store is away from 0 s to 4 s                             | a good version                   | completed   | 11    | completed            |
+
+  Scenario: an end is written at once although "running" has just changed the revision
+    # Guards against an end that waits for the interval after a failed write.
+    Given fleets of 88 daemons with 20 requests a second, seeds 0 to 1, calm
+    And a write of "running" takes effect just before that of the end
+    When orders move the service to a good version
+    Then all orders end as "completed" within 11 s
+    And the status had the states running, completed one after the other
+    And the end took effect within 200 ms of its first write
+
+  Scenario Outline: an order ends while the store answers late, or not at all
+    # Guards against a verdict that waits for the store, and against a state that is
+    # written twice or never once the store answers again.
+    Given fleets of 88 daemons with 20 requests a second, seeds 0 to 1, calm
+    And <failure>
+    When orders move the service to <version>
+    Then all orders end as "<end>" within <limit> s
+    And the status had the states running, <end> one after the other
+    And all requests after the verdict went to "<kept>"
+
+    Examples:
+      | failure                                      | version                          | end         | limit | kept |
+      | the store answers after 5 s from 3 s to 16 s | a version that is bad: 100% fail | rolled_back | 11    | v1   |
+      | the store answers after 5 s from 3 s to 16 s | a good version                   | completed   | 16    | v2   |
+      | the store is away from 3 s to 14 s           | a version that is bad: 100% fail | rolled_back | 16    | v1   |
+      | the store is away from 3 s to 14 s           | a good version                   | completed   | 16    | v2   |
+
+  Scenario Outline: a daemon that starts during an order takes messages of others
+    # Guards against reports and phases that are dropped because the status "running"
+    # has changed the revision of the order, and against those of an earlier order.
+    Given a daemon that first sees an order as <state>, at revision 101
+    When a message says <phase> of the order at revision <revision>
+    Then the message is <result>
+
+    Examples:
+      | state   | phase       | revision | result  |
+      | running | switching   | 100      | taken   |
+      | running | rolled_back | 100      | ignored |
+      | running | rolled_back | 101      | taken   |
+      | open    | switching   | 100      | ignored |
+      | open    | switching   | 102      | taken   |
 
   Scenario: an order that is replaced starts again
     # Guards against evidence on one version that decides on another.
