--- a/tests/bench/rollouts.py
+++ b/tests/bench/rollouts.py
@@ -4,14 +4,14 @@
 for each case, fleet and rate of requests::
 
     python tests/bench/rollouts.py [--seeds 20] [--first-seed 0]
-        [--daemons 10 88 300] [--case NAME ...]
+        [--daemons 10 88 300] [--rates 20 4] [--case NAME ...]
 """
 
 import argparse
 import time
 from collections import Counter
 
-from tests.rollout_world import DURATION_MS, Fault, RolloutWorld
+from tests.rollout_world import DURATION_MS, PAUSE_MS, Fault, RolloutWorld
 
 CASES = {
     "good": (Fault(), False),
@@ -25,8 +25,15 @@
     "40% fail under load": (Fault(0.4, load=True), False),
     "one route of six fails": (Fault(1.0, route="route-2"), False),
 }
-# Requests a second and servers of a shard, and of another service.
-SERVICES = ((20, 3), (4, 6))
+# Cases with other pauses of the servers, in ms each 7.5 s; played if they are named.
+PAUSE_CASES = {
+    "good, no pauses": (Fault(), 0.0),
+    "good, pauses of 900 ms": (Fault(), 900.0),
+    "10% are 8 times slower": (Fault(slow=8.0, slow_part=0.1), PAUSE_MS),
+    "10% are 8 times slower, no pauses": (Fault(slow=8.0, slow_part=0.1), 0.0),
+}
+# Servers by requests a second: of a shard, of another service, and of a large one.
+SERVERS = {20: 3, 4: 6, 200: 20}
 ROLLBACK_MS = 5000.0
 RUN_MS = 14_000.0
 
@@ -77,7 +84,10 @@
     parser.add_argument("--seeds", type=int, default=20)
     parser.add_argument("--first-seed", type=int, default=0)
     parser.add_argument("--daemons", type=int, nargs="+", default=[10, 88, 300])
-    parser.add_argument("--case", nargs="+", choices=CASES, default=list(CASES))
+    parser.add_argument("--rates", type=int, nargs="+", default=[20, 4])
+    parser.add_argument(
+        "--case", nargs="+", choices=[*CASES, *PAUSE_CASES], default=list(CASES)
+    )
     options = parser.parse_args()
     seeds = range(options.first_seed, options.first_seed + options.seeds)
     print(
@@ -85,12 +95,17 @@
         "| median s | longest s | old cut | late |"
     )
     for name in options.case:
-        fault, trouble = CASES[name]
+        fault, trouble = CASES.get(name, (None, False))
+        pause_ms = PAUSE_MS
+        if name in PAUSE_CASES:
+            fault, pause_ms = PAUSE_CASES[name]
         for daemons in options.daemons:
-            for rate, servers in SERVICES:
+            for rate in options.rates:
                 started_s, result = time.monotonic(), CaseResult()
                 for seed in seeds:
-                    world = RolloutWorld(daemons, rate, servers, fault, seed, trouble)
+                    world = RolloutWorld(
+                        daemons, rate, SERVERS[rate], fault, seed, trouble, pause_ms
+                    )
                     world.run(RUN_MS)
                     result.add(world)
                 cells = [name, daemons, rate, *result.row()]
--- a/tests/rollout_world.py
+++ b/tests/rollout_world.py
@@ -16,6 +16,7 @@
 from hemlockspoke.tier.rollouts.order import FINAL_PHASES, RUNNING_STATE, Order
 from hemlockspoke.tier.rollouts.settling import WriteOutcome
 from hemlockspoke.tier.state.directory import Directory
+from tests.rollout_doubles import Attempt, Network, Peers, Route
 
 REGIONS = {f"{region}{index}": region for region in "abc" for index in "12"}
 SERVICE = "shard"
@@ -35,15 +36,23 @@
 class Fault:
     """What is wrong with the target version; the defaults are a good one.
 
-    A part ``failing`` of the answers fails, and all take ``slow`` times as long, from
-    ``from_fraction`` of the time budget on, only under load or only on one ``route``.
+    A part ``failing`` of the answers fails, and ``slow_part`` of them, by default all,
+    take ``slow`` times as long, from ``from_fraction`` of the time budget on, only
+    under load or only on one ``route``.
     """
 
     def __init__(
-        self, failing=0.0, slow=1.0, from_fraction=0.0, load=False, route=None
+        self,
+        failing=0.0,
+        slow=1.0,
+        from_fraction=0.0,
+        load=False,
+        route=None,
+        slow_part=1.0,
     ):
         self.failing = failing
         self.slow = slow
+        self.slow_part = slow_part
         self.from_fraction = from_fraction
         self.load = load
         self.route = route
@@ -54,54 +63,20 @@
         return self.failing > 0 or self.slow > 1
 
 
-class _Network:
-    def __init__(self, world, vm):
-        self._world = world
-        self._vm = vm
-
-    def connected(self):
-        world = self._world
-        return [
-            vm for vm in world.managers if vm != self._vm and world.linked(self._vm, vm)
-        ]
-
-    def send(self, vm, message):
-        world = self._world
-        if vm in world.managers and world.linked(self._vm, vm):
-            delay_ms = world.rng.uniform(1.0, 40.0)
-            world.messages += 1
-            world.clock.call_later(delay_ms, world.deliver, self._vm, vm, message)
-        return True
-
-
-class _Peers:
-    def __init__(self, world):
-        self._world = world
-
-    def knows(self, vm):
-        return vm in self._world.vms
-
-    def set_collectors(self, vms):
-        """Accept the list: all daemons are connected in this world."""
-
-
-class _Attempt:
-    def __init__(self, server, route_name, now_ms):
-        self.server = server
-        self.route_name = route_name
-        self.started_ms = now_ms
-        self.is_extra = False
-
-
-class _Route:
-    idempotent = True
-    max_servers = 2
-
-
 class RolloutWorld:
     """Daemons, one service with servers of two versions, and a store for its order."""
 
-    def __init__(self, daemons, rate, servers, fault=None, seed=1, trouble=False):
+    def __init__(
+        self,
+        daemons,
+        rate,
+        servers,
+        fault=None,
+        seed=1,
+        trouble=False,
+        pause_ms=PAUSE_MS,
+    ):
+        self.pause_ms = pause_ms
         self.rng = random.Random(seed)
         self.clock = ManualClock(now_ms=60_000.0)
         self.fault = fault or Fault()
@@ -175,8 +150,8 @@
             int(self.clock.now_ms()),
             bounds,
             directory,
-            _Peers(self),
-            _Network(self, vm),
+            Peers(self),
+            Network(self, vm),
             MetricsRegistry(),
             self.write_status_of(vm),
             self.rng,
@@ -313,7 +288,7 @@
         manager, directory = self.managers[vm], self.directories[vm]
         route_name = self.rng.choice(list(WORK_MS))
         now_ms = self.clock.now_ms()
-        sample_ids = manager.sample(SERVICE, _Route, ())
+        sample_ids = manager.sample(SERVICE, Route, ())
         if sample_ids:
             servers = [directory.servers[name] for name in sorted(sample_ids)]
         else:
@@ -328,7 +303,7 @@
         server = self.rng.choice(servers)
         version = server.entry.version
         self.sent[version] += 1
-        attempt = _Attempt(server, route_name, now_ms)
+        attempt = Attempt(server, route_name, now_ms)
         rollout = manager.attempt_started(attempt)
         failed, work_ms = self._answer(server, route_name, now_ms)
         since_ms = now_ms - self.started_ms
@@ -362,12 +337,14 @@
                 work_ms *= COLD_FACTOR
             if self._is_faulty(server.server_id, route_name, since_ms):
                 failing = max(failing, self.fault.failing)
-                work_ms *= self.fault.slow
+                slow_part = self.fault.slow_part
+                if slow_part == 1.0 or self.rng.random() < slow_part:
+                    work_ms *= self.fault.slow
         phase_ms = (
             now_ms + self.phase_offsets_ms[server.server_id]
         ) % PAUSE_INTERVAL_MS
-        if phase_ms < PAUSE_MS:
-            work_ms += PAUSE_MS - phase_ms
+        if phase_ms < self.pause_ms:
+            work_ms += self.pause_ms - phase_ms
         return self.rng.random() < failing, work_ms
 
     def _is_faulty(self, server_id, route_name, since_ms):
