Count the answers of all servers of a large service

Cause: the evidence has at most 128 rows, one for each route, region and server, at a daemon as well as in the sum over all of them. A service with 20 servers and 6 routes has 120 rows of the old version, so most answers of the target version found no row: in a play at 200 requests a second 102 of 220 were counted.

Change: servers of the old version share a row for each route and region, as nothing compares them one by one, and the sum, which is not sent, may have 1,024 rows.

--- a/hemlockspoke/tier/rollouts/evidence.py
+++ b/hemlockspoke/tier/rollouts/evidence.py
@@ -9,9 +9,11 @@
 
 from hemlockspoke.tier.rollouts.order import Phase
 
-# Limit on the rows of one daemon: a service has about 6 routes, 3 regions and 6 servers
-# of either version; more are not counted.
+# Limit on the rows of one daemon: a service has about 6 routes, 3 regions and up to 20
+# servers of the target version; more are not counted.
 MAX_ROWS = 128
+# Limit on the rows of the sum over all daemons, which is not sent.
+MAX_TOTAL_ROWS = 1024
 # Processing times are counted in bins whose bounds rise by the fourth root of 2, up to
 # 16 s: fine enough to tell twice the usual time, and few enough to be sent.
 BINS_PER_OCTAVE = 4
@@ -75,7 +77,8 @@
 class Tally:
     """What one daemon has seen of an order; ``rows`` maps keys to ``Counts``.
 
-    A key is ``(route, region, server_id, is_target)``. ``sent_target`` counts the
+    A key is ``(route, region, server_id, is_target)``; the servers of the old version
+    are not told apart, their id is empty. ``sent_target`` counts the
     requests sent to servers of the target version, ``sent_total`` all requests sent to
     the service, without repeats. ``old_in_progress`` counts the requests in progress
     at servers of other versions.
@@ -113,7 +116,7 @@
         self.sent_target += other.sent_target
         self.sent_total += other.sent_total
         for key, counts in other.rows.items():
-            if key in self.rows or len(self.rows) < MAX_ROWS:
+            if key in self.rows or len(self.rows) < MAX_TOTAL_ROWS:
                 self.rows.setdefault(key, Counts()).add(counts)
 
     @classmethod
--- a/hemlockspoke/tier/rollouts/manager.py
+++ b/hemlockspoke/tier/rollouts/manager.py
@@ -201,7 +201,8 @@
         if not is_failure and (work_ms is None or is_cold):
             return
         server = attempt.server
-        key = (attempt.route_name, server.region, server.server_id, is_target)
+        server_id = server.server_id if is_target else ""
+        key = (attempt.route_name, server.region, server_id, is_target)
         tally.record(key, None if is_failure else work_ms)
         if is_target and is_failure:
             self._metrics.count("rollouts.target_failures")
--- a/tests/features/rollouts.feature
+++ b/tests/features/rollouts.feature
@@ -49,6 +49,13 @@
       | 16 with 1 failure, 9 with 6 failures, 17                   | fit     |
       | 15 with 3 failures, 15 with 3 failures, 13 with 2 failures | bad     |
 
+  Scenario: all answers of a service with many servers are counted
+    # Guards against answers of the target version that find no row left in the evidence,
+    # so that a bad version is completed.
+    Given fleets of 10 daemons with 200 requests a second, seeds 0 to 0, calm
+    When orders move the service to a good version
+    Then the decider has counted all answers of the target version
+
   Scenario Outline: an order ends although a part fails
     # Guards against a verdict that is lost with its decider, or that never ends.
     Given fleets of 88 daemons with 20 requests a second, seeds 0 to 1, calm
--- a/tests/features/steps/rollouts_steps.py
+++ b/tests/features/steps/rollouts_steps.py
@@ -21,7 +21,7 @@
     "40% fail after half of time": Fault(0.4, from_fraction=0.5),
     "one route of six fails": Fault(1.0, route="route-2"),
 }
-SERVERS_BY_RATE = {20: 3, 4: 6}
+SERVERS_BY_RATE = {20: 3, 4: 6, 200: 20}
 # Orders are followed for this long, which lets late writes end.
 RUN_MS = 16_000.0
 # Messages between daemons take up to 40 ms, and a daemon examines orders each 125 ms.
@@ -304,6 +304,15 @@
         assert world.states == states.split(", "), world.states
 
 
+@then("the decider has counted all answers of the target version")
+def step_all_counted(context):
+    (world,) = context.worlds
+    total = world.managers[world.decider()].versions.rollouts[SERVICE].collected.total()
+    answers = sum(counts.answers for key, counts in total.rows.items() if key[3])
+    # Answers within the last report are under way.
+    assert answers >= 0.9 * total.sent_target > 100, (answers, total.sent_target)
+
+
 @then("the end took effect within {limit_ms:d} ms of its first write")
 def step_end_delay(context, limit_ms):
     for world in context.worlds:
