Take the part of slow answers from the old version where there is enough of it

Cause: PAUSED_PART supposes that pauses make 5% of all answers slow, also where the old version shows that its servers hardly pause, so some slow answers hid behind it.

Change: from 200 answers of the old version on a route, and in a region, the part assumed is at most the one seen and its standard deviation, with two answers for each pause. Parts above PAUSED_PART were taken from the old version before. At 4 and 20 requests a second an order of 12 s has fewer answers, and nothing changes.

--- a/hemlockspoke/tier/rollouts/verdict.py
+++ b/hemlockspoke/tier/rollouts/verdict.py
@@ -54,6 +54,12 @@
 # Servers pause at times, which delays about this part of all answers, in groups. Some
 # tens of answers of the old version may have met no pause.
 PAUSED_PART = 0.05
+# From this many answers of the old version on a route, and in a region, at most their
+# slow part and its standard deviation is assumed. If 4% are slow, in groups of two, 200
+# answers have met four pauses, and none with a probability of 0.02.
+MIN_PART_ANSWERS = 200
+# Servers have 2 or 3 slots, so a pause makes about so many answers slow.
+PAUSE_GROUP = 2
 # If all servers but one, or all regions but one, have this many answers together, the
 # server or the region may be in trouble and not the version.
 CLEAN_ANSWERS = 10
@@ -306,14 +312,18 @@
         """Return the expected part of the answers on a route in a region."""
         prior_bad = STRATUM_WEIGHT * self._common_rate
         # A route in one region has too few answers for a rate of its own.
-        rates = [
-            (bad + prior_bad) / (answers + STRATUM_WEIGHT)
-            for answers, bad in (
-                self._strata.get(("route", route), (0, 0)),
-                self._strata.get(("region", region), (0, 0)),
-            )
-        ]
-        return max(self._kind.floor, *rates)
+        strata = (
+            self._strata.get(("route", route), (0, 0)),
+            self._strata.get(("region", region), (0, 0)),
+        )
+        rate = max(
+            (bad + prior_bad) / (answers + STRATUM_WEIGHT) for answers, bad in strata
+        )
+        answers = min(answers for answers, _ in strata)
+        floor = self._kind.floor
+        if answers >= MIN_PART_ANSWERS:
+            floor = min(floor, rate + math.sqrt(PAUSE_GROUP * rate / answers))
+        return max(floor, rate)
 
 
 def _compare(kind, target, expectation):
--- a/tests/features/rollouts.feature
+++ b/tests/features/rollouts.feature
@@ -49,6 +49,20 @@
       | 16 with 1 failure, 9 with 6 failures, 17                   | fit     |
       | 15 with 3 failures, 15 with 3 failures, 13 with 2 failures | bad     |
 
+  Scenario Outline: the old version shows how many answers are slow
+    # Guards against a version with some slow answers that hide behind assumed pauses,
+    # and against few answers of the old version that are taken for servers without any.
+    Given answers of the old version: <old>
+    When servers of the target version answer 30 with 3 slow, 30 with 3 slow, 30 with 3 slow
+    Then the target version is <result>
+
+    Examples:
+      | old                                                  | result |
+      | 300, 300, 300                                        | bad    |
+      | 40, 40, 40                                           | fit    |
+      | 300 with 15 slow, 300 with 15 slow, 300 with 15 slow | fit    |
+      | 300 with 30 slow, 300 with 30 slow, 300 with 30 slow | fit    |
+
   Scenario: all answers of a service with many servers are counted
     # Guards against answers of the target version that find no row left in the evidence,
     # so that a bad version is completed.
--- a/tests/features/steps/rollouts_steps.py
+++ b/tests/features/steps/rollouts_steps.py
@@ -49,9 +49,11 @@
     """Return rows of servers in regions of their own, from "50 with 1 failure, 47"."""
     rows = {}
     for region, part in zip("abc", text.split(", "), strict=True):
-        answers, failures = (int(n) for n in re.findall(r"\d+", f"{part} 0")[:2])
+        answers, bad = (int(n) for n in re.findall(r"\d+", f"{part} 0")[:2])
+        slow = bad if "slow" in part else 0
+        times = {time_bin(30.0): answers - bad, time_bin(300.0): slow}
         key = ("route", region, f"server-{region}-{is_target}", is_target)
-        rows[key] = Counts(failures, {time_bin(30.0): answers - failures})
+        rows[key] = Counts(bad - slow, times)
     return rows
 
 
