--- a/tests/rollout_world.py
+++ b/tests/rollout_world.py
@@ -13,9 +13,10 @@
 from hemlockspoke.tier.metrics import MetricsRegistry
 from hemlockspoke.tier.placement.servers import ServerEntry
 from hemlockspoke.tier.rollouts.manager import RolloutManager
-from hemlockspoke.tier.rollouts.order import Order
+from hemlockspoke.tier.rollouts.order import FINAL_PHASES, RUNNING_STATE, Order
 from hemlockspoke.tier.rollouts.settling import WriteOutcome
 from hemlockspoke.tier.state.directory import Directory
+from tests.rollout_doubles import Attempt, Network, Peers, Route
 
 REGIONS = {f"{region}{index}": region for region in "abc" for index in "12"}
 SERVICE = "shard"
@@ -23,6 +24,8 @@
 SHARE, SLACK = 0.1, 50.0
 WORK_MS = {f"route-{number}": 20.0 + 10.0 * number for number in range(6)}
 # A server pauses for 300 ms every 7.5 s, and is slow for 3 s after its start.
+# A call to the store times out after the first; a slow store needs the second.
+CALL_TIMEOUT_MS, SLOW_CALL_MS = 1200.0, 5000.0
 PAUSE_MS, PAUSE_INTERVAL_MS, COLD_MS, COLD_FACTOR = 300.0, 7500.0, 3000.0, 4.0
 NOISE_FAILURES = 0.003
 # A version that fails under load does from this part of the usual rate of a server on.
@@ -33,15 +36,23 @@
 class Fault:
     """What is wrong with the target version; the defaults are a good one.
 
-    A part ``failing`` of the answers fails, and all take ``slow`` times as long, from
-    ``from_fraction`` of the time budget on, only under load or only on one ``route``.
+    A part ``failing`` of the answers fails, and ``slow_part`` of them, by default all,
+    take ``slow`` times as long, from ``from_fraction`` of the time budget on, only
+    under load or only on one ``route``.
     """
 
     def __init__(
-        self, failing=0.0, slow=1.0, from_fraction=0.0, load=False, route=None
+        self,
+        failing=0.0,
+        slow=1.0,
+        from_fraction=0.0,
+        load=False,
+        route=None,
+        slow_part=1.0,
     ):
         self.failing = failing
         self.slow = slow
+        self.slow_part = slow_part
         self.from_fraction = from_fraction
         self.load = load
         self.route = route
@@ -52,54 +63,20 @@
         return self.failing > 0 or self.slow > 1
 
 
-class _Network:
-    def __init__(self, world, vm):
-        self._world = world
-        self._vm = vm
-
-    def connected(self):
-        world = self._world
-        return [
-            vm for vm in world.managers if vm != self._vm and world.linked(self._vm, vm)
-        ]
-
-    def send(self, vm, message):
-        world = self._world
-        if vm in world.managers and world.linked(self._vm, vm):
-            delay_ms = world.rng.uniform(1.0, 40.0)
-            world.messages += 1
-            world.clock.call_later(delay_ms, world.deliver, self._vm, vm, message)
-        return True
-
-
-class _Peers:
-    def __init__(self, world):
-        self._world = world
-
-    def knows(self, vm):
-        return vm in self._world.vms
-
-    def set_collectors(self, vms):
-        """Accept the list: all daemons are connected in this world."""
-
-
-class _Attempt:
-    def __init__(self, server, route_name, now_ms):
-        self.server = server
-        self.route_name = route_name
-        self.started_ms = now_ms
-        self.is_extra = False
-
-
-class _Route:
-    idempotent = True
-    max_servers = 2
-
-
 class RolloutWorld:
     """Daemons, one service with servers of two versions, and a store for its order."""
 
-    def __init__(self, daemons, rate, servers, fault=None, seed=1, trouble=False):
+    def __init__(
+        self,
+        daemons,
+        rate,
+        servers,
+        fault=None,
+        seed=1,
+        trouble=False,
+        pause_ms=PAUSE_MS,
+    ):
+        self.pause_ms = pause_ms
         self.rng = random.Random(seed)
         self.clock = ManualClock(now_ms=60_000.0)
         self.fault = fault or Fault()
@@ -112,7 +89,14 @@
         self.vms = [f"vm-{number:03d}" for number in range(daemons)]
         self.cut_off = set()
         self.messages = 0
+        # "up", "away", "slow" or "replies lost".
         self.store_mode = "up"
+        # Time until a write of the state "running" takes effect; an endless one does
+        # with the first write of the end.
+        self.running_write_ms = 15.0
+        self.running_order = None
+        # States of the order's status, one after the other.
+        self.states = []
         # What happens to the daemon that writes first: "kill before" or "kill after".
         self.on_first_write = None
         self.writes = []
@@ -166,8 +150,8 @@
             int(self.clock.now_ms()),
             bounds,
             directory,
-            _Peers(self),
-            _Network(self, vm),
+            Peers(self),
+            Network(self, vm),
             MetricsRegistry(),
             self.write_status_of(vm),
             self.rng,
@@ -217,26 +201,39 @@
     def write_status_of(self, vm):
         """Return the function by which a daemon writes the status."""
 
-        def write(order, phase, on_written):
-            self.writes.append((self.clock.now_ms() - self.started_ms, vm, phase.value))
+        def write(order, state, on_written):
+            delay_ms = SLOW_CALL_MS if self.store_mode == "slow" else 15.0
+            if state == RUNNING_STATE:
+                delay_ms = max(delay_ms, self.running_write_ms)
+                self.running_order = order
+                self._send_write(delay_ms, order, state, on_written)
+                return
+            if self.running_write_ms == float("inf"):
+                self._write(self.running_order, RUNNING_STATE, None)
+            self.writes.append((self.clock.now_ms() - self.started_ms, vm, state))
             failure, self.on_first_write = self.on_first_write, None
             if failure == "kill before":
                 self.kill(vm)
                 return
-            self.clock.call_later(15.0, self._write, order, phase, on_written)
+            self._send_write(delay_ms, order, state, on_written)
             if failure == "kill after":
                 self.clock.call_later(16.0, self.kill, vm)
 
         return write
 
-    def _write(self, order, phase, on_written):
-        if self.store_mode == "away":
-            self.clock.call_later(1200.0, on_written, WriteOutcome(False))
-            return
+    def _send_write(self, delay_ms, order, state, on_written):
+        if delay_ms > CALL_TIMEOUT_MS or self.store_mode == "away":
+            self.clock.call_later(CALL_TIMEOUT_MS, on_written, WriteOutcome(False))
+            on_written = None
+        if delay_ms < float("inf") and self.store_mode != "away":
+            self.clock.call_later(delay_ms, self._write, order, state, on_written)
+
+    def _write(self, order, state, on_written):
         current = self.order
         if current is None or order.revision != current.revision:
             outcome = WriteOutcome(False, current)
         else:
+            self.states.append(state)
             self.set_order(
                 Order(
                     SERVICE,
@@ -244,13 +241,15 @@
                     current.target_version,
                     DURATION_MS,
                     current.revision + 1,
-                    phase,
+                    FINAL_PHASES.get(state),
+                    is_running=state == RUNNING_STATE,
                 )
             )
             outcome = WriteOutcome(True, self.order)
         if self.store_mode == "replies lost":
             outcome = WriteOutcome(False)
-        self.clock.call_later(15.0, on_written, outcome)
+        if on_written is not None:
+            self.clock.call_later(15.0, on_written, outcome)
 
     def set_order(self, order):
         """Change the order in the store; daemons learn of it a little later."""
@@ -260,6 +259,7 @@
             self.ended_ms = self.clock.now_ms() - self.started_ms
         for vm, manager in self.managers.items():
             delay_ms = self.rng.uniform(20.0, 400.0)
+            delay_ms += SLOW_CALL_MS if self.store_mode == "slow" else 0.0
             self.clock.call_later(delay_ms, self._tell_order, vm, manager, order)
 
     def _tell_order(self, vm, manager, order):
@@ -288,7 +288,7 @@
         manager, directory = self.managers[vm], self.directories[vm]
         route_name = self.rng.choice(list(WORK_MS))
         now_ms = self.clock.now_ms()
-        sample_ids = manager.sample(SERVICE, _Route, ())
+        sample_ids = manager.sample(SERVICE, Route, ())
         if sample_ids:
             servers = [directory.servers[name] for name in sorted(sample_ids)]
         else:
@@ -303,7 +303,7 @@
         server = self.rng.choice(servers)
         version = server.entry.version
         self.sent[version] += 1
-        attempt = _Attempt(server, route_name, now_ms)
+        attempt = Attempt(server, route_name, now_ms)
         rollout = manager.attempt_started(attempt)
         failed, work_ms = self._answer(server, route_name, now_ms)
         since_ms = now_ms - self.started_ms
@@ -337,12 +337,14 @@
                 work_ms *= COLD_FACTOR
             if self._is_faulty(server.server_id, route_name, since_ms):
                 failing = max(failing, self.fault.failing)
-                work_ms *= self.fault.slow
+                slow_part = self.fault.slow_part
+                if slow_part == 1.0 or self.rng.random() < slow_part:
+                    work_ms *= self.fault.slow
         phase_ms = (
             now_ms + self.phase_offsets_ms[server.server_id]
         ) % PAUSE_INTERVAL_MS
-        if phase_ms < PAUSE_MS:
-            work_ms += PAUSE_MS - phase_ms
+        if phase_ms < self.pause_ms:
+            work_ms += self.pause_ms - phase_ms
         return self.rng.random() < failing, work_ms
 
     def _is_faulty(self, server_id, route_name, since_ms):
