Count an order's time budget from the first daemon that saw it, and decide only if followed

Daemons now tell the age of the order. - A collecting daemon that is connected but does not know the order, as the store turns it away, kept the others from deciding. They wait for it for a limited time. - A decider that was paused beyond the budget rolled back at once on old evidence. It reads what has arrived, and collects anew. - A decider that the others do not follow went on to complete. It completes only if most daemons that report have switched. - A decider that had just started completed a version of which it knew no answer. That is a suspicion now, and target servers that have answered count as warm. Ruled out: taking the earliest time of all daemons always; with it one good version beside a region in trouble was rolled back, as its budget began up to 1.6 s earlier. So only a daemon that is later by over 2 s takes another one's time.

--- a/hemlockspoke/tier/messages.py
+++ b/hemlockspoke/tier/messages.py
@@ -267,7 +267,8 @@
     ``service``, ``target_version`` and ``revision`` identify the order: the object's
     revision when the sender saw it first. ``process`` is the start of the sender's
     process, ``sequence`` rises with each message of it. ``phase`` is the phase that the
-    sender applies. The other fields are those of a ``Tally``; ``rows`` lists
+    sender applies. ``age_ms`` is how long ago the sender, or a daemon that has told it,
+    saw the order first. The other fields are those of a ``Tally``; ``rows`` lists
     ``[route, region, server_id, is_target, failures, {bin: count}]``. All are totals.
     """
 
@@ -278,6 +279,7 @@
         "process",
         "sequence",
         "phase",
+        "age_ms",
         "sent_target",
         "sent_total",
         "old_in_progress",
@@ -291,8 +293,8 @@
 
     ``service`` and ``target_version`` identify the order, ``revision`` is the newest
     one of its object that the sender knows. ``share`` is the share of the requests that
-    may go to the target version while the phase is ``sampling``. ``reason`` is a text
-    for the log.
+    may go to the target version while the phase is ``sampling``. ``age_ms`` is as in
+    ``RolloutEvidence``. ``reason`` is a text for the log.
     """
 
     __slots__ = (
@@ -301,6 +303,7 @@
         "revision",
         "phase",
         "share",
+        "age_ms",
         "reason",
     )
     is_broadcast = True
--- a/hemlockspoke/tier/rollouts/decider.py
+++ b/hemlockspoke/tier/rollouts/decider.py
@@ -25,12 +25,23 @@
     ``has_old`` and ``has_target`` are whether the service has had servers of another
     version since the order, and has any of the target version; ``has_warm_target`` is
     whether one of those is in use and not cold. ``old_is_left`` is whether the
-    connected daemons have reported that no request is in progress at old servers.
+    connected daemons have reported that no request is in progress at old servers, and
+    ``is_followed`` whether most of them have switched.
     """
 
-    __slots__ = ("has_old", "has_target", "has_warm_target", "old_is_left", "total")
+    __slots__ = (
+        "has_old",
+        "has_target",
+        "has_warm_target",
+        "is_followed",
+        "old_is_left",
+        "total",
+    )
 
-    def __init__(self, total, has_old, has_target, has_warm_target, old_is_left):
+    def __init__(
+        self, total, has_old, has_target, has_warm_target, old_is_left, is_followed=True
+    ):
+        self.is_followed = is_followed
         self.total = total
         self.has_old = has_old
         self.has_target = has_target
@@ -41,7 +52,7 @@
 class Decider:
     """The state of one order: its phase, and the share of requests to sample.
 
-    ``started_ms`` is the clock time at which this daemon has seen the order. ``reason``
+    ``set_started`` must be called before the first step. ``reason``
     says why the phase was last changed, and ``total`` is the ``Tally`` that was last
     examined, or None. Once the phase is ``COMPLETING`` or ``ROLLED_BACK`` the decision
     stands, as it may have reached the store.
@@ -49,6 +60,7 @@
 
     __slots__ = (
         "_deadline_ms",
+        "_duration_ms",
         "_limit",
         "_started_ms",
         "_switched_ms",
@@ -59,12 +71,10 @@
         "total",
     )
 
-    def __init__(self, limit, started_ms, duration_ms):
+    def __init__(self, limit, duration_ms):
         self._limit = limit
-        self._started_ms = started_ms
-        self._deadline_ms = started_ms + max(
-            MIN_BUDGET_FRACTION * duration_ms, duration_ms - BUDGET_MARGIN_MS
-        )
+        self._duration_ms = duration_ms
+        self._started_ms = self._deadline_ms = 0.0
         self._switched_ms = None
         self._switch_until_ms = None
         self.phase = Phase.SAMPLING
@@ -72,6 +82,14 @@
         self.reason = ""
         self.total = None
 
+    def set_started(self, started_ms):
+        """Set the clock time at which a daemon has first seen the order."""
+        self._started_ms = started_ms
+        self._deadline_ms = started_ms + max(
+            MIN_BUDGET_FRACTION * self._duration_ms,
+            self._duration_ms - BUDGET_MARGIN_MS,
+        )
+
     def adopt(self, phase, now_ms, situation):
         """Continue from the phase that another decider has reached."""
         if phase in (Phase.SWITCHING, Phase.COMPLETING) and self._switched_ms is None:
@@ -139,6 +157,10 @@
         wait_until_ms = self._switch_until_ms + LEAVE_ALLOWANCE_MS
         if judgement.is_suspect:
             self._enter(Phase.ROLLED_BACK, f"not proved in time: {judgement.reason}")
+        elif not situation.is_followed:
+            # Most daemons follow another decider, which this one does not hear of. So
+            # what the target version has shown is no evidence of a switch.
+            return
         elif situation.old_is_left or now_ms >= wait_until_ms:
             self._enter(Phase.COMPLETING, judgement.reason)
 
--- a/hemlockspoke/tier/rollouts/evidence.py
+++ b/hemlockspoke/tier/rollouts/evidence.py
@@ -18,6 +18,8 @@
 # 16 s: fine enough to tell twice the usual time, and few enough to be sent.
 BINS_PER_OCTAVE = 4
 MAX_BIN = 14 * BINS_PER_OCTAVE
+# Phases of daemons that send everything to the target version.
+SWITCHED = (Phase.SWITCHING.value, Phase.COMPLETING.value)
 # Counts stay exact as floats.
 MAX_COUNT = 2**53
 
@@ -104,6 +106,10 @@
         else:
             counts.add(Counts(0, {time_bin(work_ms): 1}))
 
+    def has_target_answers(self):
+        """Return whether the target version has answered without a failure."""
+        return any(key[3] and counts.times for key, counts in self.rows.items())
+
     def to_rows(self):
         """Return the rows for a message."""
         return [
@@ -197,12 +203,16 @@
         """Return whether some daemon has reported a phase."""
         return any(report.phase == phase.value for report in self._reports.values())
 
+    def is_followed(self, vms):
+        """Return whether most daemons that report have switched."""
+        phases = [self._reports[vm].phase for vm in vms if vm in self._reports]
+        return 2 * sum(phase in SWITCHED for phase in phases) > len(phases)
+
     def has_left_old(self, vms):
         """Return whether daemons have switched and have nothing at old servers."""
-        switched = (Phase.SWITCHING.value, Phase.COMPLETING.value)
         return all(
             vm in self._reports
-            and self._reports[vm].phase in switched
+            and self._reports[vm].phase in SWITCHED
             and not self._reports[vm].tally.old_in_progress
             for vm in vms
         )
--- a/hemlockspoke/tier/rollouts/manager.py
+++ b/hemlockspoke/tier/rollouts/manager.py
@@ -29,9 +29,6 @@
 # An unchanged state or report is repeated after this time; a lease lasts three of them.
 STATE_REPEAT_MS = 450.0
 REPORT_REPEAT_MS = 900.0
-# A daemon that has just seen an order collects reports for this time before it decides,
-# as others may have seen the order, and have sent requests, before its start.
-COLLECT_MS = 1000.0
 # Sampled requests go to one server of the target version at a time, in turn, so that it
 # is loaded like an old one and a fault under load shows.
 TURN_MS = 1500.0
@@ -62,6 +59,7 @@
         "_rng",
         "_sequence",
         "_settling",
+        "_tick_due_ms",
         "_ticking",
         "versions",
         "vm",
@@ -90,6 +88,7 @@
         self._rng = rng or random.Random()
         self._sequence = 0
         self._ticking = False
+        self._tick_due_ms = 0.0
         self._progress_log_ms = 0.0
         self.vm = vm
         self.versions = VersionRules(clock, directory)
@@ -129,7 +128,7 @@
         self._update_streams()
         if not self._ticking:
             self._ticking = True
-            self._clock.call_later(0.0, self._tick)
+            self._tick_later(0.0)
 
     def remove_order(self, service):
         """Forget an order that was removed; both versions are used from now on."""
@@ -237,6 +236,7 @@
         rollout = rollout_of(self.versions.rollouts, message)
         tally = None if rollout is None else Tally.from_message(message)
         if tally is not None:
+            rollout.note_age(message.age_ms, self._clock.now_ms())
             rollout.collected.add(vm, *numbers, message.phase, tally)
 
     def _on_state(self, vm, message):
@@ -252,8 +252,9 @@
             phase = Phase(message.phase)
         except ValueError:
             return
-        rank_number = collectors.index(vm)
-        if rollout.set_told(phase, share, rank_number, self._clock.now_ms()):
+        rank_number, now_ms = collectors.index(vm), self._clock.now_ms()
+        rollout.note_age(message.age_ms, now_ms)
+        if rollout.set_told(phase, share, rank_number, now_ms):
             log_step(rollout, phase.value, vm, str(message.reason)[:200])
             self._apply(rollout)
 
@@ -280,9 +281,19 @@
             return
         # The list of daemons may have changed, and with it those that collect.
         self._update_streams()
+        now_ms = self._clock.now_ms()
+        was_paused = now_ms - self._tick_due_ms > LEASE_MS
         for rollout in is_open:
+            if was_paused:
+                # Another daemon may have taken over, and evidence is out of date.
+                rollout.joined_ms = now_ms
             self._work_on(rollout)
-        self._clock.call_later(TICK_MS, self._tick)
+        self._tick_later(TICK_MS)
+
+    def _tick_later(self, delay_ms):
+        self._tick_due_ms = self._clock.now_ms() + delay_ms
+        # What other daemons have sent during a pause of the process is read first.
+        self._clock.call_after_reads(delay_ms, self._tick)
 
     def _work_on(self, rollout):
         now_ms = self._clock.now_ms()
@@ -291,10 +302,11 @@
         self._report(rollout, collectors, now_ms)
         if self.vm not in collectors:
             return
-        connected = set(self._network.connected())
         position = collectors.index(self.vm)
-        is_leader = not any(vm in connected for vm in collectors[:position])
-        if is_leader and now_ms >= rollout.seen_ms + COLLECT_MS:
+        connected = set(self._network.connected())
+        is_outranked = any(vm in connected for vm in collectors[:position])
+        is_leader = rollout.may_lead(position, is_outranked, now_ms)
+        if is_leader and rollout.has_collected(now_ms):
             self._decide(rollout, position, now_ms)
         self._settling.check(rollout, 0 if is_leader else position)
 
@@ -325,9 +337,8 @@
             limit = ExposureLimit(
                 self._bounds.exposure_share, self._bounds.exposure_slack
             )
-            decider = rollout.decider = Decider(
-                limit, rollout.seen_ms, rollout.order.duration_ms
-            )
+            decider = rollout.decider = Decider(limit, rollout.order.duration_ms)
+        decider.set_started(rollout.seen_ms)
         if decider.phase is Phase.SAMPLING:
             reached = self._reached_phase(rollout, now_ms)
             if reached is not None:
@@ -367,11 +378,16 @@
             if rollout.is_target(server) and not server.cold(now_ms)
         ]
         vms = [vm for vm in self._network.connected() if self._peers.knows(vm)]
+        total = rollout.collected.total()
+        # To a daemon that has just started, servers look cold for as long as they have
+        # been at their start. Only answers of warm ones are counted.
+        is_answering = bool(targets) and total.has_target_answers()
         return Situation(
-            rollout.collected.total(),
+            total,
             has_old=rollout.saw_old,
             has_target=bool(targets),
-            has_warm_target=bool(warm),
+            has_warm_target=bool(warm) or is_answering,
             old_is_left=rollout.phase(now_ms) in TARGET_PHASES
             and rollout.collected.has_left_old([*vms, self.vm]),
+            is_followed=rollout.collected.is_followed([*vms, self.vm]),
         )
--- a/hemlockspoke/tier/rollouts/messages.py
+++ b/hemlockspoke/tier/rollouts/messages.py
@@ -3,6 +3,9 @@
 from hemlockspoke.tier.messages import RolloutEvidence, RolloutState
 from hemlockspoke.tier.rollouts.order import FINAL_PHASES
 
+# Limit on the age of an order that another daemon may tell: a week.
+MAX_AGE_MS = 7 * 24 * 3_600_000
+
 
 def evidence_message(rollout, process, sequence, now_ms):
     """Return the totals of this daemon for those that collect."""
@@ -14,6 +17,7 @@
         process=process,
         sequence=sequence,
         phase=rollout.phase(now_ms).value,
+        age_ms=round(now_ms - rollout.seen_ms),
         sent_target=tally.sent_target,
         sent_total=tally.sent_total,
         old_in_progress=max(0, tally.old_in_progress),
@@ -30,6 +34,7 @@
         revision=order.revision,
         phase=rollout.phase(now_ms).value,
         share=rollout.sampling_share(now_ms),
+        age_ms=round(now_ms - rollout.seen_ms),
         reason="" if decider is None else decider.reason,
     )
 
@@ -44,6 +49,8 @@
     """
     if not isinstance(message.service, str) or type(message.revision) is not int:
         return None
+    if type(message.age_ms) is not int or not 0 <= message.age_ms <= MAX_AGE_MS:
+        return None
     rollout = rollouts.get(message.service)
     if rollout is None or message.target_version != rollout.order.target_version:
         return None
--- a/hemlockspoke/tier/rollouts/rollout.py
+++ b/hemlockspoke/tier/rollouts/rollout.py
@@ -6,14 +6,21 @@
 # Time for which a phase that a decider has told is valid. A daemon that hears of no
 # decider for longer uses the old version. It allows for two lost messages.
 LEASE_MS = 1500.0
+# A daemon that has just seen an order collects reports for this time before it decides,
+# as others may have seen the order, and have sent requests, before its start.
+COLLECT_MS = 1000.0
+# Daemons see an order within one watch and a relay, for which the margin of the time
+# budget allows. Only one that is later by more takes the time of another one.
+SEEN_SPREAD_MS = 2000.0
 
 
 class Rollout:
     """The state of an ``Order`` at one daemon.
 
-    ``seen_ms`` is the clock time at which the daemon has seen the order. ``phase`` and
-    ``share`` are those that the decider ``leader_rank`` has told; they are valid for
-    ``lease_ms``, until ``lease_until_ms``, unless the phase is a final one.
+    ``seen_ms`` is the clock time at which the daemon has seen the order, or another one
+    has if that was much earlier, and ``joined_ms`` when it began to collect. ``phase``
+    and ``share`` are those that the decider ``leader_rank`` has told; they are valid
+    for ``lease_ms``, until ``lease_until_ms``, unless the phase is a final one.
     ``final_ms`` is the clock time at which a final phase became known. ``decider`` is
     set at daemons that collect. ``saw_old`` is whether the service has had servers of
     another version since the order was seen. ``joined_late`` is whether its status was
@@ -28,6 +35,7 @@
         "final_ms",
         "is_reported",
         "joined_late",
+        "joined_ms",
         "leader_rank",
         "lease_until_ms",
         "order",
@@ -50,7 +58,7 @@
         # Messages about an earlier order with the same target have a lower revision.
         self.start_revision = order.revision
         self.joined_late = order.is_running
-        self.seen_ms = now_ms
+        self.seen_ms = self.joined_ms = now_ms
         self._phase = Phase.SAMPLING
         self.share = 0.0
         self.leader_rank = None
@@ -70,6 +78,36 @@
         # Earliest time of the next attempt to write that the order is running.
         self.running_at_ms = 0.0
 
+    def note_age(self, age_ms, now_ms):
+        """Adopt the age of the order that another daemon tells.
+
+        So the time budget of a daemon that starts later, or that the store turned away,
+        does not run from then. A message that arrives late changes nothing.
+        """
+        seen_ms = now_ms - age_ms
+        if seen_ms < self.seen_ms - SEEN_SPREAD_MS:
+            self.seen_ms = seen_ms
+
+    def is_led(self, now_ms):
+        """Return whether a decider is heard of."""
+        return self.leader_rank is not None and now_ms < self.lease_until_ms
+
+    def has_collected(self, now_ms):
+        """Return whether this daemon has collected reports for long enough."""
+        return now_ms >= self.joined_ms + COLLECT_MS
+
+    def may_lead(self, position, is_outranked, now_ms):
+        """Return whether this daemon decides, as the one at ``position`` by rank.
+
+        ``is_outranked`` is whether one that ranks before it is connected. If that one
+        tells nothing, it may not know the order, as the store turns it away.
+        """
+        if not is_outranked:
+            return True
+        if self.is_led(now_ms):
+            return self.leader_rank == position
+        return now_ms >= self.joined_ms + COLLECT_MS + position * LEASE_MS
+
     def phase(self, now_ms):
         """Return the phase in force: that of an expired lease is ``SAMPLING``."""
         if self.final_ms is not None or now_ms < self.lease_until_ms:
@@ -90,8 +128,8 @@
         """
         if self.final_ms is not None:
             return False
-        is_led = self.leader_rank is not None and now_ms < self.lease_until_ms
-        if phase is not Phase.ROLLED_BACK and is_led and rank > self.leader_rank:
+        is_outranked = self.is_led(now_ms) and rank > self.leader_rank
+        if phase is not Phase.ROLLED_BACK and is_outranked:
             return False
         before = self.phase(now_ms)
         self.leader_rank = rank
--- a/hemlockspoke/tier/rollouts/verdict.py
+++ b/hemlockspoke/tier/rollouts/verdict.py
@@ -205,6 +205,10 @@
     target = {key: counts for key, counts in rows.items() if key[3]}
     old = {key: counts for key, counts in rows.items() if not key[3]}
     answer_count = sum(counts.answers for counts in target.values())
+    old_count = sum(counts.answers for counts in old.values())
+    if not answer_count and old_count >= FEW_ANSWERS:
+        # After a restart the decider may not know what was sent before it.
+        return Judgement(False, True, "no answer of the target version", is_thin=True)
     routes = sorted({key[0] for key in target})
     judgement = Judgement(False, False, f"{answer_count} answers, none suspect")
     for kind in _kinds(old):
--- a/tests/features/rollouts.feature
+++ b/tests/features/rollouts.feature
@@ -49,6 +49,12 @@
       | 16 with 1 failure, 9 with 6 failures, 17                   | fit     |
       | 15 with 3 failures, 15 with 3 failures, 13 with 2 failures | bad     |
 
+  Scenario: a version that has answered nothing is not completed
+    # Guards against a decider that has just started and knows of no answer.
+    Given answers of the old version: 20, 20, 20
+    When servers of the target version answer 0, 0, 0
+    Then the target version is suspect
+
   Scenario Outline: the old version shows how many answers are slow
     # Guards against a version with some slow answers that hide behind assumed pauses,
     # and against few answers of the old version that are taken for servers without any.
@@ -87,6 +93,21 @@
       | the replies to writes are lost                    |
       | a daemon that collects starts again at 4 s        |
 
+  Scenario Outline: a good version is completed in time although a part fails
+    # Guards against a time budget that begins anew with each process, and against daemons
+    # that wait for one that does not decide.
+    Given fleets of <daemons> daemons with 20 requests a second, seeds 0 to 2, calm
+    And <failure>
+    When orders move the service to a good version
+    Then all orders end as "completed" within 12 s
+
+    Examples:
+      | daemons | failure                                    |
+      | 10      | a daemon that collects starts again at 4 s |
+      | 88      | a daemon that collects starts again at 4 s |
+      | 88      | a daemon that collects starts again at 7 s |
+      | 88      | the decider does not learn of the order    |
+
   Scenario Outline: the status says that an order runs, once and before it ends
     # Guards against a state "running" that is missing, written twice or written over
     # the end, and against an end that waits for a call that is slow or fails.
--- a/tests/features/steps/operator_views_sums_steps.py
+++ b/tests/features/steps/operator_views_sums_steps.py
@@ -71,7 +71,7 @@
         key = (route, "a", "s1", is_target)
         rollout.tally.rows[key] = Counts(failures, {1: others})
     if decides:
-        rollout.decider = Decider(ExposureLimit(0.1, 50.0), 0.0, 8000.0)
+        rollout.decider = Decider(ExposureLimit(0.1, 50.0), 8000.0)
         rollout.decider.reason = "8 of 20 answers failed\n"
         rollout.decider.total = rollout.tally
     return rollout
--- a/tests/features/steps/rollouts_steps.py
+++ b/tests/features/steps/rollouts_steps.py
@@ -91,6 +91,7 @@
         revision=revision,
         phase=phase,
         share=0.0,
+        age_ms=0,
         reason="",
     )
     context.found = rollout_of(context.rollouts, message)
@@ -168,12 +169,18 @@
         world.store_mode = "replies lost"
 
 
-@given("a daemon that collects starts again at 4 s")
-def step_restart(context):
+@given("a daemon that collects starts again at {at_s:d} s")
+def step_restart(context, at_s):
     for world in context.worlds:
         vm = world.decider()
-        world.clock.call_later(4000.0, world.kill, vm)
-        world.clock.call_later(4500.0, world.start_daemon, vm)
+        world.clock.call_later(1000.0 * at_s, world.kill, vm)
+        world.clock.call_later(1000.0 * at_s + 500.0, world.start_daemon, vm)
+
+
+@given("the decider does not learn of the order")
+def step_without_order(context):
+    for world in context.worlds:
+        world.without_order = {world.decider()}
 
 
 @when("orders move the service to a good version")
@@ -231,6 +238,7 @@
         "revision": 100,
         "phase": "completed",
         "share": 0.5,
+        "age_ms": 0,
         "reason": "",
     }
     row = ["route", "a", "s", True, 1, {}]
@@ -241,6 +249,7 @@
         "process": 1,
         "sequence": 10**12,
         "phase": "sampling",
+        "age_ms": 0,
         "sent_target": 1,
         "sent_total": 1,
         "old_in_progress": 0,
@@ -257,6 +266,10 @@
         {"target_version": "v3"},
         {"service": "other"},
         {"service": ["other"]},
+        {"age_ms": "old", "phase": "sampling"},
+        {"age_ms": float("inf"), "phase": "sampling"},
+        {"age_ms": 10**15, "phase": "sampling"},
+        {"age_ms": -5000, "phase": "sampling"},
     ]
     odd_evidence = [
         {"rows": "none"},
--- a/tests/rollout_world.py
+++ b/tests/rollout_world.py
@@ -88,6 +88,8 @@
         self.directories = {}
         self.vms = [f"vm-{number:03d}" for number in range(daemons)]
         self.cut_off = set()
+        # Daemons that do not learn of the order, as the store turns them away.
+        self.without_order = set()
         self.messages = 0
         # "up", "away", "slow" or "replies lost".
         self.store_mode = "up"
@@ -263,7 +265,7 @@
             self.clock.call_later(delay_ms, self._tell_order, vm, manager, order)
 
     def _tell_order(self, vm, manager, order):
-        if self.managers.get(vm) is not manager:
+        if self.managers.get(vm) is not manager or vm in self.without_order:
             return
         if order is None:
             manager.remove_order(SERVICE)
