Play client accounts in the soak of processes

Cause: the soak had no accounts, so keys and quotas were never judged with real processes that are killed, paused and cut off from the store. Change: four accounts. One sends several times its quota, which is lowered; one sends a quarter of its quota; one has keys that are replaced while a daemon or a failure domain is cut off from the store; one without a quota has the other callers. Servers and callers are judged: removed keys, keys in headers and logs, names of accounts, the limit in each window, known keys refused, requests below a quota refused. The changes have a generator of their own, so the faults of a seed stay as they were.

--- a/tests/edge_soak/callers.py
+++ b/tests/edge_soak/callers.py
@@ -15,9 +15,15 @@
 SEND_INTERVAL_S = 0.02
 
 
+def key_headers(key):
+    """Return the headers that carry the key of an account, or none without a key."""
+    return [] if key is None else [(b"X-Api-Key", key.encode())]
+
+
 class Outcome:
     """One request and its result; ``status`` is None if the connection failed.
 
+    ``key`` is that of its account, or None in a soak without accounts.
     ``server_ids`` are those of the servers whose proofs it has, and ``says_leaving`` is
     whether it passes on that its server leaves. ``sent`` is False if no connection was
     opened.
@@ -25,6 +31,7 @@
 
     __slots__ = (
         "attempt",
+        "key",
         "path",
         "says_leaving",
         "sent",
@@ -35,8 +42,9 @@
         "vm",
     )
 
-    def __init__(self, attempt, path, vm, sent_s, status, took_ms):
+    def __init__(self, attempt, path, vm, sent_s, status, took_ms, key=None):
         self.attempt = attempt
+        self.key = key
         self.path = path
         self.vm = vm
         self.sent_s = sent_s
@@ -48,10 +56,19 @@
 
 
 class Callers:
-    """Threads that send requests to daemons until they are stopped."""
+    """Threads that send requests to daemons until they are stopped.
 
-    def __init__(self, world, count):
+    ``name`` begins the ids of their attempts. They use ``keys`` in turn, or that of the
+    world. Each waits for ``interval_s`` between its requests.
+    """
+
+    def __init__(
+        self, world, count, name="soak", keys=None, interval_s=SEND_INTERVAL_S
+    ):
         self._world = world
+        self._name = name
+        self._keys = list(keys or [world.key])
+        self._interval_s = interval_s
         self._attempt_numbers = itertools.count(1)
         self._stopped = threading.Event()
         self._threads = [
@@ -74,29 +91,38 @@
             if thread.is_alive():
                 self.findings.append("a caller still waits for an answer after 30 s")
 
+    def add_key(self, key):
+        """Use another key too."""
+        self._keys.append(key)
+
     def _run(self, caller_index):
         paths = itertools.cycle([QUERY_PATH, ITEM_PATH, QUERY_PATH, ORDER_PATH])
         vms = sorted(self._world.addresses)
         # A caller reuses its open connections until the daemon closes them.
         pools = [(vm, self._world.caller_pool(vm)) for vm in vms]
         pools = itertools.cycle(pools[caller_index:] + pools[:caller_index])
-        while not self._stopped.wait(SEND_INTERVAL_S):
+        while not self._stopped.wait(self._interval_s):
             vm, pool = next(pools)
             self.send(vm, next(paths), pool)
 
     def send(self, vm, path, pool=None):
         """Send one request and check its answer."""
-        attempt = f"soak{next(self._attempt_numbers)}"
+        number = next(self._attempt_numbers)
+        attempt = f"{self._name}{number}"
+        # Each round over the keys is shifted, as daemons are called in turn as well.
+        keys = list(self._keys)
+        key = keys[(number + number // len(keys)) % len(keys)]
         method, body = (b"POST", b"two tonnes") if path == ORDER_PATH else (b"GET", b"")
         sent_s = time.monotonic()
         # Parts of a query may be sent by other daemons, the others are sent by this VM.
         extra = [] if path == QUERY_PATH else [(SENDER_HEADER, vm.encode())]
+        extra += key_headers(key)
         reply = self._world.request(
             vm, f"{path}x", attempt, method, body, CALLER_BUDGET_MS, extra, pool
         )
         status = reply.status
         took_ms = (time.monotonic() - sent_s) * 1000
-        outcome = Outcome(attempt, path, vm, sent_s, status, took_ms)
+        outcome = Outcome(attempt, path, vm, sent_s, status, took_ms, key)
         proofs = reply.headers.get("x-hemlockspoke-part-stamps", b"")
         proofs = reply.headers.get("x-hemlockspoke-server-stamp", proofs)
         outcome.server_ids = frozenset(
--- a/tests/edge_soak/processes.py
+++ b/tests/edge_soak/processes.py
@@ -81,7 +81,8 @@
     """A platform whose daemons are processes connected through proxies.
 
     Each daemon has its own proxy to the store; all share one proxy per server. The
-    daemons run the code of ``code_folder`` if one is given.
+    daemons run the code of ``code_folder`` if one is given. Callers use ``key`` if it
+    has accounts.
     """
 
     def __init__(self, code_folder=None, **options):
@@ -89,6 +90,7 @@
         self.proxies = {}
         self.store_proxies = {}
         self.domains = {}
+        self.key = None
         self._folder = tempfile.TemporaryDirectory(prefix="hemlockspoke-soak-")
         self.folder = Path(self._folder.name)
         super().__init__(**options)
--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -2,7 +2,8 @@
 
     python -m tests.edge_soak.run --seed 7 --duration-s 60
 
-Faults follow one another and overlap. A seed that has failed stays in
+Faults follow one another and overlap. Accounts are a part that can be left out; it has
+a schedule of its own, so that it changes no other. A seed that has failed stays in
 ``tests/features/edge_soak.feature`` with a line on its cause.
 """
 
@@ -14,7 +15,8 @@
 import sys
 import time
 
-from tests.edge_soak.callers import Callers, check_runs
+from tests.edge_soak.accounts import SoakAccounts
+from tests.edge_soak.callers import Callers, check_runs, key_headers
 from tests.edge_soak.faults import SHARDS, actions
 from tests.edge_soak.notices import LeavingServers, check_holds, check_leaving
 from tests.edge_soak.processes import ProcessWorld
@@ -31,6 +33,7 @@
 CLOSE_LIMIT_MS = 400
 RECOVERY_LIMIT_S = 12.0
 CONFIG_LIMIT_S = 6.0
+PARTS = {"accounts": SoakAccounts}
 BOUNDS = {"config_apply_ms": 3000, "drain_ms": 2000, "evacuate_ms": 4000}
 
 
@@ -42,6 +45,7 @@
         self.rng = random.Random(seed)
         self.disturbances = {vm: [] for vm in world.daemons}
         self.findings = []
+        self.started_s = time.monotonic()
         self.stops = Stops(self)
         self.leaving = LeavingServers(self)
         # Start and end in seconds of faults on the way to each server, by its id.
@@ -144,7 +148,9 @@
     time.sleep(CONFIG_LIMIT_S)
     findings = []
     for vm in sorted(world.daemons):
-        outcome = world.request(vm, f"{QUERY_PATH}x", f"last-{vm}")
+        outcome = world.request(
+            vm, f"{QUERY_PATH}x", f"last-{vm}", extra=key_headers(world.key)
+        )
         stamps = outcome.headers.get("x-hemlockspoke-part-stamps", b"").count(b",") + 1
         missing = int(outcome.headers.get("x-hemlockspoke-parts-missing", b"0"))
         if outcome.status != 200 or stamps + missing != 2:
@@ -154,17 +160,23 @@
     return findings
 
 
-def run(seed, duration_s, daemons=4, keep_logs=None):
-    """Run one soak and return its findings."""
+def run(seed, duration_s, daemons=4, keep_logs=None, part_names=()):
+    """Run one soak, with the parts of the given names, and return its findings."""
     world = ProcessWorld(shards=SHARDS)
     world.shard_counts = {SHARDS - 1, SHARDS}
     try:
+        parts = [PARTS[name](world, seed, duration_s) for name in part_names]
+        bounds = dict(BOUNDS)
+        for part in parts:
+            bounds.update(part.bounds)
         for number in range(daemons):
-            world.add_daemon(f"e{number}", ["a1", "b1"][number % 2], bounds=BOUNDS)
+            world.add_daemon(f"e{number}", ["a1", "b1"][number % 2], bounds=bounds)
         world.wait_ready()
         soak = Soak(world, seed)
         callers = Callers(world, CALLERS)
         callers.start()
+        for part in parts:
+            part.start(soak)
         names = sorted(actions.names())
         end_s = time.monotonic() + duration_s
         while time.monotonic() < end_s:
@@ -175,11 +187,22 @@
             soak.end_due_faults()
         soak.stops.wait()
         soak.end_due_faults(include_pending=True)
+        outcomes, findings = [], []
+        for part in parts:
+            part_outcomes, part_findings = part.stop()
+            outcomes += part_outcomes
+            findings += part_findings
         callers.stop()
-        findings = soak.check_outcomes(callers.outcomes) + callers.findings
+        outcomes += callers.outcomes
+        findings += callers.findings
+        findings = soak.check_outcomes(outcomes) + findings
+        for part in parts:
+            findings += part.check(outcomes)
         findings += check_recovery(soak) + check_configuration(soak)
-        served = sum(1 for outcome in callers.outcomes if outcome.status == 200)
-        print(f"seed {seed}: {served} of {len(callers.outcomes)} requests served")
+        for part in parts:
+            findings += part.check_calm()
+        served = sum(1 for outcome in outcomes if outcome.status == 200)
+        print(f"seed {seed}: {served} of {len(outcomes)} requests served")
         if findings and keep_logs:
             world.keep_logs(keep_logs)
         return findings
@@ -196,14 +219,22 @@
     )
     parser.add_argument("--duration-s", type=float, default=60.0)
     parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument(
+        "--without",
+        action="append",
+        choices=sorted(PARTS),
+        default=[],
+        help="part of the soak to leave out",
+    )
     parser.add_argument("--keep-logs", help="folder for the logs of failed runs")
     options = parser.parse_args()
     # Exit through the finally clause on SIGTERM, which ends the daemon processes.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
+    part_names = [name for name in PARTS if name not in options.without]
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = f"{options.keep_logs}/{seed}" if options.keep_logs else None
-        findings = run(seed, options.duration_s, options.daemons, folder)
+        findings = run(seed, options.duration_s, options.daemons, folder, part_names)
         for finding in findings:
             print(f"seed {seed}: {finding}")
         failed += bool(findings)
