--- a/tests/edge_soak/processes.py
+++ b/tests/edge_soak/processes.py
@@ -91,6 +91,7 @@
         self.store_proxies = {}
         self.domains = {}
         self.key = None
+        self._retired = set()
         self._folder = tempfile.TemporaryDirectory(prefix="hemlockspoke-soak-")
         self.folder = Path(self._folder.name)
         super().__init__(**options)
@@ -106,10 +107,20 @@
 
     def announce(self, server_id, state="ready"):
         """Write the entry of a server, with the address of its proxy."""
+        if server_id in self._retired:
+            return
         address = self.proxies[server_id].address
         entry = self.servers[server_id].entry(state, address=address)
         self.put("servers", server_id, entry)
 
+    def retire(self, server_id):
+        """Remove the entry of a server for good; call it in the reactor's thread.
+
+        The server goes on to record requests, so that late ones are seen.
+        """
+        self._retired.add(server_id)
+        self.store.remove("servers", server_id)
+
     def add_daemon(self, vm, domain="a1", first_start=True, bounds=None):
         """Start a daemon that reaches the store through a proxy."""
         proxy = run_in_reactor(LoopbackProxy, reactor, self.clock, self.store.address)
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -65,6 +65,8 @@
         self.calls = []
         # Number of replies to writes of a status that are lost.
         self.lost_status_replies = 0
+        # Called with kind, name and status of each status that was written.
+        self.on_status_written = lambda kind, name, status: None
         site = HttpSite(clock, self._handle)
         self._port = reactor.listenTCP(0, site, interface=host)
         self._site = site
@@ -211,6 +213,7 @@
             reply(request, 409, item.to_json())
             return
         self.put(kind, name, item.spec, body["status"])
+        self.on_status_written(kind, name, body["status"])
         if self.lost_status_replies:
             self.lost_status_replies -= 1
             request.abort()
