--- a/tests/features/edge_soak.feature
+++ b/tests/features/edge_soak.feature
@@ -20,6 +20,26 @@
     When daemons run as processes for 20 s with seed 7126
     Then the checks of callers and servers report no findings
 
+  Scenario Outline: a soak with <part> and seed <seed>
+    Guards against removed keys that still work, quotas that are exceeded, and versions
+    that get too much or the wrong end, under faults that only processes have.
+    When daemons run as processes for 20 s with <part> and seed <seed>
+    Then the checks of callers and servers report no findings
+
+    Examples:
+      | part     | seed  |
+      | accounts | 61003 |
+      | rollouts | 61006 |
+
+  Scenario Outline: the schedule of <part> comes from the seed
+    Guards against a failed seed that cannot be played again.
+    Then each seed always gives the same <part>, and another seed gives others
+
+    Examples:
+      | part                |
+      | changes of accounts |
+      | rollouts            |
+
   Scenario: requests are answered while two daemons of a failure domain stop
     # Guards against requests cut by a stop while new connections still come.
     When two daemons of a failure domain stop shortly after each other, 2 times
--- a/tests/features/steps/edge_soak_steps.py
+++ b/tests/features/steps/edge_soak_steps.py
@@ -1,11 +1,12 @@
 """Steps for soaks of the platform's daemons as processes."""
 
+import itertools
 import json
 import signal
 
 from behave import given, then, when
 
-from tests.edge_soak import rolling_stops
+from tests.edge_soak import accounts, rolling_stops, rollouts
 from tests.edge_soak.processes import STOP_GRACE_S, ProcessWorld
 from tests.edge_soak.run import run
 from tests.reactor_thread import wait_until
@@ -16,6 +17,26 @@
     context.findings = run(seed, duration_s)
 
 
+@when(
+    "daemons run as processes for {duration_s:d} s with {part} and seed {seed:d}",
+)
+def step_soak_with_part(context, duration_s, part, seed):
+    context.findings = run(seed, duration_s, part_names=[part])
+
+
+@then("each seed always gives the same {part}, and another seed gives others")
+def step_same_schedule(context, part):
+    domains = {"e0": "a1", "e1": "b1", "e2": "a1", "e3": "b1"}
+    draw = {
+        "changes of accounts": lambda seed: accounts.draw_schedule(seed, 60, domains),
+        "rollouts": lambda seed: rollouts.draw_schedule(seed, 60),
+    }[part]
+    schedules = [draw(seed) for seed in range(20)]
+    assert schedules == [draw(seed) for seed in range(20)]
+    assert all(first != second for first, second in itertools.pairwise(schedules))
+    assert all(schedules)
+
+
 @when("two daemons of a failure domain stop shortly after each other, {rounds:d} times")
 def step_rolling_stops(context, rounds):
     context.findings = rolling_stops.run(seed=1, rounds=rounds)
