--- a/tests/edge_soak/run.py
+++ b/tests/edge_soak/run.py
@@ -2,8 +2,9 @@
 
     python -m tests.edge_soak.run --seed 7 --duration-s 60
 
-Faults follow one another and overlap. A seed that has failed stays in
-``tests/features/edge_soak.feature`` with a line on its cause.
+Faults follow one another and overlap. Accounts and rollouts are parts that can be left
+out; each draws a schedule of its own from the seed, so that it changes no other. A seed
+that has failed stays in ``tests/features/edge_soak.feature`` with a line on its cause.
 """
 
 import argparse
@@ -14,18 +15,16 @@
 import sys
 import time
 
-from hemlockspoke.registry import Registry
-from tests.edge_soak.callers import Callers, check_runs
+from tests.edge_soak.accounts import SoakAccounts
+from tests.edge_soak.callers import Callers, check_runs, key_headers
+from tests.edge_soak.faults import SHARDS, actions
 from tests.edge_soak.notices import LeavingServers, check_holds, check_leaving
 from tests.edge_soak.processes import ProcessWorld
+from tests.edge_soak.rollouts import SoakRollouts
 from tests.edge_soak.stops import Stops, check_stops
 from tests.platform_world import ITEM_PATH, QUERY_PATH
-from tests.reactor_thread import run_in_reactor
-
-actions = Registry("soak action")
 
 CALLERS = 6
-SHARDS = 4
 # Late answers and failed connections are ignored for this time after a fault ends: the
 # longest recovery that the platform's documentation allows a daemon at these bounds.
 SETTLE_S = 6.0
@@ -35,6 +34,7 @@
 CLOSE_LIMIT_MS = 400
 RECOVERY_LIMIT_S = 12.0
 CONFIG_LIMIT_S = 6.0
+PARTS = {"accounts": SoakAccounts, "rollouts": SoakRollouts}
 BOUNDS = {"config_apply_ms": 3000, "drain_ms": 2000, "evacuate_ms": 4000}
 
 
@@ -46,10 +46,13 @@
         self.rng = random.Random(seed)
         self.disturbances = {vm: [] for vm in world.daemons}
         self.findings = []
+        self.started_s = time.monotonic()
         self.stops = Stops(self)
         self.leaving = LeavingServers(self)
         # Start and end in seconds of faults on the way to each server, by its id.
         self.proxy_faults = {}
+        # Servers that a part of the soak adds later have no other faults.
+        self._server_ids = sorted(world.servers)
         self._fault_ends = []
         self._sequence = itertools.count()
 
@@ -86,7 +89,7 @@
 
     def pick_server(self):
         """Return the id of a random server."""
-        return self.rng.choice(sorted(self.world.servers))
+        return self.rng.choice(self._server_ids)
 
     def is_undisturbed(self, vm, start_s, end_s):
         """Return whether no fault, settle time included, overlaps an interval."""
@@ -117,182 +120,6 @@
         return findings
 
 
-@actions.register("kill")
-def kill(soak):
-    """Kill a daemon; the platform starts it again."""
-    vm = soak.pick_vm()
-    if vm is not None:
-        end = soak.record_fault(vm, "kill")
-        soak.world.daemons[vm].kill_and_restart()
-        soak.schedule_end(2.0, end)
-
-
-@actions.register("terminate")
-def terminate(soak):
-    """Stop a daemon with SIGTERM; it must exit before it has to be killed."""
-    soak.stops.start(1)
-
-
-@actions.register("terminate several")
-def terminate_several(soak):
-    """Stop two daemons at the same time."""
-    soak.stops.start(2)
-
-
-@actions.register("pause")
-def pause(soak):
-    """Suspend a daemon with SIGSTOP for a while."""
-    vm = soak.pick_vm()
-    if vm is None:
-        return
-    daemon = soak.world.daemons[vm]
-    end = soak.record_fault(vm, "pause")
-    daemon.suspended = True
-    daemon.signal(signal.SIGSTOP)
-
-    def resume():
-        daemon.signal(signal.SIGCONT)
-        daemon.suspended = False
-        end()
-
-    soak.schedule_end(soak.rng.choice([0.3, 1.0, 3.0]), resume)
-
-
-@actions.register("reload")
-def reload(soak):
-    """Change the settings file of a daemon, with or without SIGHUP."""
-    vm = soak.pick_vm()
-    if vm is None:
-        return
-    daemon = soak.world.daemons[vm]
-    text = daemon.settings.read_text()
-    daemon.settings.write_text(
-        f"{text}\nbounds.retry_slack={soak.rng.choice([50, 90])}"
-    )
-    if soak.rng.random() < 0.5:
-        daemon.signal(signal.SIGHUP)
-
-
-@actions.register("store-connection")
-def store_connection_fault(soak):
-    """Disturb the connections of a daemon to the store."""
-    vm = soak.pick_vm()
-    if vm is None:
-        return
-    proxy = soak.world.store_proxies[vm]
-    mode = soak.rng.choice(["delay", "silence", "drop-to-target", "drop-from-target"])
-    lasting = soak.rng.random() < 0.6
-    end = soak.record_fault(vm, f"store {mode}")
-    run_in_reactor(proxy.set_mode, mode, soak.rng, lasting)
-
-    def end_fault():
-        run_in_reactor(proxy.set_mode, "pass", soak.rng)
-        end()
-
-    soak.schedule_end(soak.rng.uniform(0.5, 4.0), end_fault)
-
-
-@actions.register("server-connection")
-def server_connection_fault(soak):
-    """Disturb the connections of all daemons to a server."""
-    server_id = soak.pick_server()
-    proxy = soak.world.proxies[server_id]
-    interval = [time.monotonic(), time.monotonic()]
-    soak.proxy_faults.setdefault(server_id, []).append(interval)
-    mode = soak.rng.choice(
-        ["delay", "silence", "drop-to-target", "drop-from-target", "reset"]
-    )
-    if mode == "reset":
-        run_in_reactor(proxy.reset, soak.rng, 0.6)
-        return
-    run_in_reactor(proxy.set_mode, mode, soak.rng, soak.rng.random() < 0.5)
-    interval[1] = float("inf")
-
-    def end_fault():
-        run_in_reactor(proxy.set_mode, "pass", soak.rng)
-        interval[1] = time.monotonic()
-
-    soak.schedule_end(soak.rng.uniform(0.5, 3.0), end_fault)
-
-
-@actions.register("server")
-def server_fault(soak):
-    """Make a server answer wrongly or not at all for a while."""
-    server = soak.world.servers[soak.pick_server()]
-    faults = [
-        "shed",
-        "hold",
-        "hang",
-        "reset",
-        "fail",
-        "truncate",
-        "extra",
-        "foreign",
-        "garbage",
-        "cut_head",
-        "endless_head",
-        "endless_body",
-        "copy_with_id",
-        "copy_without_id",
-        "reset_once",
-    ]
-    server.behaviour = soak.rng.choice(faults)
-    server.retry_after = soak.rng.choice([b"1", b"1.5", b"3"])
-
-    def end_fault():
-        server.behaviour = "serve"
-
-    soak.schedule_end(soak.rng.uniform(0.3, 2.5), end_fault)
-
-
-@actions.register("server-leaves")
-def server_leaves(soak):
-    """Let a server say that it leaves, and start again some seconds later."""
-    duration_s = soak.rng.uniform(2.5, 6.0)
-    restart = soak.leaving.start(time.monotonic())
-    if restart is not None:
-        soak.schedule_end(duration_s, lambda: restart(time.monotonic()))
-
-
-@actions.register("store")
-def store_fault(soak):
-    """Make the store fail for all daemons, or discard its history."""
-    store = soak.world.store
-    mode = soak.rng.choice(["busy", "silent", "reset", "compact"])
-    if mode == "compact":
-        run_in_reactor(store.compact)
-        return
-    ends = [soak.record_fault(vm, f"store {mode}") for vm in soak.world.daemons]
-    store.mode = mode
-
-    def end_fault():
-        store.mode = "up"
-        for end in ends:
-            end()
-
-    soak.schedule_end(soak.rng.uniform(0.5, 3.0), end_fault)
-
-
-@actions.register("configure")
-def configure(soak):
-    """Write a configuration version with a different number of shards."""
-    world = soak.world
-    world.shards = [f"shard-{n}" for n in range(soak.rng.choice([SHARDS - 1, SHARDS]))]
-    world.configure()
-
-
-@actions.register("drain")
-def drain(soak):
-    """Drain a server and make it ready again."""
-    name = soak.pick_server()
-    soak.world.announce(name, "draining")
-
-    def end_drain():
-        soak.world.announce(name)
-
-    soak.schedule_end(soak.rng.uniform(1.0, 3.0), end_drain)
-
-
 def check_recovery(soak):
     """Return findings on daemons that do not serve after all faults have ended."""
     world, findings = soak.world, []
@@ -324,7 +151,9 @@
     time.sleep(CONFIG_LIMIT_S)
     findings = []
     for vm in sorted(world.daemons):
-        outcome = world.request(vm, f"{QUERY_PATH}x", f"last-{vm}")
+        outcome = world.request(
+            vm, f"{QUERY_PATH}x", f"last-{vm}", extra=key_headers(world.key)
+        )
         stamps = outcome.headers.get("x-hemlockspoke-part-stamps", b"").count(b",") + 1
         missing = int(outcome.headers.get("x-hemlockspoke-parts-missing", b"0"))
         if outcome.status != 200 or stamps + missing != 2:
@@ -334,17 +163,23 @@
     return findings
 
 
-def run(seed, duration_s, daemons=4, keep_logs=None):
-    """Run one soak and return its findings."""
+def run(seed, duration_s, daemons=4, keep_logs=None, part_names=()):
+    """Run one soak, with the parts of the given names, and return its findings."""
     world = ProcessWorld(shards=SHARDS)
     world.shard_counts = {SHARDS - 1, SHARDS}
     try:
+        parts = [PARTS[name](world, seed, duration_s) for name in part_names]
+        bounds = dict(BOUNDS)
+        for part in parts:
+            bounds.update(part.bounds)
         for number in range(daemons):
-            world.add_daemon(f"e{number}", ["a1", "b1"][number % 2], bounds=BOUNDS)
+            world.add_daemon(f"e{number}", ["a1", "b1"][number % 2], bounds=bounds)
         world.wait_ready()
         soak = Soak(world, seed)
         callers = Callers(world, CALLERS)
         callers.start()
+        for part in parts:
+            part.start(soak)
         names = sorted(actions.names())
         end_s = time.monotonic() + duration_s
         while time.monotonic() < end_s:
@@ -355,11 +190,22 @@
             soak.end_due_faults()
         soak.stops.wait()
         soak.end_due_faults(include_pending=True)
+        outcomes, findings = [], []
+        for part in parts:
+            part_outcomes, part_findings = part.stop()
+            outcomes += part_outcomes
+            findings += part_findings
         callers.stop()
-        findings = soak.check_outcomes(callers.outcomes) + callers.findings
+        outcomes += callers.outcomes
+        findings += callers.findings
+        findings = soak.check_outcomes(outcomes) + findings
+        for part in parts:
+            findings += part.check(outcomes)
         findings += check_recovery(soak) + check_configuration(soak)
-        served = sum(1 for outcome in callers.outcomes if outcome.status == 200)
-        print(f"seed {seed}: {served} of {len(callers.outcomes)} requests served")
+        for part in parts:
+            findings += part.check_calm()
+        served = sum(1 for outcome in outcomes if outcome.status == 200)
+        print(f"seed {seed}: {served} of {len(outcomes)} requests served")
         if findings and keep_logs:
             world.keep_logs(keep_logs)
         return findings
@@ -376,14 +222,22 @@
     )
     parser.add_argument("--duration-s", type=float, default=60.0)
     parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument(
+        "--without",
+        action="append",
+        choices=sorted(PARTS),
+        default=[],
+        help="part of the soak to leave out",
+    )
     parser.add_argument("--keep-logs", help="folder for the logs of failed runs")
     options = parser.parse_args()
     # Exit through the finally clause on SIGTERM, which ends the daemon processes.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(128 + number))
+    part_names = [name for name in PARTS if name not in options.without]
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = f"{options.keep_logs}/{seed}" if options.keep_logs else None
-        findings = run(seed, options.duration_s, options.daemons, folder)
+        findings = run(seed, options.duration_s, options.daemons, folder, part_names)
         for finding in findings:
             print(f"seed {seed}: {finding}")
         failed += bool(findings)
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -67,6 +67,8 @@
         self.lost_status_replies = []
         # A write of a status takes effect after this time, even if the caller has gone.
         self.status_delay_s = 0
+        # Called with kind, name and status of each status that was written.
+        self.on_status_written = lambda kind, name, status: None
         site = HttpSite(clock, self._handle)
         self._port = reactor.listenTCP(0, site, interface=host)
         self._site = site
@@ -214,6 +216,7 @@
             reply(request, 409, item.to_json())
             return
         self.put(kind, name, item.spec, body["status"])
+        self.on_status_written(kind, name, body["status"])
         state = body["status"].get("state")
         if state in self.lost_status_replies:
             self.lost_status_replies.remove(state)
