--- a/hemlockspoke/tier/rollouts/messages.py
+++ b/hemlockspoke/tier/rollouts/messages.py
@@ -49,5 +49,6 @@
         return None
     if message.revision >= rollout.start_revision:
         return rollout
+    # A list, since the phase of a malformed message may not be hashable.
     is_final = message.phase in list(FINAL_PHASES)
     return rollout if rollout.joined_late and not is_final else None
