Keep the times of registration and start, and notice a wrong clock

Cause: daemons can't tell which others are new, nor whether an earlier process of a VM has begun with tokens of quotas. A failed renewal whose object conflicts was left as it was for 120 s, also if it had expired. A daemon with a clock an hour ahead takes all others for expired, and would create whole quotas after a restart. Change: registrations have registered_ms, which renewals and restarts keep unless the registration has expired, and started_ms, which is written on request on condition that the object is the one of the first list. An object that conflicts is adopted, and written again if it is not current. A daemon takes its own registration for expired after 570 s, before others do, and does not count as registered if most valid registrations are in the future, or those of three others have all expired within two hours. Ruled out: comparing with the daemon's own clock only, which can't tell an outage from a wrong clock; blocking a survivor of two daemons.

--- a/hemlockspoke/platform/objects.py
+++ b/hemlockspoke/platform/objects.py
@@ -41,7 +41,13 @@
 )
 _ROLLOUT_FIELDS = ("duration_s", "revision", "service", "target_version")
 _STATUS_FIELDS = ("state", "target_version")
-_DAEMON_FIELDS = ("failure_domain", "peer_address", "renewed_ms")
+_DAEMON_FIELDS = (
+    "failure_domain",
+    "peer_address",
+    "renewed_ms",
+    "registered_ms",
+    "started_ms",
+)
 # Raised for values of another type or out of range.
 _MALFORMED = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
 
--- a/hemlockspoke/tier/state/members.py
+++ b/hemlockspoke/tier/state/members.py
@@ -3,6 +3,13 @@
 import logging
 import random
 
+from hemlockspoke.tier.state.clock_check import clock_differs
+from hemlockspoke.tier.state.own_registration import (
+    EXPIRY_MS,
+    RENEW_INTERVAL_MS,
+    OwnRegistration,
+    may_use_start_tokens,
+)
 from hemlockspoke.tier.state.peer_directory import decode_peer
 
 logger = logging.getLogger(__name__)
@@ -18,10 +25,6 @@
 # Interval of reads that fail until the first one succeeds. Without the list a daemon
 # knows neither its peers nor its shares of the limits.
 FIRST_READ_RETRY_MS = 1000.0
-# Registrations are renewed, so that those of removed VMs expire. The margin between the
-# two times allows for clocks that differ by some seconds.
-RENEW_INTERVAL_MS = 120_000.0
-EXPIRY_MS = 600_000.0
 # Delay of a read after a stream from an unknown daemon has opened, so that streams of
 # several new daemons cause a single read.
 EARLY_READ_DELAY_MS = 100.0
@@ -49,21 +52,28 @@
     ``on_written`` takes a ``WriteResult``, and ``read(stale, on_read)``, where
     ``on_read`` takes a list of changes, or None if the read failed. ``on_members``
     takes the list of the other daemons as ``Peer`` objects. ``was_registered`` is
-    whether the last list had this daemon in its failure domain.
+    whether the last list had this daemon in its failure domain, and its times fit
+    the wall clock.
+    ``claim_start`` is for a process that wants to use start tokens of quotas.
     """
 
     __slots__ = (
+        "_claim",
         "_clock",
+        "_first_spec",
         "_listed",
         "_on_members",
+        "_own",
         "_read_again",
         "_register_timer",
         "_registering",
         "_registrations",
+        "_revision",
         "_rng",
         "_settings",
         "_stopped",
         "_timer",
+        "_writing",
         "was_registered",
     )
 
@@ -80,7 +90,15 @@
         # Whether a list has been read, and whether the registration is kept up to date.
         self._listed = False
         self._registering = False
+        self._writing = False
         self.was_registered = False
+        self._own = OwnRegistration(clock, settings)
+        # The revision of this VM's object, if known, and what the first list that was
+        # read had of it.
+        self._revision = None
+        self._first_spec = {}
+        # The call to make once a start that uses start tokens is in the store.
+        self._claim = None
 
     def start(self):
         """Register, and start reading the list periodically.
@@ -115,29 +133,67 @@
                 EARLY_READ_DELAY_MS, self._read_list, False
             )
 
+    def registered_ms(self):
+        """Return when this daemon was first registered, or would be now."""
+        return self._own.next_spec()["registered_ms"]
+
+    def claim_start(self, hold_ms, on_claimed):
+        """Write that this process uses start tokens, and call ``on_claimed`` after it.
+
+        It is called with the time at which the write began, if the store confirms the
+        write and no process of this VM has used start tokens within ``hold_ms``.
+        """
+        wall_ms = self._clock.wall_ms()
+        if self._stopped or not may_use_start_tokens(
+            self._first_spec, hold_ms, wall_ms
+        ):
+            return
+        self._claim = on_claimed
+        if not self._writing:
+            self._register(self._revision)
+
     def _register(self, revision):
-        self._registering = True
-        settings = self._settings
-        spec = {
-            "failure_domain": settings.failure_domain,
-            "peer_address": str(settings.peer_address),
-            "renewed_ms": self._clock.wall_ms(),
-        }
-        self._registrations.write(settings.vm, spec, revision, self._on_written)
+        if self._register_timer is not None:
+            self._register_timer.cancel()
+            self._register_timer = None
+        self._registering = self._writing = True
+        on_claimed = None
+        if revision is not None:
+            # A write without a revision could replace nothing, and tells nothing.
+            on_claimed, self._claim = self._claim, None
+        spec = self._own.next_spec(starts=on_claimed is not None)
+        asked_ms = self._clock.now_ms()
+
+        def on_written(result):
+            self._writing = False
+            if self._stopped:
+                return
+            if result.succeeded:
+                self._own.adopt(spec)
+                if on_claimed is not None:
+                    on_claimed(asked_ms)
+            self._on_written(result)
+
+        self._registrations.write(self._settings.vm, spec, revision, on_written)
 
     def _on_written(self, result):
-        if self._stopped:
-            return
         if result.conflict and result.revision is not None:
             # An earlier process of this VM left its registration, or an earlier call
             # was executed although its response was lost.
+            self._claim, self._first_spec = None, {}
             spec = result.spec if isinstance(result.spec, dict) else {}
-            if spec.get("peer_address") != str(self._settings.peer_address):
+            self._own.adopt(spec)
+            if not self._own.is_current(spec):
                 self._register(result.revision)
                 return
         if result.succeeded or result.conflict:
+            self._revision = result.revision
+            if self._claim is not None and result.revision is not None:
+                self._register(result.revision)
+                return
             self._register_later(RENEW_INTERVAL_MS, result.revision)
             return
+        self._claim = None
         self._register_later(REGISTER_RETRY_MS, None)
 
     def _register_later(self, delay_ms, revision):
@@ -166,34 +222,40 @@
     def _apply(self, changes):
         """Apply a list; a defect must not end the reads."""
         try:
+            own = [change for change in changes if change.name == self._settings.vm]
+            spec = own[0].spec if own and isinstance(own[0].spec, dict) else {}
+            if not self._registering:
+                self._revision = own[0].revision if own else None
+                self._first_spec = spec if self._own.is_valid(spec) else {}
+                self._own.adopt(spec)
             peers = self._decode(changes)
-            self.was_registered = any(
-                peer.vm == self._settings.vm
-                and peer.failure_domain == self._settings.failure_domain
-                for peer in peers
+            self.was_registered = (
+                self._own.is_valid(spec)
+                and any(peer.vm == self._settings.vm for peer in peers)
+                and not self._clock_differs(changes)
             )
             self._on_members([peer for peer in peers if peer.vm != self._settings.vm])
             if not self._registering:
-                self._renew(changes)
+                self._renew(spec)
         except Exception:
             logger.exception("defect in applying the list of daemons")
 
-    def _renew(self, changes):
+    def _clock_differs(self, changes):
+        """Return whether this daemon can't tell which registrations are valid."""
+        renewed_times_ms = [
+            change.spec.get("renewed_ms")
+            for change in changes
+            if change.name != self._settings.vm and isinstance(change.spec, dict)
+        ]
+        return clock_differs(renewed_times_ms, self._clock.wall_ms())
+
+    def _renew(self, spec):
         """Keep the registration that a list has of this VM, or write a new one."""
-        own = [change for change in changes if change.name == self._settings.vm]
-        revision = own[0].revision if own else None
-        spec = own[0].spec if own and isinstance(own[0].spec, dict) else {}
-        renewed_ms = spec.get("renewed_ms")
-        if (
-            spec.get("peer_address") == str(self._settings.peer_address)
-            and spec.get("failure_domain") == self._settings.failure_domain
-            and isinstance(renewed_ms, int)
-            and self._clock.wall_ms() - renewed_ms < RENEW_INTERVAL_MS
-        ):
+        if self._own.is_current(spec):
             self._registering = True
-            self._register_later(RENEW_INTERVAL_MS, revision)
+            self._register_later(RENEW_INTERVAL_MS, self._revision)
         else:
-            self._register(revision)
+            self._register(self._revision)
 
     def _decode(self, changes):
         peers = []
--- a/hemlockspoke/tier/state/peer_directory.py
+++ b/hemlockspoke/tier/state/peer_directory.py
@@ -14,17 +14,24 @@
 # the domain keep streams beside its hubs: one of them reads the store for all, and the
 # others can take over.
 READER_CANDIDATES = 8
+# Greatest wall-clock time of a registration that is taken; a float holds it exactly.
+MAX_WALL_MS = 2**53
 
 
 class Peer:
-    """A registered daemon."""
+    """A registered daemon.
 
-    __slots__ = ("address", "failure_domain", "vm")
+    ``registered_ms`` is the wall-clock time at which it was first registered, or None
+    if an earlier version has written the registration.
+    """
+
+    __slots__ = ("address", "failure_domain", "registered_ms", "vm")
 
-    def __init__(self, vm, address, failure_domain):
+    def __init__(self, vm, address, failure_domain, registered_ms=None):
         self.vm = vm
         self.address = address
         self.failure_domain = failure_domain
+        self.registered_ms = registered_ms
 
 
 class PeerDirectory:
@@ -141,4 +148,14 @@
     except (KeyError, TypeError, ValueError):
         logger.warning("malformed registration", extra={"peer": name})
         return None
-    return Peer(name, address, domain)
+    return Peer(name, address, domain, wall_time_ms(spec.get("registered_ms")))
+
+
+def wall_time_ms(value):
+    """Return a wall-clock time of a registration, or None if it is none.
+
+    >>> wall_time_ms(1_700_000_000_000), wall_time_ms("1"), wall_time_ms(10**400)
+    (1700000000000, None, None)
+    """
+    is_time = type(value) is int and 0 <= value <= MAX_WALL_MS
+    return value if is_time else None
--- a/tests/features/edge_fleet.feature
+++ b/tests/features/edge_fleet.feature
@@ -130,6 +130,45 @@
     Then it reads the list of daemons once, and writes nothing
     And its registration is written again within 130 s
 
+  Scenario: a restarted daemon may use start tokens once, and keeps its registration
+    # Guards against tokens that each of several processes of a VM begins with.
+    Given a daemon that was registered 60 s ago and starts again
+    When it asks to use start tokens, and the store answers
+    Then it may use them, and the store has the time of its start
+    And renewals keep the time of its registration, 60 s ago, and of its start
+
+  Scenario Outline: a restarted daemon may not use start tokens
+    # Guards against start tokens twice in a window, or used before the store knows it.
+    Given a daemon <given>
+    When it asks to use start tokens, <when>
+    Then it may not use them
+
+    Examples:
+      | given                                                      | when                             |
+      | whose process used start tokens 11 s ago and starts again  | and the store answers            |
+      | whose process used start tokens -60 s ago and starts again | and the store answers            |
+      | that was registered 11 s ago and starts again              | and the store answers            |
+      | whose process used start tokens 60 s ago and starts again  | and the store does not answer    |
+
+  Scenario: a daemon whose registration has expired registers anew
+    # Guards against a daemon that counts as old although others do not know it.
+    Given a daemon whose registration of 580 s ago was never renewed starts again
+    When it asks to use start tokens, and the store answers
+    Then it may not use them, and its registration is new
+
+  Scenario Outline: a daemon whose clock is off does not count as registered
+    # Guards against a daemon that takes all others for gone, and all quotas for its own.
+    Given a daemon that was registered 900 s ago and starts again
+    When its clock is off by <offset> s, and 3 others are registered
+    Then the list <counts> as one that has it
+
+    Examples:
+      | offset | counts        |
+      | 3600   | does not count |
+      | -3600  | does not count |
+      | 10     | counts        |
+      | -10    | counts        |
+
   Scenario: a daemon that connects while the list is read is found soon
     # Guards against a daemon that is left out for 10 s, as the list that was just being
     # read does not have it.
--- a/tests/features/steps/edge_members_steps.py
+++ b/tests/features/steps/edge_members_steps.py
@@ -20,6 +20,7 @@
         self.away = False
         self.reads = 0
         self.writes = []
+        self.specs = []
         # Reads and writes to be answered later, if these are set.
         self.held_reads = None
         self.held_writes = None
@@ -35,6 +36,7 @@
     def write(self, vm, spec, revision, on_written):
         """Write a registration."""
         self.writes.append((spec["peer_address"], revision))
+        self.specs.append(spec)
         result = WriteResult(True, revision=99, spec=spec)
         if self.held_writes is None:
             on_written(result)
@@ -192,6 +194,99 @@
         on_written(result)
 
 
+def start_registered(context, fields):
+    """Start a daemon whose registration in the store has these fields as well."""
+    start_member(context, "10.0.0.1:7")
+    context.registrations.changes[0].spec.update(fields)
+    context.claimed = []
+
+
+@given("a daemon that was registered {age_s:d} s ago and starts again")
+def step_registered(context, age_s):
+    registered_ms = ManualClock().wall_ms() - 1000 * age_s
+    start_registered(context, {"registered_ms": registered_ms})
+
+
+@given("a daemon whose process used start tokens {age_s:d} s ago and starts again")
+def step_used(context, age_s):
+    now_ms = ManualClock().wall_ms()
+    fields = {"registered_ms": now_ms - 900_000, "started_ms": now_ms - 1000 * age_s}
+    start_registered(context, fields)
+
+
+@given("a daemon whose registration of {age_s:d} s ago was never renewed starts again")
+def step_expired(context, age_s):
+    old_ms = ManualClock().wall_ms() - 1000 * age_s
+    start_registered(context, {"registered_ms": old_ms, "renewed_ms": old_ms})
+
+
+@when("it asks to use start tokens, and the store answers")
+def step_asks(context):
+    context.clock.advance(100.0)
+    context.member.claim_start(12_000.0, context.claimed.append)
+
+
+@when("it asks to use start tokens, and the store does not answer")
+def step_asks_unanswered(context):
+    context.registrations.held_writes = []
+    step_asks(context)
+    assert len(context.registrations.held_writes) == 1
+
+
+@then("it may use them, and the store has the time of its start")
+def step_may_use(context):
+    assert len(context.claimed) == 1
+    assert context.registrations.writes == [("10.0.0.1:7", 7)]
+    assert context.registrations.specs[0]["started_ms"] == context.clock.wall_ms()
+
+
+@then("it may not use them")
+def step_may_not_use(context):
+    context.clock.advance(1000.0)
+    assert not context.claimed
+    assert context.registrations.held_writes or not context.registrations.writes
+
+
+@then("it may not use them, and its registration is new")
+def step_registered_anew(context):
+    context.clock.advance(1000.0)
+    assert not context.claimed
+    (spec,) = context.registrations.specs
+    assert spec["registered_ms"] == spec["renewed_ms"]
+
+
+@then("renewals keep the time of its registration, {age_s:d} s ago, and of its start")
+def step_kept(context, age_s):
+    context.clock.advance(300_000.0)
+    specs = context.registrations.specs
+    assert len(specs) == 3
+    registered_ms = ManualClock().wall_ms() - 1000 * age_s
+    assert {spec["registered_ms"] for spec in specs} == {registered_ms}
+    assert len({spec["started_ms"] for spec in specs}) == 1
+
+
+@when("its clock is off by {offset_s:d} s, and {count:d} others are registered")
+def step_clock_off(context, offset_s, count):
+    changes = context.registrations.changes
+    for number in range(count):
+        vm = f"e{number + 2}"
+        changes[1 + number :] = [registration(context.clock, vm, "10.0.0.2:7")]
+    context.clock.wall_offset_ms += 1000 * offset_s
+    # An earlier process has renewed it with the same clock.
+    changes[0].spec["renewed_ms"] = context.clock.wall_ms()
+    context.clock.advance(100.0)
+
+
+@then("the list counts as one that has it")
+def step_has_it(context):
+    assert context.member.was_registered
+
+
+@then("the list does not count as one that has it")
+def step_has_it_not(context):
+    assert not context.member.was_registered
+
+
 @then("it makes no further call within {seconds:d} s")
 def step_no_further_call(context, seconds):
     registrations = context.registrations
--- a/tests/features/steps/edge_odd_entries_steps.py
+++ b/tests/features/steps/edge_odd_entries_steps.py
@@ -95,7 +95,7 @@
     "servers": ["service", "address", "zone", "slots", "state", "warmup_left_ms"],
     "config": ["version", "routes", "services", "limits"],
     "evacuations": ["reason"],
-    DAEMON_KIND: ["failure_domain", "peer_address", "renewed_ms"],
+    DAEMON_KIND: ["failure_domain", "peer_address", "renewed_ms", "registered_ms"],
 }
 
 
