Let restarted keepers of quotas begin with tokens that the slack pays for

Cause: a restarted keeper begins with an empty bucket. After a restart of all daemons an account with a low rate waits seconds for its first token: 28 of 82 requests within the quota got 429 on a loss of power. Change: a restarted keeper begins with floor((limit - window_total - 2) / creators) tokens, at most its capacity. It writes its start to its registration before, and uses the tokens if the store confirms within 2 s and no process of its VM has used any within config_apply_ms, a window, twice the age of a token and 2 s. Only daemons that are keepers when they have read list and configuration write, and only with quotas. Also: the hold after a changed quota took the age of tokens for overshoot times window, which is 0 without overshoot, where tokens may be 250 ms old. The new scenario fails without the change. Ruled out: use before the store confirms, which lets a process that ends at once be followed by another one that uses them again.

--- a/hemlockspoke/tier/peering.py
+++ b/hemlockspoke/tier/peering.py
@@ -77,6 +77,7 @@
             self._services,
         )
         self.quotas = QuotaManager(settings, tier.clock, network, tier.metrics)
+        self.quotas.claim_start = self._claim_start
         self.quotas.on_streams = self.peers.update_streams
         self.peers.further_streams = self.quotas.stream_vms
         self.rollouts = connect_rollouts(
@@ -105,6 +106,10 @@
         routing = self._directory.routing
         return {} if routing is None else routing.services
 
+    def _claim_start(self, hold_ms, on_claimed):
+        if self.membership is not None:
+            self.membership.claim_start(hold_ms, on_claimed)
+
     def set_peers(self, peers):
         """Set the list of registered daemons, without this one."""
         membership = self.membership
--- a/hemlockspoke/tier/quotas/account_keeper.py
+++ b/hemlockspoke/tier/quotas/account_keeper.py
@@ -99,6 +99,11 @@
         """Fill the bucket, of which nothing has been spent."""
         self._bucket.fill(now_ms)
 
+    def add_start_tokens(self, count, now_ms):
+        """Add tokens with which a restarted keeper begins."""
+        self._bucket.add(count, now_ms)
+        self._serve(now_ms)
+
     def request(self, vm, ask_id, count, now_ms):
         """Answer a daemon of this failure domain, now or when lenders have answered."""
         count = min(count, MAX_COUNT)
--- a/hemlockspoke/tier/quotas/quota_manager.py
+++ b/hemlockspoke/tier/quotas/quota_manager.py
@@ -15,7 +15,7 @@
 )
 from hemlockspoke.tier.quotas.observer import QuotaObserver
 from hemlockspoke.tier.quotas.quota_gate import QuotaGate
-from hemlockspoke.tier.quotas.quota_table import QuotaTable
+from hemlockspoke.tier.quotas.quota_table import START_USE_MS, QuotaTable
 from hemlockspoke.tier.quotas.tenure import Tenure
 
 logger = logging.getLogger(__name__)
@@ -26,6 +26,8 @@
 
     ``network`` has ``send(vm, message)``, which returns whether a stream is open, and
     ``has_stream(vm)``. ``on_streams()`` is called when ``stream_vms()`` may differ.
+    ``claim_start(hold_ms, on_claimed)`` asks for the use of start tokens, see
+    ``Membership.claim_start``.
     """
 
     __slots__ = (
@@ -39,11 +41,13 @@
         "_registered_by_domain",
         "_rng",
         "_routes",
+        "_start_decided",
         "_starts_full",
         "_table",
         "_timers",
         "_vm",
         "_with_full_bucket",
+        "claim_start",
         "gate",
         "on_streams",
     )
@@ -68,6 +72,10 @@
         self._timers = {}
         # Accounts whose buckets have spent nothing yet and start full.
         self._with_full_bucket = set()
+        # Whether this process has decided if it asks for start tokens. At the first
+        # start the buckets are full.
+        self._start_decided = settings.first_start
+        self.claim_start = None
         self.gate = QuotaGate(self._queues.get)
         self.on_streams = None
 
@@ -82,6 +90,7 @@
         if not accounts and not had_quotas:
             # The next quota is none of the first configuration.
             self._table.set_accounts({}, self._starts_full, self._clock.now_ms())
+            self._start_decided = True
             return
         now_ms = self._clock.now_ms()
         full = self._table.set_accounts(accounts, self._starts_full, now_ms)
@@ -91,6 +100,7 @@
         for name in accounts:
             self._adopt(name)
         self._update_keepers()
+        self._decide_start()
         if had_quotas != bool(accounts) and self.on_streams is not None:
             self.on_streams()
 
@@ -141,6 +151,25 @@
         for registered in lists_since(before, registered_by_domain):
             self._set_list(registered, was_registered)
         self._registered_by_domain = registered_by_domain
+        self._decide_start()
+
+    def _decide_start(self):
+        """Ask for start tokens once, if this daemon is a keeper when it begins."""
+        if self._start_decided or not self._queues or not self._registered_by_domain:
+            return
+        self._start_decided = True
+        if self.claim_start is not None and self._routes.is_keeper():
+            self.claim_start(self._table.start_hold_ms(), self._use_start_tokens)
+
+    def _use_start_tokens(self, claimed_ms):
+        """Use start tokens, as the store has had the start since ``claimed_ms``."""
+        now_ms = self._clock.now_ms()
+        if now_ms - claimed_ms >= START_USE_MS:
+            return
+        for name in self._queues:
+            keeper = self._update_keeper(name, now_ms)
+            keeper.add_start_tokens(self._table.start_tokens(name, now_ms), now_ms)
+            self._check_later(name, keeper)
 
     def _set_list(self, registered_by_domain, was_registered):
         tenure, now_ms = self._table.tenure, self._clock.now_ms()
--- a/hemlockspoke/tier/quotas/quota_table.py
+++ b/hemlockspoke/tier/quotas/quota_table.py
@@ -4,7 +4,11 @@
 daemons apply at different times.
 """
 
-from hemlockspoke.tier.quotas.plan import QuotaPlan
+from hemlockspoke.tier.quotas.plan import QuotaPlan, token_age_ms
+
+# Start tokens are used within this time after the start was written to the store, or
+# not at all.
+START_USE_MS = 2000.0
 
 
 class _Hold:
@@ -50,14 +54,24 @@
         """Return for how long a configuration may differ between daemons, with its
         window."""
         bounds = self._bounds
-        age_ms = bounds.quota_overshoot * bounds.quota_window_ms
-        return bounds.config_apply_ms + bounds.quota_window_ms + age_ms
+        return bounds.config_apply_ms + bounds.quota_window_ms + self._age_ms()
+
+    def _age_ms(self):
+        bounds = self._bounds
+        return token_age_ms(bounds.quota_window_ms, bounds.quota_overshoot)
+
+    def start_hold_ms(self):
+        """Return the least time between two uses of start tokens by one VM.
+
+        A use may follow its time in the store by ``START_USE_MS``, and loans of the
+        process before count for up to a token's age.
+        """
+        return self.hold_ms() + START_USE_MS + self._age_ms()
 
     def plan(self, name, domain_count=None):
         """Return the plan of an account for a number of failure domains."""
         if domain_count is None:
-            keeper_map = self.tenure.current
-            domain_count = len(keeper_map.domains()) if keeper_map else 1
+            domain_count = self.tenure.domain_count()
         key = (name, domain_count)
         if key not in self._plans:
             account = self._accounts[name]
@@ -78,6 +92,14 @@
             del self._holds[name]
         return rate_per_s, capacity
 
+    def start_tokens(self, name, now_ms):
+        """Return how many tokens this daemon may begin with after a restart."""
+        if name in self._holds:
+            return 0
+        return self.tenure.start_tokens(
+            name, lambda count: self.plan(name, count), now_ms
+        )
+
     def set_accounts(self, accounts, starts_full, now_ms):
         """Set the accounts by name; return the names whose buckets may start full.
 
--- a/tests/bench/quotas.py
+++ b/tests/bench/quotas.py
@@ -4,7 +4,8 @@
 fleet in one situation. Request shares fall with the rank of the account, clients of an
 account connect unevenly, and one account sends five times its usual rate for a while.
 A request is within the quota if one token bucket for all daemons together has a token
-for it. The baseline divides each quota evenly among the daemons. Windows are fractions
+for it. "All restarted" counts the first seconds after all have ended at once. The
+baseline divides each quota evenly among the daemons. Windows are fractions
 of the limit. The last column leaves out the account with the surge.
 """
 
@@ -16,7 +17,7 @@
 from tests.fakes.quota_fleet import REGIONS, QuotaFleet, quota_limit
 
 SIZES = (10, 87, 300)
-SITUATIONS = ("calm", "region cut off", "restarts")
+SITUATIONS = ("calm", "region cut off", "restarts", "all restarted")
 ACCOUNTS = 86
 REQUESTS_PER_DAEMON_PER_S = 4.0
 HEADROOM = 1.6
@@ -25,6 +26,10 @@
 # Lists are read and the tokens of the first start created before the load begins.
 SETTLE_MS = 16_000.0
 DOWN_MS = 2000.0
+# After a restart of all daemons, these are the first and last to start, and requests
+# count for this time after the last one.
+START_SPREAD_MS = 500.0
+COUNTED_MS = 4000.0
 HEADER = (
     f"{'daemons':>7} {'situation':>15} {'served':>7} {'even':>7} {'window':>7}"
     f" {'even w.':>7} {'msg/s':>7} {'B/s/dmn':>8} {'wait p99':>8} {'no surge':>8}"
@@ -76,6 +81,8 @@
         self.calm_waits_ms = []
         self.surge_from_ms = SETTLE_MS + 0.25 * duration_ms
         self.surge_until_ms = SETTLE_MS + 0.6 * duration_ms
+        # The requests that count.
+        self.from_ms, self.until_ms = SETTLE_MS, float("inf")
         total_per_s = REQUESTS_PER_DAEMON_PER_S * count
         shares = [rank**-1.2 for rank in range(1, ACCOUNTS + 1)]
         self.loads = []
@@ -104,6 +111,8 @@
             fleet.clock.call_later(0.2 * self.duration_ms, self._cut)
         if self.situation == "restarts":
             self._plan_restarts()
+        if self.situation == "all restarted":
+            fleet.clock.call_later(0.7 * self.duration_ms, self._restart_all)
         end_ms = SETTLE_MS + self.duration_ms
         for index, load in enumerate(self.loads):
             self._request_later(index, load, end_ms)
@@ -124,10 +133,18 @@
             at_ms = self.rng.uniform(0.1, 0.8) * self.duration_ms
             self.fleet.clock.call_later(at_ms, self._stop, vm)
 
-    def _stop(self, vm):
+    def _restart_all(self):
+        self.from_ms = self.fleet.clock.now_ms() + DOWN_MS + START_SPREAD_MS
+        self.until_ms = self.from_ms + COUNTED_MS
+        for vm in list(self.fleet.daemons):
+            self._stop(vm, self.rng.uniform(0.0, START_SPREAD_MS))
+        for load in self.loads:
+            load.within = load.served_within = load.served = load.even_within = 0
+
+    def _stop(self, vm, delay_ms=0.0):
         domain = self.fleet.daemons[vm].domain
         self.fleet.stop(vm)
-        self.fleet.clock.call_later(DOWN_MS, self._start, vm, domain)
+        self.fleet.clock.call_later(DOWN_MS + delay_ms, self._start, vm, domain)
 
     def _start(self, vm, domain):
         daemon = self.fleet.add(vm, domain)
@@ -147,6 +164,10 @@
     def _request(self, index, load, end_ms):
         now_ms = self.fleet.clock.now_ms()
         is_within = load.ideal.take(1, now_ms) == 1
+        if not self.fleet.daemons:
+            self._request_later(index, load, end_ms)
+            return
+        is_within = is_within and self.from_ms <= now_ms < self.until_ms
         load.within += is_within
         vms = [vm for vm in load.daemon_weights if vm in self.fleet.daemons]
         weights = [load.daemon_weights[vm] for vm in vms]
--- a/tests/fakes/quota_fleet.py
+++ b/tests/fakes/quota_fleet.py
@@ -65,6 +65,7 @@
         self.manager = QuotaManager(
             settings, self.clock, self, fleet.metrics, fleet.rng
         )
+        self.manager.claim_start = self.claim_start
         self.alive = True
         # What the first list had of this VM.
         self.first_spec = None
--- a/tests/features/quotas.feature
+++ b/tests/features/quotas.feature
@@ -46,6 +46,10 @@
     When a new version divides the quota among half as many keepers
     Then daemons with either version create at most the quota together
 
+  Scenario: a changed quota is held until the tokens of the earlier one are too old
+    # Guards against a hold that forgets the least age of tokens if overshoot is 0.
+    Then without overshoot a hold lasts for a window and 250 ms after the last change
+
   Scenario: a token of a request that has not run is used again
     # Guards against refusals that count as requests.
     Given a fleet of 12 daemons and an account with 10 requests a second
@@ -69,6 +73,19 @@
     When 18 daemons are added
     Then each account keeps 1.0 of its quota for 600 s, and 0.97 over 900 s
 
+  Scenario: accounts with a low rate are served after a restart of all daemons
+    # Guards against keepers that begin with no token, and then take seconds for one.
+    Given a fleet of 12 daemons and an account with 1 requests a second
+    When all daemons restart
+    Then a request in each failure domain is served
+
+  Scenario: start tokens are used once in a window
+    # Guards against a daemon that restarts in a loop and creates tokens each time.
+    Given a fleet of 12 daemons and an account with 1 requests a second
+    When all daemons restart
+    And all daemons restart
+    Then a request in each failure domain is refused
+
   Scenario: a keeper that ends is replaced by one that lends
     # Guards against a failure domain whose requests are all refused after that.
     Given a fleet of 12 daemons and an account with 10 requests a second
--- a/tests/features/steps/quotas_steps.py
+++ b/tests/features/steps/quotas_steps.py
@@ -5,10 +5,12 @@
 from hypothesis import strategies as st
 
 from hemlockspoke.tier.accounts.account import Account
+from hemlockspoke.tier.edge_settings import Bounds
 from hemlockspoke.tier.messages import TokenGrant, TokenRequest
 from hemlockspoke.tier.quotas.bucket import TokenBucket
 from hemlockspoke.tier.quotas.keeper_schedule import KeeperSchedule
 from hemlockspoke.tier.quotas.plan import QuotaPlan
+from hemlockspoke.tier.quotas.quota_table import QuotaTable
 from tests.bench.quotas import QuotaLoad
 from tests.fakes.quota_fleet import QuotaFleet, quota_limit
 from tests.fuzz.quota_machine import run_quota_machine
@@ -221,6 +223,13 @@
     assert abs(sum(after.values()) - 80.0) < 1.0, after
 
 
+@then("without overshoot a hold lasts for a window and 250 ms after the last change")
+def step_hold(context):
+    bounds = Bounds(quota_overshoot=0.0)
+    table = QuotaTable(bounds, tenure=None)
+    assert table.hold_ms() == bounds.config_apply_ms + WINDOW_MS + 250.0
+
+
 @when("{count:d} requests at one daemon proceed, and none of them is run by a server")
 def step_returned(context, count):
     fleet = context.fleet
