Merge quotas that survive growth and restarts

Added daemons become keepers only when they are old, and restarted keepers begin with the tokens that the slack pays for.

--- a/hemlockspoke/tier/peering.py
+++ b/hemlockspoke/tier/peering.py
@@ -77,6 +77,7 @@
             self._services,
         )
         self.quotas = QuotaManager(settings, tier.clock, network, tier.metrics)
+        self.quotas.claim_start = self._claim_start
         self.quotas.on_streams = self.peers.update_streams
         self.peers.further_streams = self.quotas.stream_vms
         self.rollouts = connect_rollouts(
@@ -105,16 +106,25 @@
         routing = self._directory.routing
         return {} if routing is None else routing.services
 
+    def _claim_start(self, hold_ms, on_claimed):
+        if self.membership is not None:
+            self.membership.claim_start(hold_ms, on_claimed)
+
     def set_peers(self, peers):
         """Set the list of registered daemons, without this one."""
-        vms_by_domain = {self._settings.failure_domain: [self._settings.vm]}
+        membership = self.membership
+        own_ms = None if membership is None else membership.registered_ms()
+        registered_by_domain = {
+            self._settings.failure_domain: {self._settings.vm: own_ms}
+        }
         for peer in peers:
-            vms_by_domain.setdefault(peer.failure_domain, []).append(peer.vm)
-        self._directory.set_members(vms_by_domain)
+            registered = registered_by_domain.setdefault(peer.failure_domain, {})
+            registered[peer.vm] = peer.registered_ms
+        self._directory.set_members(
+            {domain: list(vms) for domain, vms in registered_by_domain.items()}
+        )
         self.quotas.set_members(
-            vms_by_domain,
-            self._directory.limit_shares.hubs,
-            self.membership is not None and self.membership.was_registered,
+            registered_by_domain, membership is not None and membership.was_registered
         )
         self.peers.set_peers(peers)
         self.relay.set_position(
