Wait for a closed port before the views are asked

The reactor closes the port of an ended daemon in a later turn, so a connection that comes first is reset. Change: the step waits until the port refuses connections; what is checked is the same.

--- a/tests/features/steps/edge_views_steps.py
+++ b/tests/features/steps/edge_views_steps.py
@@ -1,6 +1,8 @@
 """Steps on the views of operators, with daemons and servers on real sockets."""
 
+import errno
 import json
+import socket
 
 from behave import then, when
 from typer.testing import CliRunner
@@ -42,9 +44,18 @@
     ask(context, "accounts", [vm])
 
 
+def is_refused(address):
+    """Return whether nothing listens at an address any more."""
+    with socket.socket() as probe:
+        return probe.connect_ex((address.host, address.port)) == errno.ECONNREFUSED
+
+
 @when('"{vm}" ends and an operator asks all daemons for accounts')
 def step_end(context, vm):
     run_in_reactor(context.world.daemons[vm].close)
+    # The reactor closes the port in a later turn, and resets what connects until then.
+    address = Address.parse(metrics_address(context, vm))
+    wait_until(lambda: is_refused(address))
     step_ask_all(context, "accounts")
 
 
