Bound the parts of a relayed list, and tidy what the last reading found

- Parts of a list from another daemon were bounded by their number of changes only.
As frames are compressed now, 4 kB on the network may hold 4 MB, so their number is limited to 64, three times what a list of 100,000 servers takes.
The new example with 65 parts fails on the code before.
- The timer of a late report was left running when another report went out first.
- A status of a rollout is looked up where malformed values are caught, as before.

--- a/hemlockspoke/platform/objects.py
+++ b/hemlockspoke/platform/objects.py
@@ -219,10 +219,11 @@
         if _text(fields["service"]) != name or not 0 < duration_ms <= MAX_INTEGER:
             return None
         status = fields.get("status")
-        state = None
+        state = final_phase = None
         # The status may still be that of an earlier order for another version.
         if isinstance(status, dict) and status.get("target_version") == target_version:
             state = status.get("state")
+            final_phase = FINAL_PHASES.get(state)
         revision = _integer(fields["revision"])
     except _MALFORMED:
         return None
@@ -232,7 +233,7 @@
         target_version,
         duration_ms,
         revision,
-        FINAL_PHASES.get(state),
+        final_phase,
         is_running=state == RUNNING_STATE,
     )
 
--- a/hemlockspoke/tier/peers/peer_gather.py
+++ b/hemlockspoke/tier/peers/peer_gather.py
@@ -126,7 +126,9 @@
             self._report(last=False)
 
     def _report(self, last):
-        self._late_report = None
+        if self._late_report is not None:
+            self._late_report.cancel()
+            self._late_report = None
         if self._finished:
             return
         answers, self._answers = self._answers, []
--- a/hemlockspoke/tier/quotas/keeper_schedule.py
+++ b/hemlockspoke/tier/quotas/keeper_schedule.py
@@ -72,10 +72,6 @@
         """Return how many failure domains have registered daemons."""
         return len(self._maps[0].domains())
 
-    def is_constant(self):
-        """Return whether the keepers are the same at all times."""
-        return len(self._maps) == 1
-
     def map_at(self, wall_ms):
         """Return the ``KeeperMap`` at a time."""
         return self._maps[bisect_right(self._from_ms, wall_ms) - 1]
@@ -92,7 +88,7 @@
 
 
 def lists_since(before, registered_by_domain):
-    """Return the lists to note when one is read after another one, or None.
+    """Return the lists to note when one is read; ``before`` is the last one, or None.
 
     If daemons were both added and removed, others may have read a list between that
     has them all.
--- a/hemlockspoke/tier/requests/tier_request.py
+++ b/hemlockspoke/tier/requests/tier_request.py
@@ -9,7 +9,7 @@
 MERGE_ALLOWANCE_MS = 0.05
 # Fraction of that allowance within which an answer that becomes possible after the aim
 # is sent at once, as it mostly still arrives in time.
-LATE_START_FRACTION = 0.5
+LATE_ANSWER_FRACTION = 0.5
 # Margin before the caller's deadline and the route's timeout, so that an answer or
 # error sent at the end still arrives in time.
 DEADLINE_ALLOWANCE_MS = 15.0
@@ -79,7 +79,7 @@
         work_ms = work_allowance_ms(route)
         aim_ms = target_ms - network_ms(http) - work_ms
         self.aim_ms = min(aim_ms, self.give_up_ms)
-        self.latest_aim_ms = self.aim_ms + LATE_START_FRACTION * work_ms
+        self.latest_aim_ms = self.aim_ms + LATE_ANSWER_FRACTION * work_ms
 
 
 def network_ms(http):
--- a/hemlockspoke/tier/rollouts/decider.py
+++ b/hemlockspoke/tier/rollouts/decider.py
@@ -39,23 +39,23 @@
     )
 
     def __init__(
-        self, total, has_old, has_target, has_warm_target, old_is_left, is_followed=True
+        self, total, has_old, has_target, has_warm_target, old_is_left, is_followed
     ):
-        self.is_followed = is_followed
         self.total = total
         self.has_old = has_old
         self.has_target = has_target
         self.has_warm_target = has_warm_target
         self.old_is_left = old_is_left
+        self.is_followed = is_followed
 
 
 class Decider:
     """The state of one order: its phase, and the share of requests to sample.
 
-    ``set_started`` must be called before the first step. ``reason``
-    says why the phase was last changed, and ``total`` is the ``Tally`` that was last
-    examined, or None. Once the phase is ``COMPLETING`` or ``ROLLED_BACK`` the decision
-    stands, as it may have reached the store.
+    ``set_started`` must be called before the first step. ``reason`` says why the phase
+    was last changed, and ``total`` is the ``Tally`` that was last examined, or None.
+    Once the phase is ``COMPLETING`` or ``ROLLED_BACK`` the decision stands, as it may
+    have reached the store.
     """
 
     __slots__ = (
--- a/hemlockspoke/tier/rollouts/evidence.py
+++ b/hemlockspoke/tier/rollouts/evidence.py
@@ -80,10 +80,10 @@
     """What one daemon has seen of an order; ``rows`` maps keys to ``Counts``.
 
     A key is ``(route, region, server_id, is_target)``; the servers of the old version
-    are not told apart, their id is empty. ``sent_target`` counts the
-    requests sent to servers of the target version, ``sent_total`` all requests sent to
-    the service, without repeats. ``old_in_progress`` counts the requests in progress
-    at servers of other versions.
+    are not told apart, their id is empty. ``sent_target`` counts the requests sent to
+    servers of the target version, ``sent_total`` all requests sent to the service,
+    without repeats. ``old_in_progress`` counts the requests in progress at servers of
+    other versions.
     """
 
     __slots__ = ("old_in_progress", "rows", "sent_target", "sent_total")
--- a/hemlockspoke/tier/state/change_parts.py
+++ b/hemlockspoke/tier/state/change_parts.py
@@ -16,8 +16,11 @@
 # Limit on the changes of one message. A larger object is alone in its message; it is
 # at most half as large as a frame (``MAX_OBJECT_BYTES``).
 MAX_PART_BYTES = MAX_FRAME_BYTES // 4
-# Limit on the changes that are kept until the last part of a list has arrived.
+# Limits on what is kept until the last part of a list has arrived. Parts are bounded by
+# a frame, which may be much smaller on the network as it is compressed; a list of
+# 100,000 servers has about 20 parts.
 MAX_PENDING_CHANGES = 1_000_000
+MAX_PENDING_PARTS = 64
 
 
 def changes_messages(kind, changes, since, revision, complete, age_ms=0.0):
@@ -49,32 +52,34 @@
     """Parts of changes that have arrived before the last one, by sender and kind.
 
     A stream delivers the parts of one kind in order and without others between them.
-    Changes over the limit are dropped as a whole, as a list with gaps would remove
+    Changes over a limit are dropped as a whole, as a list with gaps would remove
     servers that exist.
     """
 
-    __slots__ = ("_changes",)
+    __slots__ = ("_pending",)
 
     def __init__(self):
-        self._changes = {}
+        # Number of parts and their changes, which are None if they were dropped.
+        self._pending = {}
 
     def add(self, vm, message):
         """Add a part; return all changes if it is the last one, otherwise None."""
         key = (vm, message.kind)
-        pending = self._changes.pop(key, [])
-        if pending is not None:
-            pending.extend(message.changes)
-            if len(pending) > MAX_PENDING_CHANGES:
+        parts, changes = self._pending.pop(key, (0, []))
+        parts += 1
+        if changes is not None:
+            changes.extend(message.changes)
+            if len(changes) > MAX_PENDING_CHANGES or parts > MAX_PENDING_PARTS:
                 logger.error(
                     "too many changes", extra={"peer": vm, "kind": message.kind}
                 )
-                pending = None
+                changes = None
         if not message.more:
-            return pending
-        self._changes[key] = pending
+            return changes
+        self._pending[key] = parts, changes
         return None
 
     def discard(self, vm):
         """Discard the parts of a daemon whose stream has ended."""
-        for key in [key for key in self._changes if key[0] == vm]:
-            del self._changes[key]
+        for key in [key for key in self._pending if key[0] == vm]:
+            del self._pending[key]
--- a/hemlockspoke/tier/state/members.py
+++ b/hemlockspoke/tier/state/members.py
@@ -52,9 +52,9 @@
     ``on_written`` takes a ``WriteResult``, and ``read(stale, on_read)``, where
     ``on_read`` takes a list of changes, or None if the read failed. ``on_members``
     takes the list of the other daemons as ``Peer`` objects. ``was_registered`` is
-    whether the last list had this daemon in its failure domain, and its times fit
-    the wall clock.
-    ``claim_start`` is for a process that wants to use start tokens of quotas.
+    whether the last list had this daemon in its failure domain, and its times fit the
+    wall clock. ``claim_start`` is for a process that wants to use start tokens of
+    quotas.
     """
 
     __slots__ = (
--- a/tests/features/edge_decisions.feature
+++ b/tests/features/edge_decisions.feature
@@ -88,6 +88,17 @@
       | 22    | 25       | 20    |
       | 10    | 18       | 20    |
 
+  Scenario Outline: changes in parts without end are not kept
+    # Guards against a peer that fills this daemon's memory with small compressed frames.
+    Given a kind that is known up to revision 20
+    When a peer reports changes from 20 to 25 in <parts> parts
+    Then the kind is known up to revision <known>
+
+    Examples:
+      | parts | known |
+      | 64    | 25    |
+      | 65    | 20    |
+
   Scenario: a daemon that was paused does not take its peer for silent
     # Guards against two readers of the store after each pause of a daemon.
     Given a daemon that gets store changes from a peer
--- a/tests/features/steps/edge_decisions_steps.py
+++ b/tests/features/steps/edge_decisions_steps.py
@@ -361,16 +361,22 @@
 
 @when("a peer reports changes from {since:d} to {revision:d}")
 def step_reported_changes(context, since, revision):
-    message = StoreChanges(
-        kind="servers",
-        since=since,
-        revision=revision,
-        changes=[["s1", False, {}]],
-        complete=False,
-        age_ms=0,
-        more=False,
-    )
-    context.relay.receive("e0", message)
+    step_reported_parts(context, since, revision, 1)
+
+
+@when("a peer reports changes from {since:d} to {revision:d} in {parts:d} parts")
+def step_reported_parts(context, since, revision, parts):
+    for number in range(1, parts + 1):
+        message = StoreChanges(
+            kind="servers",
+            since=since,
+            revision=revision,
+            changes=[[f"s{number}", False, {}]],
+            complete=False,
+            age_ms=0,
+            more=number < parts,
+        )
+        context.relay.receive("e0", message)
 
 
 @then("the kind is known up to revision {revision:d}")
