--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,8 @@
-"""Another writer keeps an entry of another type among those of the servers."""
+"""Servers that are full send some of their refusals a second time, late."""
 
 import asyncio
 import itertools
+import random
 import sys
 from collections import Counter
 from pathlib import Path
@@ -12,6 +13,7 @@
 from stand_ins import BROKEN, HELD, World, request, run_case  # noqa: E402
 
 REGIONS = {"kolding": "jylland", "koege": "sjaelland", "klaipeda": "baltikum"}
+DAEMONS = {"kolding": 3, "koege": 3, "klaipeda": 2}
 LIMITS = {"memory_mb": 300, "max_fds": 4100, "link_mbps": 1000.0}
 BOUNDS = {
     "stable_window_ms": 4000,
@@ -23,39 +25,43 @@
     "retry_window_s": 10,
     "retry_slack": 56,
 }
+SERVERS = 8
+SLOTS = 3
+QUEUE = 12
+WORK_MS = 233.0
+MAX_CONNECTIONS = 40
 HOST = "desk.example"
-PATH = "/lagerpost/2f"
-SERVERS = 3
-WORK_MS = 20.0
-TIMEOUT_MS = 1200
-BUDGET_MS = 6000
-REQUESTS_PER_S = 5.0
-PLAY_S = 30.0
-SETTLE_S = 5.0
-# The entry of the other writer: below the limit of the store for a value, and written
-# as often as servers write.
-HEARTBEAT_S = 1.2
-ELEMENTS = 330_000
-LONG_NUMBER = 10**5000
-# For the rule: the least number of requests that count, and how much later than its
-# timeout a request must be answered.
-LEAST = 8
-LATE_MS = 500
+PATH = "/order/2f"
+BUDGET_MS = 10_000
+# More than the servers bear: 8 servers of 3 slots answer 103 requests a second.
+ORDERS_PER_S = 130.0
+PLAY_S = 60.0
+SETTLE_S = 2.0
+# The impairment: this share of the servers sends this share of its refusals twice, for
+# some seconds at a time.
+SHARE = 0.6
+REPEATED = 0.03
+TROUBLE_S = 5.0
+PAUSE_S = 1.0
 
 
 def configuration():
     route = {
-        "name": "lagerpost",
+        "name": "order",
         "host": HOST,
-        "path_prefix": "/lagerpost/",
-        "kind": "idempotent",
-        "service": "lagerkonto",
-        "timeout_ms": TIMEOUT_MS,
-        "target_latency_ms": 400,
+        "path_prefix": "/order/",
+        "kind": "non_idempotent",
+        "service": "fragtplan",
+        "timeout_ms": BUDGET_MS,
+        "target_latency_ms": 1041,
         "max_attempts": 2,
         "priority": 2,
     }
-    service = {"name": "lagerkonto", "health_path": "/health", "max_connections": 40}
+    service = {
+        "name": "fragtplan",
+        "health_path": "/health",
+        "max_connections": MAX_CONNECTIONS,
+    }
     limits = {
         "max_header_bytes": 16384,
         "max_body_bytes": 262144,
@@ -65,61 +71,103 @@
     return {"version": 7, "routes": [route], "services": [service], "limits": limits}
 
 
-async def write_entries(store, record):
-    """Write an entry with a field of another type as often as a server writes."""
-    for sequence in itertools.count(1):
-        slots = [[] for _ in range(ELEMENTS)]
-        spec = {"kind": "printer", "sequence": sequence, "slots": [*slots, LONG_NUMBER]}
-        await store.put("servers", "other-writer-1", spec)
-        record.write(f"entry   of another writer, sequence {sequence}")
-        await asyncio.sleep(HEARTBEAT_S)
+class Repeater:
+    """Sends some refusals again where the answer to the next request is expected."""
+
+    def __init__(self, server_ids, record):
+        self.is_on = False
+        self.count = 0
+        self._server_ids = server_ids
+        self._record = record
+        self._rng = random.Random(8)
+        self._copies = {}
+
+    def refused(self, server, writer, data):
+        chosen = self.is_on and server.server_id in self._server_ids
+        if chosen and self._rng.random() < REPEATED:
+            self._copies[writer] = data
+
+    async def run(self):
+        while True:
+            self.is_on = True
+            self._record.write("trouble begins")
+            await asyncio.sleep(TROUBLE_S)
+            self.is_on = False
+            self._record.write("trouble ends")
+            await asyncio.sleep(PAUSE_S)
+
+    def next_request(self, server, attempt, writer):
+        """Send the copy that is due on a connection, before the request is served."""
+        data = self._copies.pop(writer, None)
+        if data is not None:
+            self.count += 1
+            self._record.write(f"copy    before {attempt} at {server.server_id}")
+            writer.write(data)
 
 
-async def send_requests(daemons, record, times):
+async def send_orders(daemons, record, replies):
     async def send(daemon, attempt):
-        started_ms = record.now_ms()
-        reply = await request(daemon, PATH, attempt, HOST, BUDGET_MS)
-        took_ms = record.now_ms() - started_ms
-        answer = f"{reply.status} after {took_ms:.0f} ms"
-        record.write(f"answer  {attempt} from {daemon.name}: {answer}")
-        times.append((daemon.name, reply.status, took_ms))
+        reply = await request(
+            daemon, PATH, attempt, HOST, BUDGET_MS, method="POST", body=b"order"
+        )
+        replies[attempt] = reply.status
+        record.write(f"answer  {attempt} from {daemon.name}: {reply.status}")
 
     for number in itertools.count():
-        for daemon in daemons:
-            asyncio.create_task(send(daemon, f"request-{daemon.name}-{number}"))
-        await asyncio.sleep(1.0 / REQUESTS_PER_S)
+        daemon = daemons[number % len(daemons)]
+        asyncio.create_task(send(daemon, f"order-{number}"))
+        await asyncio.sleep(1.0 / ORDERS_PER_S)
 
 
 async def play(record, trouble):
-    sys.set_int_max_str_digits(0)
     world = World(record, REGIONS, LIMITS, BOUNDS)
-    times = []
+    replies = {}
+    ids = [f"i-{number}" for number in range(SERVERS)]
+    repeater = Repeater(set(ids[: int(SHARE * SERVERS)]), record)
     try:
         await world.start()
         await world.store.put("config", "main", configuration())
-        for number, zone in zip(range(SERVERS), itertools.cycle(REGIONS)):
-            await world.add_server(f"i-{number}", "lagerkonto", zone, work_ms=WORK_MS)
-        await world.add_daemons(*((f"edge-{zone}-1", zone) for zone in REGIONS))
+        for number, server_id in enumerate(ids):
+            await world.add_server(
+                server_id,
+                "fragtplan",
+                list(REGIONS)[number % len(REGIONS)],
+                slots=SLOTS,
+                queue=QUEUE,
+                work_ms=WORK_MS,
+                max_connections=MAX_CONNECTIONS,
+                repeater=repeater,
+            )
+        names = [
+            (f"edge-{zone}-{number}", zone)
+            for zone, count in DAEMONS.items()
+            for number in range(1, count + 1)
+        ]
+        await world.add_daemons(*names)
         await asyncio.sleep(SETTLE_S)
-        tasks = [asyncio.create_task(send_requests(world.daemons, record, times))]
+        tasks = [asyncio.create_task(send_orders(world.daemons, record, replies))]
         if trouble:
-            tasks.append(asyncio.create_task(write_entries(world.store, record)))
+            tasks.append(asyncio.create_task(repeater.run()))
         await asyncio.sleep(PLAY_S)
         for task in tasks:
             task.cancel()
         await asyncio.sleep(BUDGET_MS / 1000.0)
     finally:
         await world.stop()
-    late = [took_ms for _, _, took_ms in times if took_ms > TIMEOUT_MS]
-    silent = [took_ms for took_ms in late if took_ms > TIMEOUT_MS + LATE_MS]
-    counts = dict(Counter(status for _, status, _ in times))
-    text = (
-        f"{len(times)} requests got {counts}; {len(late)} were unanswered at "
-        f"{TIMEOUT_MS} ms, {len(silent)} of them also {LATE_MS} ms later"
+    runs = Counter(attempt for server in world.servers for attempt in server.runs)
+    twice = sorted(attempt for attempt, count in runs.items() if count > 1)
+    refused = sorted(one for one in runs if replies.get(one) in (408, 421, 429, 503))
+    for attempt in twice:
+        record.write(f"TWICE   {attempt} ran {runs[attempt]} times")
+    for attempt in refused:
+        record.write(f"REFUSED {attempt} ran and was answered {replies[attempt]}")
+    counts = dict(Counter(replies.values()))
+    record.write(f"clients got {counts}, {repeater.count} copies were sent")
+    print(
+        f"clients got {counts}; {repeater.count} copies; twice {len(twice)}, "
+        f"refused though run {len(refused)}"
     )
-    record.write(text)
-    print(text)
-    return BROKEN if len(late) >= LEAST and 2 * len(silent) > len(late) else HELD
+    return BROKEN if refused else HELD
 
 
 run_case(FOLDER, play)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # library alone, so this only compiles them; it needs no network.
 set -euo pipefail
 cd "$(dirname "$0")"
-for folder in lib2 6 7 8 9; do
+for folder in lib2 6 7 8 9 10; do
     python3 -m compileall -q "$folder"
 done
--- a/review/lib2/stand_ins.py
+++ b/review/lib2/stand_ins.py
@@ -99,15 +99,20 @@
 class Store:
     """The platform's store: objects by kind and name, lists and watches.
 
-    It refuses a value of over ``VALUE_BYTES``.
+    It refuses a value of over ``VALUE_BYTES``, and forgets changes after ``HISTORY_S``.
+    Calls from a host in ``turned_away`` get 503.
     """
 
     VALUE_BYTES = 1_048_576
+    HISTORY_S = 20.0
 
     def __init__(self):
         self.address = None
         self._kinds = {}
+        self.turned_away = set()
+        # Changes with their revisions and times, and the newest one that is forgotten.
         self._events = []
+        self._forgotten = 0
         self._revision = 100
         self._server = None
 
@@ -139,13 +144,19 @@
 
     def _note(self, kind, item, removed):
         event = f'{{"object":{item.text},"removed":{str(removed).lower()}}}'
-        self._events.append((self._revision, kind, event))
+        now_s = time.monotonic()
+        self._events.append((self._revision, kind, event, now_s))
+        while now_s - self._events[0][3] > self.HISTORY_S:
+            self._forgotten = self._events.pop(0)[0]
 
     async def _serve(self, reader, writer):
         # The loop cancels it at the end of the case.
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while message := await read_message(reader):
-                status, body = await self._handle(*message)
+                host = writer.get_extra_info("peername")[0]
+                status, body = 503, {}
+                if host not in self.turned_away:
+                    status, body = await self._handle(*message)
                 data = body if isinstance(body, bytes) else compact(body).encode()
                 head = [("Content-Type", "application/json")]
                 writer.write(encode(f"HTTP/1.1 {status} X", head, data))
@@ -196,10 +207,12 @@
         def events():
             return [
                 event
-                for revision, event_kind, event in self._events
+                for revision, event_kind, event, _ in self._events
                 if revision > since and event_kind == kind
             ]
 
+        if since < self._forgotten:
+            return 410, {}
         end_s = time.monotonic() + wait_s
         while not events() and time.monotonic() < end_s:
             await asyncio.sleep(WATCH_STEP_S)
