--- a/review/lib2/stand_ins.py
+++ b/review/lib2/stand_ins.py
@@ -47,11 +47,13 @@
             file.write(f"{self.now_ms():9.1f} {text}\n")
 
 
-def free_port(host):
-    """Return a port of a host that is not in use."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+def free_ports(host, count):
+    """Return different ports of a host that are not in use."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [probe.getsockname()[1] for probe in probes]
 
 
 async def read_message(reader):
@@ -333,7 +335,7 @@
     def __init__(self, name, number, zone, regions, store, limits, bounds, folder):
         self.name = name
         self.host = f"{NETWORK}.{number}"
-        self.ports = [free_port(self.host) for _ in range(4)]
+        self.ports = free_ports(self.host, 4)
         frontend, ready, control, peer = self.ports
         lines = {
             "node_name": name,
