--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,5 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")"
-exec python3 -S case.py
+# TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")" || exit 2
+exec env TROUBLE="${TROUBLE:-1}" python3 -S case.py
