--- a/tests/features/edge_odd_entries.feature
+++ b/tests/features/edge_odd_entries.feature
@@ -42,6 +42,32 @@
       | "a" 1  |
     And for any bytes the body of a reply is read, or is none
 
+  Scenario Outline: an unreadable entry of the largest size delays no request
+    # Guards against a decoder that holds the event loop for seconds, so that all
+    # daemons that read the store stand still whenever the entry changes. Half a second
+    # is what the users' rules allow beyond the timeout of a request.
+    When another writer changes an entry of 1 MB that consists of <elements> with <fault>
+    Then the change is read within 500 ms of processor time
+    And the change of a server beside it is read
+
+    Examples:
+      | elements         | fault            |
+      | empty lists      | a long number    |
+      | empty lists      | deep lists       |
+      | empty lists      | a bare word      |
+      | empty lists      | 500 bare words   |
+      | nested lists     | deep lists       |
+      | empty strings    | a long number    |
+      | empty strings    | deep lists       |
+      | empty strings    | a bare word      |
+      | numbers          | a long number    |
+      | numbers          | deep lists       |
+      | small objects    | a long number    |
+      | small objects    | a bare word      |
+      | long numbers     | deep lists       |
+      | bare words       | a long number    |
+      | deep lists       | a bare word      |
+
   Scenario: odd objects of any kind leave the others as they are
     Then whatever object another writer leaves, the others are followed and relayed
 
