Send no order where a response without an id came

Cause: a server that sheds load refuses without an attempt id, and a late second copy of such a refusal, on a connection in use, was taken for the answer to the next order. A response without an id was doubted only if the server's refusals had carried ids before; servers whose refusals never do were always believed.

Change: such a copy comes on the connection of the response that it repeats, so a connection that has carried a response without an id is used by no order any more; it remains open for idempotent requests. A pool at its limit now replaces as many such connections as orders wait; before, the second one waited until the first had ended.

Ruled out: doubting each such refusal, as refused orders would end with 502 instead of going on to another server; closing the connection for all, as each refusal of a full server would cost queries a handshake.

Both new scenarios failed before, the second without the change to ConnectionPool.released.

--- a/hemlockspoke/http1/connection.py
+++ b/hemlockspoke/http1/connection.py
@@ -35,23 +35,26 @@
     ``encode`` returns the bytes of the request and is called right before they are
     sent, so that their remaining time is accurate. Exactly one of
     ``on_response(response)`` and ``on_failure(failure, detail)`` is called, unless the
-    exchange is cancelled. With ``fresh_only`` no connection is used that has been
-    idle for over a quarter of its limit, since the server may be closing it. A response
+    exchange is cancelled. With ``at_most_once`` no connection is used that has been
+    idle for over a quarter of its limit, since the server may be closing it, and none
+    that has carried a response without an id, as a late second copy of that would be
+    taken for the response to this request. A response
     with a body of over ``max_body_bytes`` is malformed. ``reused_connection`` is True
     if the connection has carried an earlier request, of which bytes may still arrive.
     If ``is_own(response)`` is given and returns False, the response belongs to another
-    request, and the connection is not used again. No connection of ``avoided`` is used.
+    request, and the connection is not used again. It sets ``unidentified`` if the
+    response has no id. No connection of ``avoided`` is used.
     ``partial`` is a ``Response`` without a body that has the headers of interim
     responses, and of one whose body did not arrive; None without such headers.
     """
 
     __slots__ = (
         "_pool",
+        "at_most_once",
         "avoided",
         "connection",
         "done",
         "encode",
-        "fresh_only",
         "head_only",
         "is_own",
         "max_body_bytes",
@@ -61,6 +64,7 @@
         "reused_connection",
         "sent_ms",
         "size_bytes",
+        "unidentified",
     )
 
     def __init__(
@@ -68,7 +72,7 @@
         encode,
         on_response,
         on_failure,
-        fresh_only=False,
+        at_most_once=False,
         head_only=False,
         max_body_bytes=MAX_BODY_BYTES,
         is_own=None,
@@ -78,18 +82,24 @@
         self.size_bytes = 0
         self.on_response = on_response
         self.on_failure = on_failure
-        self.fresh_only = fresh_only
+        self.at_most_once = at_most_once
         self.head_only = head_only
         self.max_body_bytes = max_body_bytes
         self.is_own = is_own or (lambda response: True)
         self.avoided = avoided
         self.partial = None
         self.reused_connection = False
+        self.unidentified = False
         self.sent_ms = None
         self.connection = None
         self.done = False
         self._pool = None
 
+    def may_use(self, connection):
+        """Return whether a connection may carry the request."""
+        is_ambiguous = self.at_most_once and connection.had_unidentified
+        return not is_ambiguous and connection not in self.avoided
+
     def set_pool(self, pool):
         """Record the pool whose queue holds the exchange."""
         self._pool = pool
@@ -118,13 +128,17 @@
 
 
 class PooledConnection(Protocol):
-    """A connection of a pool, not reused after ``max_idle_ms`` without use."""
+    """A connection of a pool, not reused after ``max_idle_ms`` without use.
+
+    ``had_unidentified`` is True once it has carried a response without an id.
+    """
 
     def __init__(self, pool):
         self._pool = pool
         self._exchange = None
         self._parser = None
         self._is_used = False
+        self.had_unidentified = False
         self.idle_since_ms = None
         self.max_idle_ms = DEFAULT_IDLE_TIMEOUT_MS * IDLE_REUSE_RATIO
 
@@ -169,6 +183,7 @@
             and exchange.size_bytes <= MAX_REUSE_REQUEST_BYTES
         )
         if reusable:
+            self.had_unidentified |= exchange.unidentified
             if response.keep_alive_ms is not None:
                 self.max_idle_ms = response.keep_alive_ms * IDLE_REUSE_RATIO
             self._pool.released(self)
--- a/hemlockspoke/http1/pool.py
+++ b/hemlockspoke/http1/pool.py
@@ -77,9 +77,9 @@
             if idle_ms > connection.max_idle_ms:
                 self._abort_idle_since(connection.idle_since_ms)
                 return None
-            if exchange.fresh_only and idle_ms > connection.max_idle_ms / 4:
+            if exchange.at_most_once and idle_ms > connection.max_idle_ms / 4:
                 return None
-            if connection not in exchange.avoided:
+            if exchange.may_use(connection):
                 self._idle.remove(connection)
                 return connection
         return None
@@ -154,13 +154,13 @@
             return
         connection.idle_since_ms = self._clock.now_ms()
         self._idle.append(connection)
-        if self._waiting and not self._connecting:
+        if self._connecting < len(self._waiting):
             self._connect_for_waiting()
 
     def _pop_waiting(self, connection):
         """Remove and return the first waiting request that may use a connection."""
         for exchange in self._waiting:
-            if connection not in exchange.avoided:
+            if exchange.may_use(connection):
                 self._waiting.remove(exchange)
                 return exchange
         return None
--- a/hemlockspoke/tier/sending/attempt.py
+++ b/hemlockspoke/tier/sending/attempt.py
@@ -162,7 +162,7 @@
             self._encode,
             self._on_response,
             self._on_exchange_failure,
-            fresh_only=not outgoing.idempotent,
+            at_most_once=not outgoing.idempotent,
             head_only=outgoing.method == b"HEAD",
             is_own=self._is_own,
             avoided=[attempt.connection for attempt in earlier_attempts],
@@ -234,10 +234,12 @@
 
         A server may send a second copy of an earlier response. Without an id it can
         only be told by its connection, if the server's responses have ids otherwise.
+        Refusals may never have one, so none that is repeated may meet an order.
         """
         metadata = self.metadata = self._codec.parse_reply_headers(response)
         echoes = self.server.echoes
         if metadata.attempt_id is None:
+            self._exchange.unidentified = True
             may_be_copy = self._exchange.reused_connection
             return not (may_be_copy and metadata.not_run in echoes)
         if metadata.attempt_id != self._outgoing.attempt_id:
--- a/tests/features/edge_requests.feature
+++ b/tests/features/edge_requests.feature
@@ -65,6 +65,21 @@
     Then it gets 200 with a proof for its own attempt
     And exactly 1 order has run
 
+  Scenario: a late copy of a refusal without an id is no answer to another order
+    # Guards against a promise that an order has not run, or a second run of it, where
+    # the server's refusals never have an id that would tell the copy from an answer.
+    Given every server of items is "refuse_unnamed_then_copy"
+    When a caller sends 4 orders to "e1"
+    Then each gets 200 with a proof for its own attempt
+    And exactly 4 orders have run
+
+  Scenario: orders do not wait for each other while connections can be replaced
+    # Guards against orders that wait beside idle connections that they may not use.
+    Given the server "item-a1" is "refuse_unnamed_then_copy"
+    And a pool of 2 connections to the server "item-a1"
+    When 2 orders on the pool are refused, and are sent again at once
+    Then both are answered by the server at the same time
+
   Scenario: a pool at its limit replaces a connection that a request avoids
     Given a pool of 1 connection to the server "item-a1"
     When a request is sent on the pool, and another one that avoids its connection
--- a/tests/features/steps/edge_requests_steps.py
+++ b/tests/features/steps/edge_requests_steps.py
@@ -106,6 +106,14 @@
     send(context, vm, "/order/a", method=b"POST", body=b"two tonnes")
 
 
+@when('a caller sends {count:d} orders to "{vm}"')
+def step_orders(context, count, vm):
+    context.replies = []
+    for _ in range(count):
+        step_order(context, vm)
+        context.replies.append((context.attempt, context.reply))
+
+
 @when('a caller sends a body of {size:d} B to "{vm}"')
 def step_long_body(context, size, vm):
     send(context, vm, "/order/a", method=b"POST", body=b"x" * size)
@@ -303,6 +311,7 @@
     wait_until(lambda: not any(s.site.channels for s in item_servers(context)))
 
 
+@given('a pool of {limit:d} connections to the server "{server}"')
 @given('a pool of {limit:d} connection to the server "{server}"')
 def step_pool(context, limit, server):
     world = context.world
@@ -316,31 +325,62 @@
 def step_avoiding_request(context):
     context.exchanges, context.responses = [], []
     context.most_open = 0
-
-    def submit(avoided):
-        headers = [
-            (b"X-Hemlockspoke-Attempt-Id", b"pooled"),
-            (b"X-Hemlockspoke-Deadline-Ms", b"1500"),
-            (b"X-Hemlockspoke-Expect-Instance", context.pool_server.server_id.encode()),
-        ]
-        data = encode_request(b"GET", b"/item/a", headers, b"")
-        exchange = Exchange(
-            lambda: data,
-            context.responses.append,
-            lambda failure, detail: context.responses.append(detail),
-            avoided=avoided,
-        )
-        context.exchanges.append(exchange)
-        context.pool.submit(exchange)
-        pool = context.pool
-        context.most_open = max(context.most_open, len(pool._open) + pool._connecting)
-
-    run_in_reactor(submit, ())
+    run_in_reactor(submit_to_pool, context)
     wait_until(lambda: len(context.responses) == 1)
-    run_in_reactor(submit, (context.exchanges[0].connection,))
+    avoided = (context.exchanges[0].connection,)
+    run_in_reactor(lambda: submit_to_pool(context, avoided=avoided))
     wait_until(lambda: len(context.responses) == 2)
 
 
+def submit_to_pool(context, attempt=b"pooled", **options):
+    """Send a request on the pool; its end is added to ``context.responses``."""
+    headers = [
+        (b"X-Hemlockspoke-Attempt-Id", attempt),
+        (b"X-Hemlockspoke-Deadline-Ms", b"1500"),
+        (b"X-Hemlockspoke-Expect-Instance", context.pool_server.server_id.encode()),
+    ]
+    data = encode_request(b"GET", b"/item/a", headers, b"")
+
+    def is_own(response):
+        exchange.unidentified = response.header(b"x-hemlockspoke-attempt-id") is None
+        return True
+
+    exchange = Exchange(
+        lambda: data,
+        context.responses.append,
+        lambda failure, detail: context.responses.append(detail),
+        is_own=is_own,
+        **options,
+    )
+    context.exchanges.append(exchange)
+    pool = context.pool
+    pool.submit(exchange)
+    context.most_open = max(context.most_open, len(pool._open) + pool._connecting)
+
+
+@when("{count:d} orders on the pool are refused, and are sent again at once")
+def step_orders_on_pool(context, count):
+    context.exchanges, context.responses = [], []
+    context.most_open = 0
+
+    attempts = [f"order{number}".encode() for number in range(count)]
+
+    def submit_all():
+        for attempt in attempts * 2:
+            submit_to_pool(context, attempt, at_most_once=True)
+
+    run_in_reactor(submit_all)
+    wait_until(lambda: len(context.responses) == 2 * count)
+
+
+@then("both are answered by the server at the same time")
+def step_same_time(context):
+    statuses = [response.status for response in context.responses]
+    assert statuses == [503, 503, 200, 200], statuses
+    work_s = context.pool_server.work_s.values()
+    assert max(start for start, _ in work_s) < min(end for _, end in work_s), work_s
+
+
 @then("both are answered, the second on a new connection")
 def step_both_answered(context):
     assert [response.status for response in context.responses] == [200, 200]
--- a/tests/standins/shard_server.py
+++ b/tests/standins/shard_server.py
@@ -304,6 +304,31 @@
     server.clock.call_later(20, request.respond, 200, answer_headers, server.body)
 
 
+@behaviours.register("refuse_unnamed_then_copy")
+def refuse_unnamed_then_copy(server, request):
+    """Refuse each attempt once without naming it; run its next arrival.
+
+    A late second copy of the refusal comes when the next request has arrived on its
+    connection, and the server then runs that request.
+    """
+    channel, attempt = request._channel, header(request, ATTEMPT_HEADER)
+    headers = [(b"X-Hemlockspoke-Not-Executed", b"1")]
+    copy = server.last_answers.pop(channel, b"")
+    if not copy and server.received_attempts.count(attempt) == 1:
+        server.last_answers[channel] = encode_response(503, headers, b"", close=False)
+        request.respond(503, headers, b"")
+        return
+    if copy:
+        write_raw(request, copy)
+    answer_headers = server.run(request)
+
+    def answer():
+        server.end_work(attempt)
+        request.respond(200, answer_headers, server.body)
+
+    server.clock.call_later(20, answer)
+
+
 @behaviours.register("foreign")
 def foreign(server, request):
     """Run the request and send the answer of another attempt."""
