Answer 502 for orders that a server has run and failed with 503

Callers of an order could get 408, 429 or 503 from a server that had run it. These statuses promise that it has not run, and callers send it again.

Cause: Delivery returned each failure that had a proof, whatever its status. Evidence: the three new examples get (408, b'failed'), (429, b'failed') and (503, b'failed') from the code before.

Change: a request that may run once does not get such a failure. Without another result the caller gets 502 without the stamp; a stamp needs the server's own status. Idempotent requests get the response unchanged, as before. Ruled out: the status without the stamp, which is the same promise.

All three examples of "an order is never sent twice" fail before and pass now.

--- a/hemlockspoke/tier/sending/attempt.py
+++ b/hemlockspoke/tier/sending/attempt.py
@@ -9,6 +9,9 @@
 logger = logging.getLogger(__name__)
 
 HTTP_MISDIRECTED = 421
+# Statuses that tell callers that a request has not run and never will: request timeout,
+# misdirected request, too many requests, service unavailable.
+NOT_RUN_STATUSES = frozenset([408, HTTP_MISDIRECTED, 429, 503])
 CANCELLED = "cancelled"
 
 
@@ -191,6 +194,10 @@
         """Return whether the attempt has not ended."""
         return self.verdict is None
 
+    def promises_not_run(self):
+        """Return whether callers take the status for "not run", true or not."""
+        return self.response is not None and self.response.status in NOT_RUN_STATUSES
+
     def mark_overdue(self):
         """Count the attempt as overdue at its server until the attempt ends."""
         if self.in_flight and not self._counted_overdue:
--- a/hemlockspoke/tier/sending/delivery.py
+++ b/hemlockspoke/tier/sending/delivery.py
@@ -367,11 +367,16 @@
             self._finish(self._best_failure())
 
     def _best_failure(self):
-        """Return the first attempt answered with a failure and a proof, or None."""
+        """Return the first attempt whose failure the caller may get, or None.
+
+        It needs a proof. Callers take some statuses for the promise that an order has
+        not run, which would not be true of a server that has run it.
+        """
         for attempt in self.attempts:
             if (
                 attempt.verdict is Verdict.FAILURE
                 and attempt.metadata.proof is not None
+                and (self._outgoing.idempotent or not attempt.promises_not_run())
             ):
                 return attempt
         return None
--- a/tests/features/edge_requests.feature
+++ b/tests/features/edge_requests.feature
@@ -87,7 +87,8 @@
     And the pool never had more than 1 connection open
 
   Scenario Outline: an order is never sent twice
-    # Guards against repeating a request that may have run.
+    # Guards against repeating a request that may have run, and against passing on a
+    # status that promises the contrary from a server that has run it.
     Given every server of items is "<behaviour>"
     When a caller sends an order to "e1"
     Then it gets <status> without a not-run promise
@@ -101,6 +102,9 @@
       | cut_head  | 502    |
       | endless_head | 502 |
       | endless_body | 502 |
+      | fail_with_408 | 502 |
+      | fail_with_429 | 502 |
+      | fail_with_503 | 502 |
       | hang      | 504    |
 
   Scenario: a part whose servers both lose its first answer is asked for again
--- a/tests/standins/shard_server.py
+++ b/tests/standins/shard_server.py
@@ -212,6 +212,15 @@
     request.respond(500, server.run(request), b"failed")
 
 
+@behaviours.register("fail_with_408")
+@behaviours.register("fail_with_429")
+@behaviours.register("fail_with_503")
+def fail_with_promise(server, request):
+    """Run the request and answer with a status that stands for "not run"."""
+    status = int(server.behaviour.removeprefix("fail_with_"))
+    request.respond(status, server.run(request), b"failed")
+
+
 @behaviours.register("fail_often")
 def fail_often(server, request):
     """Run the request and answer two of five with status 500."""
