Take a response with a status that HTTP does not have for none

The users saw on other systems that clients got status 000 of a server in trouble. Here they did not get it, but a request waited for another response until its timeout, and callers got statuses from 600 on with the server's stamp (rule MIXED). A body that came with status 000 was put before that of a response behind it.

Cause: ResponseParser took each status below 200 for an interim response, and each one above 299 for the server's own failure, which is returned unchanged; httptools accepts any three digits. Evidence: the four examples of the new scenario got 504, 504, 600 and 999 before.

Change: a status outside 100 to 599 makes the response malformed, so the connection is closed and orders get 502 at once. A malformed response no longer collects headers or a body. Ruled out: taking it for status 500, as a failure of the server must keep its own.

All four examples fail before and pass now.

--- a/hemlockspoke/http1/response_parser.py
+++ b/hemlockspoke/http1/response_parser.py
@@ -6,6 +6,9 @@
 
 from hemlockspoke.http1.messages import Response
 
+# Statuses of HTTP, see RFC 9110, section 15.
+MIN_STATUS = 100
+MAX_STATUS = 599
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)")
 # Limit on the bytes of a response that are not its body: the head, interim responses,
 # chunk sizes and trailers. A server in trouble may send such bytes without end.
@@ -21,7 +24,7 @@
     """Parses one response and detects bytes that follow it.
 
     ``response`` is set once the response is complete. ``has_trailing_data`` is True if
-    bytes followed it. ``malformed`` is the reason why the bytes are not an HTTP
+    bytes followed it. ``malformed`` is the first reason why the bytes are not an HTTP
     response within the limits, or an empty string; a malformed response is never
     completed. With ``head_only`` the response has no body, as the request was a HEAD.
     """
@@ -83,7 +86,7 @@
             self._reject(f"{overhead_bytes} bytes without an end of the head or body")
 
     def _reject(self, reason):
-        self.malformed = reason
+        self.malformed = self.malformed or reason
         if self._status is None:
             self._headers.clear()
         self._body.clear()
@@ -106,6 +109,10 @@
             headers += self._headers
         return Response(self._status or 0, headers, b"") if headers else None
 
+    def _is_over(self):
+        """Return whether the response is complete or malformed."""
+        return self.response is not None or bool(self.malformed)
+
     def on_message_begin(self):
         """Record that another message follows a complete response."""
         if self.response is not None:
@@ -113,14 +120,17 @@
 
     def on_header(self, name, value):
         """Collect a header."""
-        if self.response is None:
+        if not self._is_over():
             self._headers.append((name, value))
 
     def on_headers_complete(self):
         """Determine whether the body is delimited by the headers or by the close."""
-        if self.response is not None:
+        if self._is_over():
             return
         status = self._parser.get_status_code()
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self._reject(f"HTTP has no status {status:03d}")
+            return
         header_names = {name.lower() for name, _ in self._headers}
         is_delimited = (
             status < 200
@@ -135,12 +145,12 @@
 
     def on_body(self, data):
         """Collect a chunk of the body."""
-        if self.response is None:
+        if not self._is_over():
             self._body += data
 
     def on_message_complete(self):
         """Complete the response; interim (1xx) responses are discarded."""
-        if self.response is not None:
+        if self._is_over():
             return
         if self._parser.get_status_code() < 200:
             self._status = None
--- a/tests/features/server_bytes.feature
+++ b/tests/features/server_bytes.feature
@@ -25,6 +25,23 @@
     # Guards against an exception that leaves the request without a result.
     Then an answer with status 101 is malformed
 
+  Scenario Outline: an answer with a status that HTTP does not have is malformed
+    # Guards against callers that get status 000 of a server in trouble as an answer,
+    # and against requests that wait for another answer behind it until their timeout.
+    Given a platform with 3 shards and the daemon "e1" in "a1"
+    And every server of items is "<behaviour>"
+    When a caller sends an order to "e1"
+    Then it gets 502 without a not-run promise
+    And exactly 1 order has run
+    And the answer has come within 500 ms
+
+    Examples:
+      | behaviour       |
+      | answer_with_000 |
+      | answer_with_099 |
+      | answer_with_600 |
+      | answer_with_999 |
+
   Scenario: no beginning of an answer is a success, wherever it is cut
     # Guards against an answer that stopped in its head and was taken for an empty one.
     Then no beginning of a framed answer is complete, cut at any byte
--- a/tests/standins/shard_server.py
+++ b/tests/standins/shard_server.py
@@ -221,6 +221,17 @@
     request.respond(status, server.run(request), b"failed")
 
 
+@behaviours.register("answer_with_000")
+@behaviours.register("answer_with_099")
+@behaviours.register("answer_with_600")
+@behaviours.register("answer_with_999")
+def answer_with_status(server, request):
+    """Run the request and answer with a status that HTTP does not have."""
+    data = encode_response(200, server.run(request), server.body, close=False)
+    status = server.behaviour.removeprefix("answer_with_").encode()
+    write_raw(request, data.replace(b" 200 ", b" %s " % status, 1))
+
+
 @behaviours.register("fail_often")
 def fail_often(server, request):
     """Run the request and answer two of five with status 500."""
