Reject interim responses with a body

Cause: ResponseParser discarded the headers of an interim response but kept its body, and httptools reads a body with a length from status 104 on. Evidence: two responses, 199 with 7 bytes and 200 with 4, gave one with 200 and 11 bytes.

Change: an interim response with a body is malformed. Ruled out: discarding the body, as a server that sends one may be out of step with its requests.

--- a/hemlockspoke/http1/response_parser.py
+++ b/hemlockspoke/http1/response_parser.py
@@ -144,9 +144,13 @@
             self._complete(reusable=False)
 
     def on_body(self, data):
-        """Collect a chunk of the body."""
-        if not self._is_over():
-            self._body += data
+        """Collect a chunk of the body; interim responses (1xx) have none."""
+        if self._is_over():
+            return
+        if self._status < 200:
+            self._reject(f"a body in an interim response with status {self._status}")
+            return
+        self._body += data
 
     def on_message_complete(self):
         """Complete the response; interim (1xx) responses are discarded."""
--- a/tests/features/server_bytes.feature
+++ b/tests/features/server_bytes.feature
@@ -42,6 +42,16 @@
       | answer_with_600 |
       | answer_with_999 |
 
+  Scenario Outline: the body of an interim answer is in no other answer
+    # Guards against callers that get bytes of an interim answer before the body.
+    Then an answer with status <status> and a body, before one with 200, is malformed
+
+    Examples:
+      | status |
+      | 000    |
+      | 103    |
+      | 199    |
+
   Scenario: no beginning of an answer is a success, wherever it is cut
     # Guards against an answer that stopped in its head and was taken for an empty one.
     Then no beginning of a framed answer is complete, cut at any byte
--- a/tests/features/steps/server_bytes_steps.py
+++ b/tests/features/steps/server_bytes_steps.py
@@ -68,6 +68,16 @@
     assert parser.malformed and parser.response is None
 
 
+@then("an answer with status {status} and a body, before one with 200, is malformed")
+def step_interim_body(context, status):
+    interim = b"HTTP/1.1 %s X\r\nContent-Length: 7\r\n\r\ninterim" % status.encode()
+    for cut in range(len(interim) + 1):
+        parser = ResponseParser()
+        parser.feed(interim[:cut])
+        parser.feed(interim[cut:] + encode_response(200, [], b"body", close=False))
+        assert parser.malformed and parser.response is None, (cut, parser.response)
+
+
 @then("no beginning of a framed answer is complete, cut at any byte")
 def step_prefixes(context):
     answers = [
