--- a/hemlockspoke/http1/connection.py
+++ b/hemlockspoke/http1/connection.py
@@ -38,14 +38,14 @@
     exchange is cancelled. With ``at_most_once`` no connection is used that has been
     idle for over a quarter of its limit, since the server may be closing it, and none
     that has carried a response without an id, as a late second copy of that would be
-    taken for the response to this request. A response
-    with a body of over ``max_body_bytes`` is malformed. ``reused_connection`` is True
-    if the connection has carried an earlier request, of which bytes may still arrive.
-    If ``is_own(response)`` is given and returns False, the response belongs to another
-    request, and the connection is not used again. It sets ``unidentified`` if the
-    response has no id. No connection of ``avoided`` is used.
-    ``partial`` is a ``Response`` without a body that has the headers of interim
-    responses, and of one whose body did not arrive; None without such headers.
+    taken for the response to this request. A response with a body of over
+    ``max_body_bytes`` is malformed. ``reused_connection`` is True if the connection has
+    carried an earlier request, of which bytes may still arrive. If
+    ``is_own(response)`` is given and returns False, the response belongs to another
+    request, and the connection is not used again; it also sets ``unidentified`` if the
+    response has no id. No connection of ``avoided`` is used. ``partial`` is a
+    ``Response`` without a body that has the headers of interim responses, and of one
+    whose body did not arrive; None without such headers.
     """
 
     __slots__ = (
--- a/hemlockspoke/http1/lenient_json.py
+++ b/hemlockspoke/http1/lenient_json.py
@@ -173,8 +173,8 @@
         """Return the members of a container from a position to the first fault.
 
         Also return the position of the fault, or None if there is none up to ``limit``,
-        where a member ends. A known ``fault`` may not be the first one. If the fault
-        is not found, the first member takes the blame.
+        where a member ends. A known ``fault`` may not be the first one. If it is
+        not found, the first member counts as faulty.
         """
         first_end = limit if fault is None else fault
         too_deep = self._depths.find(MAX_DEPTH, position, first_end)
