Let the server of the pool test work for half a second

The scenario "orders do not wait for each other" compares when two orders run at the server. With 20 ms of work a pause of the test process could end the first before the second is read, so the check could have failed for the pause. Seen by reading, no run failed.

--- a/tests/features/steps/edge_requests_steps.py
+++ b/tests/features/steps/edge_requests_steps.py
@@ -363,6 +363,8 @@
     context.exchanges, context.responses = [], []
     context.most_open = 0
 
+    # Far longer than a pause of the test process.
+    context.pool_server.work_ms = 500
     attempts = [f"order{number}".encode() for number in range(count)]
 
     def submit_all():
--- a/tests/standins/shard_server.py
+++ b/tests/standins/shard_server.py
@@ -329,7 +329,7 @@
     """Refuse each attempt once without naming it; run its next arrival.
 
     A late second copy of the refusal comes when the next request has arrived on its
-    connection, and the server then runs that request.
+    connection, and the server then runs that request, 20 ms longer than usual.
     """
     channel, attempt = request._channel, header(request, ATTEMPT_HEADER)
     headers = [(b"X-Hemlockspoke-Not-Executed", b"1")]
@@ -346,7 +346,7 @@
         server.end_work(attempt)
         request.respond(200, answer_headers, server.body)
 
-    server.clock.call_later(20, answer)
+    server.clock.call_later(20 + server.work_ms, answer)
 
 
 @behaviours.register("foreign")
