--- a/hemlockspoke/tier/sending/attempt.py
+++ b/hemlockspoke/tier/sending/attempt.py
@@ -241,7 +241,8 @@
 
         A server may send a second copy of an earlier response. Without an id it can
         only be told by its connection, if the server's responses have ids otherwise.
-        Refusals may never have one, so none that is repeated may meet an order.
+        Servers whose refusals never have one are believed here; for orders the pool
+        keeps late copies of such refusals away (``Exchange.may_use``).
         """
         metadata = self.metadata = self._codec.parse_reply_headers(response)
         echoes = self.server.echoes
