Log the era of the store, and show what a daemon holds of each kind

StoreCalls now reads the header of every answer, in the platform's folder, and StoreEras logs one line for each rise ("store came back older") and the first answer without it. The metrics state the newest era, and for each kind the revision, the age of the state and whether this daemon reads the kind. Nothing is decided by it yet.

--- a/hemlockspoke/http1/json_calls.py
+++ b/hemlockspoke/http1/json_calls.py
@@ -16,15 +16,17 @@
     """Status and decoded body of a reply; ``status`` is None if there was no reply.
 
     ``detail`` then says why; ``sent`` says whether the request may have been sent.
+    ``headers`` lists pairs of byte strings.
     """
 
-    __slots__ = ("body", "detail", "sent", "status")
+    __slots__ = ("body", "detail", "headers", "sent", "status")
 
-    def __init__(self, status, body=None, detail="", sent=True):
+    def __init__(self, status, body=None, detail="", sent=True, headers=()):
         self.status = status
         self.body = body
         self.detail = detail
         self.sent = sent
+        self.headers = headers
 
 
 class JsonCalls:
@@ -51,7 +53,8 @@
             on_reply(reply)
 
         def on_response(response):
-            finish(JsonReply(response.status, decode_body(response.body)))
+            body = decode_body(response.body)
+            finish(JsonReply(response.status, body, headers=response.headers))
 
         def on_failure(failure, detail):
             finish(
--- a/hemlockspoke/platform/program.py
+++ b/hemlockspoke/platform/program.py
@@ -31,14 +31,15 @@
     """Return an ``EdgeDaemon`` that follows the platform's store; it is not started."""
     clock = ReactorClock(reactor)
     metrics = MetricsRegistry()
+    daemon = EdgeDaemon(settings, reactor, clock, metrics, PlatformCodec(clock))
     calls = StoreCalls(
         reactor,
         clock,
         settings.store_address,
         metrics,
+        daemon.eras,
         bind_host=settings.peer_address.host,
     )
-    daemon = EdgeDaemon(settings, reactor, clock, metrics, PlatformCodec(clock))
     for kind, sink in sinks_by_kind(daemon.directory).items():
         daemon.follow(kind, KindSource(calls, kind), sink)
     follow_rollouts(daemon, calls)
--- a/hemlockspoke/platform/store.py
+++ b/hemlockspoke/platform/store.py
@@ -3,26 +3,54 @@
 from urllib.parse import quote, urlencode
 
 from hemlockspoke.http1.json_calls import JsonCalls
+from hemlockspoke.tier.state.store_era import UNKNOWN_ERA
 
 # The store answers within a few ms; the timeout still covers a tenfold slowdown.
 CALL_TIMEOUT_MS = 1200
 # Connections of one daemon to the store; each pending watch occupies one.
 MAX_CONNECTIONS = 8
+ERA_HEADER = b"store-era"
+# Longer numbers are no era. A message between daemons holds integers of 64 bits.
+MAX_ERA_DIGITS = 18
+
+
+class StoreReply:
+    """A reply of the store: a ``JsonReply`` with the ``era`` that it counts for."""
+
+    __slots__ = ("body", "detail", "era", "status")
+
+    def __init__(self, status, body=None, detail="", era=UNKNOWN_ERA):
+        self.status = status
+        self.body = body
+        self.detail = detail
+        self.era = era
 
 
 class StoreCalls:
-    """Calls of one daemon to the object API; ``on_reply`` gets a ``JsonReply``."""
+    """Calls of one daemon to the object API; ``on_reply`` gets a ``StoreReply``.
+
+    ``eras`` is the ``StoreEras`` that learns the era of each answer, before the caller
+    gets it.
+    """
 
-    __slots__ = ("_calls", "_metrics")
+    __slots__ = ("_calls", "_eras", "_metrics")
 
-    def __init__(self, reactor, clock, address, metrics, bind_host=None):
+    def __init__(self, reactor, clock, address, metrics, eras, bind_host=None):
         self._metrics = metrics
+        self._eras = eras
         self._calls = JsonCalls(reactor, clock, address, MAX_CONNECTIONS, bind_host)
 
     def call(self, method, path, on_reply, body=None, timeout_ms=CALL_TIMEOUT_MS):
         """Send a call and count it by its method."""
+
+        def decode(reply):
+            era = self._eras.newest
+            if reply.status is not None:
+                era = self._eras.observe(stated_era(reply.headers), path)
+            on_reply(StoreReply(reply.status, reply.body, reply.detail, era))
+
         self._metrics.count(f"store.{method.lower()}")
-        self._calls.call(method, path, on_reply, timeout_ms, body)
+        self._calls.call(method, path, decode, timeout_ms, body)
 
     def count_malformed(self):
         """Count an object of the store that cannot be used."""
@@ -62,3 +90,19 @@
             path, method = f"/api/objects/{kind}/{quote(name, safe='')}", "PUT"
             meta["revision"] = revision
         self.call(method, path, on_reply, body={"meta": meta, "spec": spec})
+
+
+def stated_era(headers):
+    """Return the era that an answer states, or None if it states no readable one.
+
+    >>> stated_era([(b"Store-Era", b"3")])
+    3
+    >>> stated_era([(b"Store-Era", b"-3")]) is None
+    True
+    """
+    values = [value for name, value in headers if name.lower() == ERA_HEADER]
+    if len(set(values)) != 1:
+        return None
+    value = values[0].strip()
+    is_number = value.isdigit() and len(value) <= MAX_ERA_DIGITS
+    return int(value) if is_number else None
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -8,7 +8,11 @@
 from hemlockspoke.http1.site import HttpSite
 from hemlockspoke.tier.admission.gate import AdmissionGate
 from hemlockspoke.tier.context import TierContext
-from hemlockspoke.tier.gauges import set_caller_gauges, set_directory_gauges
+from hemlockspoke.tier.gauges import (
+    set_caller_gauges,
+    set_directory_gauges,
+    store_samples,
+)
 from hemlockspoke.tier.limits.extra_load import ExtraLoad
 from hemlockspoke.tier.peering import Peering
 from hemlockspoke.tier.requests.request_handler import RequestHandler
@@ -19,6 +23,7 @@
 from hemlockspoke.tier.state.feed import Feed
 from hemlockspoke.tier.state.followed_kind import FollowedKind, RelayingSink
 from hemlockspoke.tier.state.members import Membership
+from hemlockspoke.tier.state.store_era import StoreEras
 
 logger = logging.getLogger(__name__)
 
@@ -49,6 +54,7 @@
         self._reactor = reactor
         self._clock = clock
         self._metrics = metrics
+        self.eras = StoreEras(metrics)
         self._shutdown = None
         # When the next check of the stop is due, as a time of the clock.
         self._stop_check_due_ms = 0.0
@@ -186,6 +192,8 @@
         metrics.gauge("requests_active", self._request_handler.active())
         set_caller_gauges(metrics, self._site, self._memory_budget)
         set_directory_gauges(metrics, self.directory)
+        metrics.gauge("store_newest_era", self.eras.newest)
+        metrics.set_group("store", store_samples(self._relay.followed_kinds()))
         metrics.set_group("accounts", self._quotas.account_samples())
         if self.rollouts is not None:
             rollouts = self.rollouts.versions.rollouts
--- a/hemlockspoke/tier/gauges.py
+++ b/hemlockspoke/tier/gauges.py
@@ -15,3 +15,18 @@
     leaving_count, held_count = directory.count_notices()
     metrics.gauge("servers_leaving", leaving_count)
     metrics.gauge("servers_held", held_count)
+
+
+def store_samples(followed_kinds):
+    """Return the samples on what is known of each kind of store objects."""
+    samples = []
+    for followed in followed_kinds:
+        if followed.revision is None:
+            continue
+        labels = [("kind", followed.kind)]
+        samples += [
+            ("store_revision", labels, followed.revision),
+            ("store_age_ms", labels, round(followed.age_ms())),
+            ("store_reading", labels, int(followed.feed.reading)),
+        ]
+    return samples
--- a/hemlockspoke/tier/state/relay.py
+++ b/hemlockspoke/tier/state/relay.py
@@ -98,6 +98,10 @@
         followed.feed = feed
         self._kinds[followed.kind] = followed
 
+    def followed_kinds(self):
+        """Return the ``FollowedKind`` of each kind."""
+        return list(self._kinds.values())
+
     def start(self, read_delay_ms=0.0):
         """Start reading the store and sending heartbeats.
 
--- a/tests/features/steps/edge_feed_steps.py
+++ b/tests/features/steps/edge_feed_steps.py
@@ -6,13 +6,13 @@
 from behave import given, then, when
 
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.http1.json_calls import JsonReply
 from hemlockspoke.platform.feeds import KindSource
+from hemlockspoke.platform.store import StoreReply
 from hemlockspoke.tier.state.feed import Feed
 
-DOWN = JsonReply(503)
-WITHOUT_FIELDS = JsonReply(200, {})
-EMPTY_LIST = JsonReply(200, {"items": [], "current_rev": 7})
+DOWN = StoreReply(503)
+WITHOUT_FIELDS = StoreReply(200, {})
+EMPTY_LIST = StoreReply(200, {"items": [], "current_rev": 7})
 
 
 class FakeStoreCalls:
@@ -51,12 +51,12 @@
 
     def list(self, kind, after, on_reply, stale=False):
         """Answer with the page after a name."""
-        on_reply(JsonReply(200, self.LAST_PAGE if after else self.FIRST_PAGE))
+        on_reply(StoreReply(200, self.LAST_PAGE if after else self.FIRST_PAGE))
 
     def watch(self, kind, revision, wait_ms, grace_ms, on_reply):
         """Answer with the removal if it is newer than ``revision``."""
         if revision < self.REMOVAL_REVISION:
-            on_reply(JsonReply(200, {"events": [self.REMOVAL], "current_rev": 9}))
+            on_reply(StoreReply(200, {"events": [self.REMOVAL], "current_rev": 9}))
 
 
 class FakeSink:
--- a/tests/features/steps/edge_large_entries_steps.py
+++ b/tests/features/steps/edge_large_entries_steps.py
@@ -4,8 +4,9 @@
 
 from behave import then, when
 
-from hemlockspoke.http1.json_calls import JsonReply, decode_body
+from hemlockspoke.http1.json_calls import decode_body
 from hemlockspoke.platform.feeds import KindSource
+from hemlockspoke.platform.store import StoreReply
 
 # The store's limit on an object.
 ENTRY_BYTES = 1_000_000
@@ -41,7 +42,7 @@
 
     def watch(self, kind, revision, wait_ms, grace_ms, on_reply):
         """Decode the page as the calls to the store do."""
-        on_reply(JsonReply(200, decode_body(self._content)))
+        on_reply(StoreReply(200, decode_body(self._content)))
 
     def count_malformed(self):
         """Count a malformed object."""
--- a/tests/features/steps/edge_odd_entries_steps.py
+++ b/tests/features/steps/edge_odd_entries_steps.py
@@ -8,12 +8,13 @@
 from hypothesis import strategies as st
 
 from hemlockspoke.clock import ManualClock
-from hemlockspoke.http1.json_calls import JsonReply, decode_body
+from hemlockspoke.http1.json_calls import decode_body
 from hemlockspoke.http1.lenient_json import UNREADABLE
 from hemlockspoke.messages import decode, encode
 from hemlockspoke.platform.feeds import KindSource, sinks_by_kind
 from hemlockspoke.platform.objects import DAEMON_KIND
 from hemlockspoke.platform.registrations import Registrations
+from hemlockspoke.platform.store import StoreReply
 from hemlockspoke.tier.edge_settings import Bounds
 from hemlockspoke.tier.placement.servers import ServerState
 from hemlockspoke.tier.state.directory import Directory
@@ -167,7 +168,7 @@
 
     @staticmethod
     def _reply(on_reply, body):
-        on_reply(JsonReply(200, decode_body(encode_json(body))))
+        on_reply(StoreReply(200, decode_body(encode_json(body))))
 
 
 class Pair:
