--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -60,6 +60,8 @@
         self._history_start = 0
         self._waiting_watches = []
         self.revision = 10
+        # Stated in all answers, unless it is None.
+        self.era = 1
         self.mode = "up"
         self.faulty_peer_hosts = None
         self.calls = []
@@ -110,12 +112,29 @@
         item = self._kinds.get(kind, {}).get(name)
         return item.status if item else None
 
+    def copy(self):
+        """Return a copy of the present state, to come back from later."""
+        kinds = {kind: dict(items) for kind, items in self._kinds.items()}
+        return kinds, list(self._events), self._history_start, self.revision
+
+    def come_back_from(self, copy):
+        """Continue from a copy in a new era: what was written since is lost.
+
+        Waiting watches are cut, also those from revisions that the copy has.
+        """
+        kinds, events, self._history_start, self.revision = copy
+        self._kinds = {kind: dict(items) for kind, items in kinds.items()}
+        self._events = list(events)
+        self.era += 1
+        for request, *_ in self._pop_waiting():
+            request.abort()
+
     def compact(self):
         """Discard the history; open and older watches get status 410."""
         self._history_start = self.revision
         self._events.clear()
         for request, *_ in self._pop_waiting():
-            request.respond(410, [], b"")
+            self._reply(request, 410, {})
 
     def _pop_waiting(self):
         waiting, self._waiting_watches = self._waiting_watches, []
@@ -139,7 +158,7 @@
         self.calls.append((request.method.decode(), request.target.decode()))
         if self.mode != "up" and self._is_faulty_for(request):
             if self.mode == "busy":
-                request.respond(503, [], b"")
+                self._reply(request, 503, {})
             elif self.mode == "reset":
                 request.abort()
             return
@@ -156,19 +175,19 @@
         elif request.method in (b"POST", b"PUT"):
             self._write(request, path)
         else:
-            reply(request, 404, {})
+            self._reply(request, 404, {})
 
     def _list(self, request, kind, after):
         names = sorted(name for name in self._kinds.get(kind, {}) if name > after)
         items = [self._kinds[kind][name].to_json() for name in names[:PAGE_ITEMS]]
         has_more = len(names) > PAGE_ITEMS
         body = {"items": items, "more": has_more, "current_rev": self.revision}
-        reply(request, 200, body)
+        self._reply(request, 200, body)
 
     def _watch(self, request, kind, query):
         revision = int(query["watch"])
-        if revision < self._history_start:
-            reply(request, 410, {})
+        if revision < self._history_start or revision > self.revision:
+            self._reply(request, 410, {})
             return
         if not self._answer_watch(request, kind, revision):
             waiting = (request, kind, revision)
@@ -181,7 +200,7 @@
             # Report changes made while the store was silent.
             if self._answer_watch(*waiting):
                 return
-            reply(waiting[0], 200, {"events": [], "current_rev": self.revision})
+            self._reply(waiting[0], 200, {"events": [], "current_rev": self.revision})
 
     def _answer_watch(self, request, kind, revision):
         events = [
@@ -190,7 +209,7 @@
             if event.kind == kind and event.item.revision > revision
         ]
         if events:
-            reply(request, 200, {"events": events, "current_rev": self.revision})
+            self._reply(request, 200, {"events": events, "current_rev": self.revision})
         return bool(events)
 
     def _write(self, request, path):
@@ -199,21 +218,24 @@
         item = self._kinds.get(kind, {}).get(name)
         expected_revision = body["meta"].get("revision")
         created = request.method == b"POST"
+        if item is None and not created:
+            self._reply(request, 404, {})
+            return
         conflict = item is not None if created else item.revision != expected_revision
         if conflict:
-            reply(request, 409, item.to_json())
+            self._reply(request, 409, item.to_json())
             return
         self.put(kind, name, body["spec"])
-        reply(request, 200, self._kinds[kind][name].to_json())
+        self._reply(request, 200, self._kinds[kind][name].to_json())
 
     def _write_status(self, request, kind, name):
         body = json.loads(request.body)
         item = self._kinds.get(kind, {}).get(name)
         if item is None:
-            reply(request, 404, {})
+            self._reply(request, 404, {})
             return
         if item.revision != body["meta"]["revision"]:
-            reply(request, 409, item.to_json())
+            self._reply(request, 409, item.to_json())
             return
         self.put(kind, name, item.spec, body["status"])
         self.on_status_written(kind, name, body["status"])
@@ -222,13 +244,14 @@
             self.lost_status_replies.remove(state)
             request.abort()
             return
-        reply(request, 200, self._kinds[kind][name].to_json())
-
-
-def reply(request, status, body):
-    """Respond to a request with JSON."""
-    headers = [(b"Content-Type", b"application/json")]
-    request.respond(status, headers, encode_json(body))
+        self._reply(request, 200, self._kinds[kind][name].to_json())
+
+    def _reply(self, request, status, body):
+        """Respond to a request with JSON."""
+        headers = [(b"Content-Type", b"application/json")]
+        if self.era is not None:
+            headers.append((b"Store-Era", b"%d" % self.era))
+        request.respond(status, headers, encode_json(body))
 
 
 def encode_json(body):
