Follow the store by era and revision, and keep what a copy has lost

What callers saw: 6 s after the ack all daemons answered 404 on an added route, served a removed one and used a server that drained, as long as they ran.

Cause: revisions were compared without the era that gave them out. After a return from an older copy a feed watched on from max(since, revision); once the counter had passed that, the changes in between were never read. Relayed lists and changes were dropped as their revision was not above the known one, and heartbeats with a higher, dead revision confirmed the state.

Change: Position (era, revision) in feeds, followed kinds, relay and heartbeats. A higher era in any answer of the store makes the active feeds list again at once; pages of a lower one count as failed calls. A feed that has lost the store asks with a short watch, which shows the era with its first answer. The first list of a new era takes nothing back that is known better: the version in force, domains out of service, servers that drain, have started again or have left; each until the store reports a change of it or for 60 s, 10 s for servers. The protocol between daemons has version 6.

Ruled out: an outage alone.

--- a/hemlockspoke/messages.py
+++ b/hemlockspoke/messages.py
@@ -21,7 +21,7 @@
 
 # Limit on a frame, and on what a compressed one expands to.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
-PROTOCOL_VERSION = 5
+PROTOCOL_VERSION = 6
 # Smaller frames gain little.
 MIN_COMPRESSED_BYTES = 1024
 # The lowest level makes lists of objects a fifth as large; higher ones gain a tenth
--- a/hemlockspoke/platform/feeds.py
+++ b/hemlockspoke/platform/feeds.py
@@ -3,7 +3,11 @@
 import logging
 
 from hemlockspoke.platform import objects
+from hemlockspoke.tier.state.configurations import Configurations
+from hemlockspoke.tier.state.domains_out import DomainsOut
 from hemlockspoke.tier.state.feed import Change, FeedError, Page
+from hemlockspoke.tier.state.server_list import ServerList
+from hemlockspoke.tier.state.store_era import UNKNOWN_ERA
 
 logger = logging.getLogger(__name__)
 
@@ -32,12 +36,14 @@
             if items is None:
                 on_page(feed_error(reply))
                 return
-            changes = [change for change in map(self._decode, items) if change]
+            changes = [self._decode(item, False, reply.era) for item in items]
+            changes = [change for change in changes if change]
             if reply.body.get("more") and not changes:
                 on_page(FeedError("no object of the page has a name"))
                 return
             after_name = changes[-1].name if reply.body.get("more") else None
-            on_page(Page(changes, reply.body["current_rev"], after_name))
+            revision = reply.body["current_rev"]
+            on_page(Page(changes, revision, after_name, era=reply.era))
 
         self._calls.list(self._kind, after, decode, stale=stale)
 
@@ -53,17 +59,17 @@
                 on_page(feed_error(reply))
                 return
             changes = [
-                self._decode(event.get("object"), event.get("removed"))
+                self._decode(event.get("object"), event.get("removed"), reply.era)
                 for event in events
                 if isinstance(event, dict)
             ]
             changes = [change for change in changes if change]
-            on_page(Page(changes, reply.body["current_rev"]))
+            on_page(Page(changes, reply.body["current_rev"], era=reply.era))
 
         self._calls.watch(self._kind, revision, wait_ms, grace_ms, decode)
 
-    def _decode(self, item, removed=False):
-        change = decode_change(self._kind, item, removed)
+    def _decode(self, item, removed, era):
+        change = decode_change(self._kind, item, removed, era)
         if change is None or (change.spec is None and not removed):
             self._calls.count_malformed()
         return change
@@ -84,10 +90,10 @@
     return FeedError(detail, history_gone=reply.status == HTTP_GONE)
 
 
-def decode_change(kind, item, removed=False):
+def decode_change(kind, item, removed=False, era=UNKNOWN_ERA):
     """Return the ``Change`` of an object, or None if it has no readable name.
 
-    Its specification is None if it is malformed.
+    Its specification is None if it is malformed. ``era`` is that of the answer.
     """
     meta = item.get("meta") if isinstance(item, dict) else None
     name = meta.get("name") if isinstance(meta, dict) else None
@@ -110,43 +116,53 @@
 
 
 class ConfigSink:
-    """Applies the operator's configuration to the directory."""
+    """Applies the operator's configuration to ``Configurations``."""
 
-    __slots__ = ("_directory",)
+    __slots__ = ("_configurations",)
 
-    def __init__(self, directory):
-        self._directory = directory
+    def __init__(self, configurations):
+        self._configurations = configurations
 
     def replace(self, changes):
         """Apply all listed configuration objects."""
-        for change in changes:
-            self.apply(change)
+        self._apply_all(changes, self._configurations.adopt)
+
+    def restore(self, changes):
+        """Apply the first list of a new era."""
+        self._apply_all(changes, self._configurations.restore)
 
     def apply(self, change):
         """Apply a changed configuration; a removal leaves the last one in force."""
-        if change.removed or change.name != objects.CONFIG_NAME:
-            return
-        table = objects.decode_routing(change.spec)
-        if table is None:
-            logger.error("malformed configuration", extra={"revision": change.revision})
-            return
-        self._directory.adopt_routing(table)
+        self._apply_all([change], self._configurations.change)
+
+    def _apply_all(self, changes, apply):
+        for change in changes:
+            if change.removed or change.name != objects.CONFIG_NAME:
+                continue
+            table = objects.decode_routing(change.spec)
+            if table is None:
+                logger.error(
+                    "malformed configuration", extra={"revision": change.revision}
+                )
+                continue
+            apply(table)
 
 
 class ServerSink:
-    """Applies server entries to the directory."""
+    """Applies server entries to a ``ServerList``."""
 
-    __slots__ = ("_directory",)
+    __slots__ = ("_servers",)
 
-    def __init__(self, directory):
-        self._directory = directory
+    def __init__(self, servers):
+        self._servers = servers
 
     def replace(self, changes):
         """Replace all server entries."""
-        entries = [
-            objects.decode_server(change.name, change.spec) for change in changes
-        ]
-        self._directory.set_servers([entry for entry in entries if entry])
+        self._servers.replace(decode_servers(changes))
+
+    def restore(self, changes):
+        """Apply the first list of a new era."""
+        self._servers.restore(decode_servers(changes))
 
     def apply(self, change):
         """Apply a changed entry; a removed or malformed one drops its server."""
@@ -154,38 +170,45 @@
         if not change.removed:
             entry = objects.decode_server(change.name, change.spec)
         if entry is None:
-            self._directory.remove_server(change.name)
+            self._servers.remove(change.name)
         else:
-            self._directory.set_server(entry)
+            self._servers.set(entry)
+
+
+def decode_servers(changes):
+    """Return the entries of a list of server objects, without malformed ones."""
+    entries = [objects.decode_server(change.name, change.spec) for change in changes]
+    return [entry for entry in entries if entry]
 
 
 class EvacuationSink:
-    """Applies evacuations: the failure domains that are out of service."""
+    """Applies evacuations to the ``DomainsOut``."""
 
-    __slots__ = ("_directory", "_domains_out")
+    __slots__ = ("_domains_out",)
 
-    def __init__(self, directory):
-        self._directory = directory
-        self._domains_out = set()
+    def __init__(self, domains_out):
+        self._domains_out = domains_out
 
     def replace(self, changes):
         """Replace all evacuations."""
-        self._domains_out = {change.name for change in changes}
-        self._directory.set_domains_out(self._domains_out)
+        self._domains_out.replace({change.name for change in changes})
+
+    def restore(self, changes):
+        """Apply the first list of a new era."""
+        self._domains_out.restore({change.name for change in changes})
 
     def apply(self, change):
         """Apply a new or removed evacuation."""
         if change.removed:
-            self._domains_out.discard(change.name)
+            self._domains_out.remove(change.name)
         else:
             self._domains_out.add(change.name)
-        self._directory.set_domains_out(self._domains_out)
 
 
-def sinks_by_kind(directory):
+def sinks_by_kind(directory, clock):
     """Return the sink for each object kind that the daemon watches."""
     return {
-        objects.CONFIG_KIND: ConfigSink(directory),
-        objects.SERVER_KIND: ServerSink(directory),
-        objects.EVACUATION_KIND: EvacuationSink(directory),
+        objects.CONFIG_KIND: ConfigSink(Configurations(directory, clock)),
+        objects.SERVER_KIND: ServerSink(ServerList(directory, clock)),
+        objects.EVACUATION_KIND: EvacuationSink(DomainsOut(directory, clock)),
     }
--- a/hemlockspoke/platform/program.py
+++ b/hemlockspoke/platform/program.py
@@ -40,7 +40,7 @@
         daemon.eras,
         bind_host=settings.peer_address.host,
     )
-    for kind, sink in sinks_by_kind(daemon.directory).items():
+    for kind, sink in sinks_by_kind(daemon.directory, clock).items():
         daemon.follow(kind, KindSource(calls, kind), sink)
     follow_rollouts(daemon, calls)
     daemon.set_registrations(Registrations(calls))
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -130,6 +130,7 @@
             relaying_sink,
             self._settings.bounds.longest_watch_ms(),
             metrics=self._metrics,
+            eras=self.eras,
         )
         feed.on_lost = self._relay.send_heartbeat
         self._relay.follow(followed, feed)
--- a/hemlockspoke/tier/gauges.py
+++ b/hemlockspoke/tier/gauges.py
@@ -21,11 +21,12 @@
     """Return the samples on what is known of each kind of store objects."""
     samples = []
     for followed in followed_kinds:
-        if followed.revision is None:
+        if followed.position is None:
             continue
         labels = [("kind", followed.kind)]
         samples += [
-            ("store_revision", labels, followed.revision),
+            ("store_era", labels, followed.position.era),
+            ("store_revision", labels, followed.position.revision),
             ("store_age_ms", labels, round(followed.age_ms())),
             ("store_reading", labels, int(followed.feed.reading)),
         ]
--- a/hemlockspoke/tier/messages.py
+++ b/hemlockspoke/tier/messages.py
@@ -13,7 +13,8 @@
     """Changes of the store objects of one kind, relayed by a daemon that has them.
 
     ``changes`` is a list of ``[name, removed, spec]`` with the changes after revision
-    ``since`` of the store up to ``revision``; ``spec`` is the content of the object.
+    ``since`` of the store up to ``revision``, both of its ``era``; ``spec`` is the
+    content of the object.
     With ``complete`` set, it lists every object instead and ``since`` is 0. ``age_ms``
     is the time since the store confirmed ``revision`` as its newest one. ``more`` is
     true if a further message with the same fields continues ``changes``.
@@ -21,6 +22,7 @@
 
     __slots__ = (
         "kind",
+        "era",
         "since",
         "revision",
         "changes",
@@ -35,10 +37,10 @@
 class StoreHeartbeat(Message):
     """Heartbeat with the newest state of the store that the sender knows.
 
-    ``kinds`` is a list of ``[kind, revision, age_ms, is_reading]``: the newest revision
-    known of a kind of objects, the time since the store confirmed it, and whether the
-    sender itself reads the kind and reaches the store. ``leaving`` is true if the
-    sender is about to stop.
+    ``kinds`` is a list of ``[kind, era, revision, age_ms, is_reading]``: the newest
+    position known of a kind of objects, the time since the store confirmed it, and
+    whether the sender itself reads the kind and reaches the store. ``leaving`` is true
+    if the sender is about to stop.
     """
 
     __slots__ = ("kinds", "leaving")
@@ -265,11 +267,12 @@
     """Tells a collecting daemon what the sender has counted for an order.
 
     ``service``, ``target_version`` and ``revision`` identify the order: the object's
-    revision when the sender saw it first. ``process`` is the start of the sender's
-    process, ``sequence`` rises with each message of it. ``phase`` is the phase that the
-    sender applies. ``age_ms`` is how long ago the sender, or a daemon that has told it,
-    saw the order first. The other fields are those of a ``Tally``; ``rows`` lists
-    ``[route, region, server_id, is_target, failures, {bin: count}]``. All are totals.
+    revision when the sender saw it first. ``process`` is the start of the
+    sender's process, ``sequence`` rises with each message of it. ``phase`` is the phase
+    that the sender applies. ``age_ms`` is how long ago the sender, or a daemon that has
+    told it, saw the order first. The other fields are those of a ``Tally``; ``rows``
+    lists ``[route, region, server_id, is_target, failures, {bin: count}]``. All are
+    totals.
     """
 
     __slots__ = (
@@ -292,9 +295,9 @@
     """Tells which phase of an order holds for the next moments.
 
     ``service`` and ``target_version`` identify the order, ``revision`` is the newest
-    one of its object that the sender knows. ``share`` is the share of the requests that
-    may go to the target version while the phase is ``sampling``. ``age_ms`` is as in
-    ``RolloutEvidence``. ``reason`` is a text for the log.
+    one of its object that the sender knows. ``share`` is the share of
+    the requests that may go to the target version while the phase is ``sampling``.
+    ``age_ms`` is as in ``RolloutEvidence``. ``reason`` is a text for the log.
     """
 
     __slots__ = (
--- a/hemlockspoke/tier/rollouts/wiring.py
+++ b/hemlockspoke/tier/rollouts/wiring.py
@@ -40,6 +40,10 @@
         orders = [order for order in orders if order]
         self._manager.set_orders(orders)
 
+    def restore(self, changes):
+        """Apply the first list of a new era."""
+        self.replace(changes)
+
     def apply(self, change):
         """Apply a changed order; a removed or malformed one is no order any more."""
         order = None
--- a/hemlockspoke/tier/state/change_parts.py
+++ b/hemlockspoke/tier/state/change_parts.py
@@ -23,7 +23,7 @@
 MAX_PENDING_PARTS = 64
 
 
-def changes_messages(kind, changes, since, revision, complete, age_ms=0.0):
+def changes_messages(kind, changes, since, position, complete, age_ms=0.0):
     """Return the messages that relay changes; all but the last one have ``more``."""
     parts, size_bytes = [[]], 0
     for change in changes:
@@ -37,8 +37,9 @@
     return [
         StoreChanges(
             kind=kind,
+            era=position.era,
             since=since,
-            revision=revision,
+            revision=position.revision,
             changes=part,
             complete=complete,
             age_ms=round(age_ms),
--- /dev/null
+++ b/hemlockspoke/tier/state/configurations.py
@@ -0,0 +1,65 @@
+"""Decides which version of the configuration is in force after a new era of the store.
+
+Versions rise, also over eras, so an older one in the store is known as such.
+"""
+
+import logging
+
+from hemlockspoke.tier.state.store_era import RETENTION_MS
+
+logger = logging.getLogger(__name__)
+
+
+class Configurations:
+    """Gives the directory the versions that the store has.
+
+    A version that has been in force is not taken back because the store has lost it.
+    An operator who writes a lower one in the new era has changed his mind: it comes
+    into force ``RETENTION_MS`` after the list of the era, if it is the newest by then.
+    Until then he may be writing lost versions again, one after the other.
+    """
+
+    __slots__ = ("_clock", "_directory", "_lower", "_restored_ms")
+
+    def __init__(self, directory, clock):
+        self._directory = directory
+        self._clock = clock
+        self._restored_ms = None
+        # The version written last in this era, if it is lower than the one in force.
+        self._lower = None
+
+    def adopt(self, table):
+        """Apply a listed configuration."""
+        self._directory.adopt_routing(table)
+
+    def restore(self, table):
+        """Apply the configuration of the first list of a new era."""
+        self._restored_ms = self._clock.now_ms()
+        self._lower = None
+        if not self._directory.adopt_routing(table):
+            self._log_lower("older configuration in the store", table)
+
+    def change(self, table):
+        """Apply a configuration that has been written."""
+        self._lower = None
+        if self._directory.adopt_routing(table) or self._restored_ms is None:
+            return
+        if table.version == self._directory.routing.version:
+            return
+        self._lower = table
+        self._log_lower("older configuration written", table)
+        due_ms = self._restored_ms + RETENTION_MS
+        delay_ms = max(0.0, due_ms - self._clock.now_ms())
+        self._clock.call_later(delay_ms, self._adopt_lower, table)
+
+    def _adopt_lower(self, table):
+        if self._lower is table:
+            self._lower = None
+            self._directory.adopt_routing(table, lower=True)
+
+    def _log_lower(self, event, table):
+        in_force = self._directory.routing.version
+        if table.version != in_force:
+            logger.warning(
+                event, extra={"version": table.version, "version_in_force": in_force}
+            )
--- a/hemlockspoke/tier/state/directory.py
+++ b/hemlockspoke/tier/state/directory.py
@@ -83,9 +83,13 @@
         """Return whether requests can be routed."""
         return self.routing is not None and self.servers_known
 
-    def adopt_routing(self, table):
-        """Adopt a configuration if it is newer; return whether it was adopted."""
-        if self.routing is not None and table.version <= self.routing.version:
+    def adopt_routing(self, table, lower=False):
+        """Adopt a configuration if it is newer; return whether it was adopted.
+
+        One with a lower version is adopted too if ``lower`` is set.
+        """
+        is_newer = self.routing is None or table.version > self.routing.version
+        if not is_newer and not lower:
             return False
         previous_version = self.routing.version if self.routing else None
         self.routing = table
@@ -148,13 +152,13 @@
         own_limit = self.limit_shares.cold_request_limit(server.server_id, rate_limit)
         return server.sent_in_cold_window(now_ms) >= own_limit
 
-    def set_servers(self, entries):
+    def set_servers(self, entries, kept=()):
         """Apply a complete list of servers.
 
         Servers that are not listed are leaving, but are kept for the time in which
-        expired entries may return.
+        expired entries may return. Those with an id in ``kept`` stay as they are.
         """
-        listed = {entry.server_id for entry in entries}
+        listed = {entry.server_id for entry in entries}.union(kept)
         for entry in entries:
             self.set_server(entry)
         for server_id in list(self.servers):
--- a/hemlockspoke/tier/state/feed.py
+++ b/hemlockspoke/tier/state/feed.py
@@ -7,6 +7,7 @@
 import random
 
 from hemlockspoke.tier.metrics import MetricsRegistry
+from hemlockspoke.tier.state.store_era import UNKNOWN_ERA, Position, StoreEras
 
 logger = logging.getLogger(__name__)
 
@@ -21,8 +22,9 @@
 # Delay of the first watch after a first list. When all daemons start again together,
 # each learns meanwhile that another one reads the store for all.
 FIRST_WATCH_DELAY_MS = 1000.0
-# Wait of the first watch from a known revision. It shows soon whether this daemon
-# reaches the store; until then others do not rely on it.
+# Wait of the first watch from a known position, and of that after a failed call. It
+# shows soon whether this daemon reaches the store, which others rely on from then on,
+# and whether the store has come back older.
 FIRST_WAIT_MS = 1.0
 
 # Delay of the next list after one that could not be applied because of a defect.
@@ -46,16 +48,16 @@
 
 
 class Page:
-    """A page of a list, or the changes reported by a watch, up to ``revision``.
+    """A page of a list, or the changes reported by a watch, up to ``position``.
 
     ``continue_after`` is the name after which the next page of a list starts, or None.
     """
 
-    __slots__ = ("changes", "continue_after", "revision")
+    __slots__ = ("changes", "continue_after", "position")
 
-    def __init__(self, changes, revision, continue_after=None):
+    def __init__(self, changes, revision, continue_after=None, era=UNKNOWN_ERA):
         self.changes = changes
-        self.revision = revision
+        self.position = Position(era, revision)
         self.continue_after = continue_after
 
 
@@ -78,8 +80,10 @@
 
     The source has ``list_page(after, on_page)`` and ``watch(revision, wait_ms,
     grace_ms, on_page)``, where ``on_page`` takes a ``Page`` or a ``FeedError``. The
-    sink has ``replace(changes, revision)`` for a complete list and
-    ``apply(changes, since, revision)``.
+    sink has ``replace(changes, position)`` for a complete list and
+    ``apply(changes, since, position)``. A position of an earlier era than the newest
+    one in ``eras`` is never used: the feed lists again as soon as the era rises, and a
+    page of an earlier one counts as a failed call.
 
     A watch is given up after ``wait_ms`` plus ``WATCH_GRACE_MS``, since its connection
     may be broken without an error; then a new one is used. A paused feed ignores the
@@ -95,14 +99,15 @@
 
     __slots__ = (
         "_clock",
+        "_eras",
         "_generation",
         "_kind",
         "_listed_changes",
-        "_listed_revision",
+        "_listed_position",
         "_metrics",
+        "_position",
         "_progress_ms",
         "_retry_ms",
-        "_revision",
         "_rng",
         "_sink",
         "_source",
@@ -115,7 +120,9 @@
         "retry_factor",
     )
 
-    def __init__(self, kind, clock, source, sink, wait_ms, rng=None, metrics=None):
+    def __init__(
+        self, kind, clock, source, sink, wait_ms, rng=None, metrics=None, eras=None
+    ):
         self._kind = kind
         self._clock = clock
         self._source = source
@@ -123,12 +130,14 @@
         self._wait_ms = wait_ms
         self._rng = rng or random.Random()
         self._metrics = metrics or MetricsRegistry()
+        self._eras = eras or StoreEras()
+        self._eras.on_rise(self._on_era)
         # Clock time of the last call or reply, or at which the next call is due.
         self._progress_ms = 0.0
-        self._revision = None
-        # Changes of the pages of a list so far, and the revision of the first page.
+        self._position = None
+        # Changes of the pages of a list so far, and the position of the first page.
         self._listed_changes = []
-        self._listed_revision = None
+        self._listed_position = None
         self._retry_ms = FIRST_RETRY_MS
         self._watch_started_ms = 0.0
         # Incremented by each pause and resume, to ignore results of earlier calls.
@@ -139,24 +148,37 @@
         self.on_lost = None
         self.retry_factor = 1.0
 
-    def resume(self, revision=None):
-        """Watch from a known revision, or start with a list if it is None."""
-        self._generation += 1
+    def resume(self, position=None):
+        """Watch from a known position, or start with a list if it is None.
+
+        The feed also starts with a list if the position is of an earlier era.
+        """
         self.active = True
         self.confirmed = False
         self.lost = False
         # Others have just failed if this feed is to call less often than they do.
         self._retry_ms = FIRST_RETRY_MS if self.retry_factor <= 1.0 else MAX_RETRY_MS
+        self._begin_generation()
+        if position is None or position.era < self._eras.newest:
+            self._list(self._generation, None)
+        else:
+            self._position = position
+            self._watch(self._generation)
+
+    def _begin_generation(self):
+        """Ignore the results of earlier calls from now on."""
+        self._generation += 1
         self._listed_changes = []
         self._progress_ms = self._clock.now_ms()
         self._clock.call_later(
             PROGRESS_CHECK_MS, self._check_progress, self._generation
         )
-        if revision is None:
+
+    def _on_era(self):
+        """List again, as the revisions known so far are given out again."""
+        if self.active:
+            self._begin_generation()
             self._list(self._generation, None)
-        else:
-            self._revision = revision
-            self._watch(self._generation)
 
     @property
     def reading(self):
@@ -202,14 +224,15 @@
         if generation != self._generation:
             return
         self._progress_ms = self._clock.now_ms()
+        page = self._check_era(page)
         if isinstance(page, FeedError):
             self._listed_changes = []
             self._retry(page, self._list, generation, None)
             return
         self._note_success()
-        is_first = self._revision is None
+        is_first = self._position is None
         if not self._listed_changes:
-            self._listed_revision = page.revision
+            self._listed_position = page.position
         self._listed_changes.extend(page.changes)
         if page.continue_after is not None:
             self._list(generation, page.continue_after)
@@ -217,8 +240,8 @@
         changes, self._listed_changes = self._listed_changes, []
         # Objects of earlier pages may have changed while later ones were read, so the
         # watch starts at the first page; changes that are known already are repeated.
-        self._revision = self._listed_revision
-        if not self._hand_over(self._sink.replace, changes, self._revision):
+        self._position = self._listed_position
+        if not self._hand_over(self._sink.replace, changes, self._position):
             self._call_again(DEFECT_RETRY_MS, self._list, generation, None)
             return
         delay_ms = FIRST_WATCH_DELAY_MS if is_first else WATCH_INTERVAL_MS
@@ -227,9 +250,10 @@
     def _watch(self, generation):
         if generation == self._generation:
             self._watch_started_ms = self._progress_ms = self._clock.now_ms()
+            is_in_touch = self.confirmed and not self.lost
             self._source.watch(
-                self._revision,
-                self._wait_ms if self.confirmed else FIRST_WAIT_MS,
+                self._position.revision,
+                self._wait_ms if is_in_touch else FIRST_WAIT_MS,
                 WATCH_GRACE_MS,
                 lambda page: self._on_changes(generation, page),
             )
@@ -238,6 +262,7 @@
         if generation != self._generation:
             return
         self._progress_ms = self._clock.now_ms()
+        page = self._check_era(page)
         if isinstance(page, FeedError):
             if page.history_gone:
                 logger.info("history gone", extra={"feed": self._kind})
@@ -246,13 +271,23 @@
                 self._retry(page, self._watch, generation)
             return
         self._note_success()
-        since = self._revision
-        self._revision = max(since, page.revision)
-        self._hand_over(self._sink.apply, page.changes, since, self._revision)
+        since = self._position
+        if page.position.era > since.era:
+            # The first answer that states an era; those before stated none.
+            self._list(generation, None)
+            return
+        self._position = max(since, page.position)
+        self._hand_over(self._sink.apply, page.changes, since, self._position)
         waited_ms = self._clock.now_ms() - self._watch_started_ms
         delay_ms = WATCH_INTERVAL_MS - waited_ms
         self._clock.call_later(delay_ms, self._watch, generation)
 
+    def _check_era(self, page):
+        """Return the page, or an error if it is of an earlier era of the store."""
+        if isinstance(page, FeedError) or page.position.era >= self._eras.newest:
+            return page
+        return FeedError("the answer is of an earlier era of the store")
+
     def _note_success(self):
         self._retry_ms = FIRST_RETRY_MS
         self.confirmed = True
--- a/hemlockspoke/tier/state/followed_kind.py
+++ b/hemlockspoke/tier/state/followed_kind.py
@@ -10,9 +10,10 @@
 class FollowedKind:
     """The known state of one kind of objects, with its feed and its sink.
 
-    ``objects`` maps names to specifications at ``revision``, which was the store's
+    ``objects`` maps names to specifications at ``position``, which was the store's
     newest at the clock time ``confirmed_ms``. Changes reach ``sink`` in the order of
-    the store's revisions, whether this daemon or another one has read them.
+    positions, whether this daemon or another one has read them. The first list of a new
+    era, which may lack what was known, reaches it by ``restore``.
     ``unread_since_ms`` is the clock time since which no daemon of the failure domain is
     known to read the kind, or None. ``readers`` are the VMs of the other daemons that
     have read it for this one since the state was last up to date.
@@ -26,8 +27,8 @@
         "feed",
         "kind",
         "objects",
+        "position",
         "readers",
-        "revision",
         "unread_since_ms",
     )
 
@@ -38,28 +39,47 @@
         self._sink = sink
         self.feed = None
         self.objects = {}
-        self.revision = None
+        self.position = None
         self.confirmed_ms = None
         self.unread_since_ms = None
         self.readers = set()
 
-    def replace(self, changes, revision, age_ms=0.0):
+    @property
+    def revision(self):
+        """The revision of ``position``, or None."""
+        return None if self.position is None else self.position.revision
+
+    def replace(self, changes, position, age_ms=0.0):
         """Replace all objects; return False if the list is older than the state."""
-        if self.revision is not None and revision < self.revision:
+        known = self.position
+        if known is not None and position < known:
             return False
         self.objects = {change.name: change.spec for change in changes}
-        self._confirm(revision, age_ms)
-        self._sink.replace(changes)
+        self._confirm(position, age_ms)
+        if known is None or position.era == known.era:
+            self._sink.replace(changes)
+            return True
+        logger.info(
+            "list of a new era",
+            extra={
+                "kind": self.kind,
+                "era": position.era,
+                "revision": position.revision,
+                "previous_era": known.era,
+                "previous_revision": known.revision,
+            },
+        )
+        self._sink.restore(changes)
         return True
 
-    def apply(self, changes, revision, age_ms=0.0):
-        """Apply the changes up to a revision."""
+    def apply(self, changes, position, age_ms=0.0):
+        """Apply the changes up to a position of the same era."""
         for change in changes:
             if change.removed:
                 self.objects.pop(change.name, None)
             else:
                 self.objects[change.name] = change.spec
-        self._confirm(revision, age_ms)
+        self._confirm(position, age_ms)
         for change in changes:
             self._apply_change(change)
 
@@ -74,18 +94,18 @@
             )
             self._metrics.count("feed.defects")
 
-    def _confirm(self, revision, age_ms):
-        self.revision = revision
+    def _confirm(self, position, age_ms):
+        self.position = position
         confirmed_ms = self._clock.now_ms() - age_ms
         self.confirmed_ms = max(self.confirmed_ms or confirmed_ms, confirmed_ms)
 
-    def confirm(self, revision, age_ms):
-        """Record that ``revision`` was the newest one ``age_ms`` ago."""
-        if self.revision is not None and revision >= self.revision:
-            self._confirm(self.revision, age_ms)
+    def confirm(self, position, age_ms):
+        """Record that ``position`` was the newest one ``age_ms`` ago."""
+        if self.position is not None and position >= self.position:
+            self._confirm(self.position, age_ms)
 
     def age_ms(self):
-        """Return how long ago the store confirmed the revision, or infinity."""
+        """Return how long ago the store confirmed the position, or infinity."""
         if self.confirmed_ms is None:
             return float("inf")
         return self._clock.now_ms() - self.confirmed_ms
@@ -100,16 +120,16 @@
         self._followed = followed
         self._relay = relay
 
-    def replace(self, changes, revision):
+    def replace(self, changes, position):
         """Apply a complete list, and relay it."""
-        if self._followed.replace(changes, revision):
-            self._relay.publish(self._followed, changes, 0, revision, complete=True)
+        if self._followed.replace(changes, position):
+            self._relay.publish(self._followed, changes, 0, position, complete=True)
 
-    def apply(self, changes, since, revision):
+    def apply(self, changes, since, position):
         """Apply changes reported by a watch, and relay them."""
         followed = self._followed
-        if revision <= followed.revision:
-            followed.confirm(revision, 0.0)
+        if position <= followed.position:
+            followed.confirm(position, 0.0)
             return
-        followed.apply(changes, revision)
-        self._relay.publish(followed, changes, since, revision, complete=False)
+        followed.apply(changes, position)
+        self._relay.publish(followed, changes, since.revision, position, complete=False)
--- a/hemlockspoke/tier/state/relay.py
+++ b/hemlockspoke/tier/state/relay.py
@@ -4,7 +4,8 @@
 the reachable daemon with the lowest name reads the store and relays the changes; the
 others read the store themselves as soon as that daemon is silent, is about to stop or
 no longer reaches the store. The daemons send each other heartbeats (``StoreHeartbeat``)
-with the newest revision that they know of each kind of objects.
+with the newest position that they know of each kind of objects. A state of a later era
+replaces one of an earlier era, whatever their revisions.
 """
 
 import logging
@@ -13,6 +14,7 @@
 from hemlockspoke.tier.messages import StoreChanges, StoreHeartbeat, StoreListRequest
 from hemlockspoke.tier.state.change_parts import PendingParts, changes_messages
 from hemlockspoke.tier.state.feed import WATCH_GRACE_MS, Change
+from hemlockspoke.tier.state.store_era import Position
 
 logger = logging.getLogger(__name__)
 
@@ -175,12 +177,12 @@
         kinds = [
             [
                 followed.kind,
-                followed.revision,
+                *followed.position,
                 round(followed.age_ms()),
                 followed.feed.reading,
             ]
             for followed in self._kinds.values()
-            if followed.revision is not None
+            if followed.position is not None
         ]
         return StoreHeartbeat(kinds=kinds, leaving=self.leaving)
 
@@ -206,7 +208,7 @@
             heartbeat_kind == kind
             and is_reading
             and age_ms + silence_ms < self._max_age_ms
-            for heartbeat_kind, _, age_ms, is_reading in heartbeat.kinds
+            for heartbeat_kind, _, _, age_ms, is_reading in heartbeat.kinds
         )
 
     def _retry_factor(self, kind):
@@ -235,16 +237,16 @@
         if reader is not None or feed.active:
             followed.unread_since_ms = None
         if reader is None and not feed.active and self._may_take_over(followed):
-            has_revision = followed.revision is not None
+            is_known = followed.position is not None
             logger.info(
                 "reading the store",
                 extra={
                     "kind": followed.kind,
-                    "age_ms": round(followed.age_ms()) if has_revision else None,
+                    "age_ms": round(followed.age_ms()) if is_known else None,
                 },
             )
-            feed.resume(followed.revision)
-        elif reader is not None and feed.active and followed.revision is not None:
+            feed.resume(followed.position)
+        elif reader is not None and feed.active and followed.position is not None:
             logger.info(
                 "taking news of a peer", extra={"kind": followed.kind, "peer": reader}
             )
@@ -259,7 +261,7 @@
         now_ms = self._clock.now_ms()
         if now_ms < self._read_delay_until_ms:
             return False
-        if followed.revision is None or not self._candidates_before():
+        if followed.position is None or not self._candidates_before():
             return True
         delay_ms = self._takeover_delay_ms(followed)
         if followed.unread_since_ms is None:
@@ -288,11 +290,11 @@
             and now_ms - self._heartbeats[vm].received_ms < HEARTBEAT_TIMEOUT_MS
         ]
 
-    def publish(self, followed, changes, since, revision, complete):
+    def publish(self, followed, changes, since, position, complete):
         """Relay changes that this daemon has read from the store."""
         if not changes and not complete:
             return
-        messages = changes_messages(followed.kind, changes, since, revision, complete)
+        messages = changes_messages(followed.kind, changes, since, position, complete)
         for vm in self._domain_peers():
             for message in messages:
                 self._send(vm, message)
@@ -303,14 +305,15 @@
             self._heartbeats[vm] = _Heartbeat(
                 self._clock.now_ms(), message.kinds, message.leaving
             )
-            for kind, revision, age_ms, is_reading in message.kinds:
-                self._handle_heartbeat(vm, kind, revision, age_ms, is_reading)
+            for kind, era, revision, age_ms, is_reading in message.kinds:
+                position = Position(era, revision)
+                self._handle_heartbeat(vm, kind, position, age_ms, is_reading)
         elif isinstance(message, StoreChanges):
             self._handle_changes(vm, message)
         elif isinstance(message, StoreListRequest):
             self._send_snapshot(vm, message.kind)
 
-    def _handle_heartbeat(self, vm, kind, revision, age_ms, is_reading):
+    def _handle_heartbeat(self, vm, kind, position, age_ms, is_reading):
         followed = self._kinds.get(kind)
         if followed is None:
             return
@@ -319,11 +322,11 @@
                 # It may have just ceased to read.
                 self._update_reader(followed)
             return
-        if followed.revision is None or revision > followed.revision:
-            # The changes up to this revision were relayed before the stream was open.
+        if followed.position is None or position > followed.position:
+            # The changes up to this position were relayed before the stream was open.
             self._send(vm, StoreListRequest(kind=kind))
         else:
-            followed.confirm(revision, age_ms)
+            followed.confirm(position, age_ms)
 
     def _handle_changes(self, vm, message):
         followed = self._kinds.get(message.kind)
@@ -332,24 +335,32 @@
         items = self._pending_parts.add(vm, message)
         if items is None:
             return
-        known_revision = followed.revision
-        if known_revision is not None and message.revision <= known_revision:
+        known = followed.position
+        position = Position(message.era, message.revision)
+        if known is not None and position <= known:
             return
         changes = [Change(name, spec, removed) for name, removed, spec in items]
         if message.complete:
-            followed.replace(changes, message.revision, message.age_ms)
-        elif known_revision is not None and message.since <= known_revision:
-            followed.apply(changes, message.revision, message.age_ms)
+            followed.replace(changes, position, message.age_ms)
+        elif self._continues(message, known):
+            followed.apply(changes, position, message.age_ms)
         else:
             self._send(vm, StoreListRequest(kind=message.kind))
 
+    @staticmethod
+    def _continues(message, known):
+        """Return whether changes follow a known position without a gap."""
+        if known is None or message.era != known.era:
+            return False
+        return message.since <= known.revision
+
     def _send_snapshot(self, vm, kind):
         followed = self._kinds.get(kind)
-        if followed is None or followed.revision is None:
+        if followed is None or followed.position is None:
             return
         changes = [Change(name, spec) for name, spec in followed.objects.items()]
         for message in changes_messages(
-            kind, changes, 0, followed.revision, True, followed.age_ms()
+            kind, changes, 0, followed.position, True, followed.age_ms()
         ):
             self._send(vm, message)
 
--- /dev/null
+++ b/hemlockspoke/tier/state/server_list.py
@@ -0,0 +1,101 @@
+"""The server entries of the store, and what is known better than an older list."""
+
+import logging
+
+from hemlockspoke.tier.placement.servers import ServerState
+
+logger = logging.getLogger(__name__)
+
+# Time for which a daemon does not use entries of the first list of a new era that it
+# knows to be outdated. Servers write again within a liveness interval, and the store
+# removes entries that are not written for three of them; both end well before.
+OUTDATED_MS = 10_000.0
+# A removed process is remembered for this time. Copies are some seconds old.
+REMOVAL_MEMORY_MS = 60_000.0
+
+
+class ServerList:
+    """Gives the directory the entries that the store has.
+
+    An entry in the first list of a new era is outdated if its server has started again
+    since, has said that it drains, or has left. Such a server is treated as known until
+    the store reports a change of it, or for ``OUTDATED_MS``.
+    """
+
+    __slots__ = ("_clock", "_directory", "_outdated", "_removed_ms")
+
+    def __init__(self, directory, clock):
+        self._directory = directory
+        self._clock = clock
+        # Outdated entries of the newest list by id.
+        self._outdated = {}
+        # Clock time at which the entry of a process was removed.
+        self._removed_ms = {}
+
+    def replace(self, entries):
+        """Apply a complete list."""
+        self._outdated.clear()
+        self._note_unlisted(entries)
+        self._directory.set_servers(entries)
+
+    def restore(self, entries):
+        """Apply the first list of a new era."""
+        outdated = {
+            entry.server_id: entry for entry in entries if self._is_outdated(entry)
+        }
+        current = [entry for entry in entries if entry.server_id not in outdated]
+        self._directory.set_servers(current, kept=outdated)
+        self._outdated = outdated
+        if outdated:
+            logger.warning("outdated entries", extra={"servers": sorted(outdated)[:20]})
+            self._clock.call_later(OUTDATED_MS, self._use_outdated, outdated)
+
+    def set(self, entry):
+        """Apply a changed entry."""
+        self._outdated.pop(entry.server_id, None)
+        self._removed_ms.pop(entry.process_key(), None)
+        self._directory.set_server(entry)
+
+    def remove(self, server_id):
+        """Apply the removal of an entry."""
+        self._outdated.pop(server_id, None)
+        self._note_removed(server_id)
+        self._directory.remove_server(server_id)
+
+    def _use_outdated(self, outdated):
+        """Use what the store still has, as its servers have not written since."""
+        if outdated is not self._outdated:
+            return
+        for entry in list(outdated.values()):
+            self.set(entry)
+
+    def _is_outdated(self, entry):
+        removed_ms = self._removed_ms.get(entry.process_key())
+        if removed_ms is not None:
+            return self._clock.now_ms() - removed_ms < REMOVAL_MEMORY_MS
+        server = self._directory.servers.get(entry.server_id)
+        if server is None or not server.listed:
+            return False
+        known = server.entry
+        if known.same_process(entry):
+            is_draining = known.state is ServerState.DRAINING
+            return is_draining and entry.state is ServerState.READY
+        if known.started_ms is None or entry.started_ms is None:
+            return False
+        return entry.started_ms < known.started_ms
+
+    def _note_unlisted(self, entries):
+        listed = {entry.server_id for entry in entries}
+        for server_id in self._directory.servers.keys() - listed:
+            self._note_removed(server_id)
+
+    def _note_removed(self, server_id):
+        now_ms = self._clock.now_ms()
+        self._removed_ms = {
+            process: removed_ms
+            for process, removed_ms in self._removed_ms.items()
+            if now_ms - removed_ms < REMOVAL_MEMORY_MS
+        }
+        server = self._directory.servers.get(server_id)
+        if server is not None and server.listed:
+            self._removed_ms[server.entry.process_key()] = now_ms
--- a/hemlockspoke/tier/state/store_era.py
+++ b/hemlockspoke/tier/state/store_era.py
@@ -11,6 +11,9 @@
 
 # Era of a store that has never stated one.
 UNKNOWN_ERA = 0
+# Time after the first list of a new era for which a daemon keeps what it knows better
+# than the list. After that the store's word holds.
+RETENTION_MS = 60_000.0
 
 
 class Position(NamedTuple):
--- a/tests/features/steps/edge_decisions_steps.py
+++ b/tests/features/steps/edge_decisions_steps.py
@@ -21,6 +21,7 @@
 from hemlockspoke.tier.state.followed_kind import FollowedKind
 from hemlockspoke.tier.state.relay import Relay
 from hemlockspoke.tier.state.routes import RoutingTable, ServiceLimits
+from hemlockspoke.tier.state.store_era import Position
 
 RATIO = 0.2
 SLACK = 58
@@ -354,7 +355,7 @@
 def step_kind(context, revision):
     clock = ManualClock()
     context.followed = FollowedKind("servers", clock, NullSink())
-    context.followed.replace([], revision)
+    context.followed.replace([], Position(0, revision))
     context.relay = Relay(clock, "e1", lambda vm, message: True, lambda: ["e0"], 5000)
     context.relay.follow(context.followed, IdleFeed())
 
@@ -369,6 +370,7 @@
     for number in range(1, parts + 1):
         message = StoreChanges(
             kind="servers",
+            era=0,
             since=since,
             revision=revision,
             changes=[[f"s{number}", False, {}]],
--- a/tests/features/steps/edge_feed_steps.py
+++ b/tests/features/steps/edge_feed_steps.py
@@ -66,12 +66,12 @@
         self.revisions = []
         self.names = set()
 
-    def replace(self, changes, revision):
+    def replace(self, changes, position):
         """Record a list."""
-        self.revisions.append(revision)
+        self.revisions.append(position.revision)
         self.names = {change.name for change in changes}
 
-    def apply(self, changes, since, revision):
+    def apply(self, changes, since, position):
         """Record the changes that a watch reports."""
         for change in changes:
             if change.removed:
--- a/tests/features/steps/edge_odd_entries_steps.py
+++ b/tests/features/steps/edge_odd_entries_steps.py
@@ -199,7 +199,7 @@
             return True
 
         relay = Relay(self.clock, vm, send, lambda: [other], 4000.0)
-        sink = sinks_by_kind(directory)[kind]
+        sink = sinks_by_kind(directory, self.clock)[kind]
         self.followed[vm] = FollowedKind(kind, self.clock, sink)
         relay.follow(self.followed[vm], None)
         self.directories[vm], self.relays[vm] = directory, relay
@@ -308,10 +308,10 @@
 class FailingSink:
     """A sink with a defect."""
 
-    def replace(self, changes, revision):
+    def replace(self, changes, position):
         """Accept the first list."""
 
-    def apply(self, changes, since, revision):
+    def apply(self, changes, since, position):
         """Fail."""
         raise RuntimeError("defect for a test")
 
--- a/tests/features/steps/edge_relayed_lists_steps.py
+++ b/tests/features/steps/edge_relayed_lists_steps.py
@@ -7,6 +7,7 @@
 from hemlockspoke.tier.state.feed import Change
 from hemlockspoke.tier.state.followed_kind import FollowedKind
 from hemlockspoke.tier.state.relay import Relay
+from hemlockspoke.tier.state.store_era import Position
 
 
 @given("{count:d} servers, and {large_count:d} with entries of {size:d} bytes")
@@ -37,9 +38,10 @@
     def publish(self, changes, revision):
         """Let ``e1`` publish a complete list; keep its frames."""
         self.frames.clear()
-        self.followed["e1"].replace(changes, revision)
+        position = Position(0, revision)
+        self.followed["e1"].replace(changes, position)
         relay = self.relays["e1"]
-        relay.publish(self.followed["e1"], changes, 0, revision, complete=True)
+        relay.publish(self.followed["e1"], changes, 0, position, complete=True)
 
     def deliver(self, count=None):
         """Deliver the first frames to ``e2``."""
--- a/tests/features/steps/edge_timing_steps.py
+++ b/tests/features/steps/edge_timing_steps.py
@@ -10,6 +10,7 @@
 from hemlockspoke.tier.state.feed import Change, Feed, Page
 from hemlockspoke.tier.state.followed_kind import FollowedKind
 from hemlockspoke.tier.state.relay import Relay
+from hemlockspoke.tier.state.store_era import Position
 from tests.features.steps.edge_decisions_steps import FakePool, IdleFeed, NullSink
 
 
@@ -53,11 +54,11 @@
     def __init__(self):
         self.revision = 0
 
-    def replace(self, changes, revision):
-        self.revision = revision
+    def replace(self, changes, position):
+        self.revision = position.revision
 
-    def apply(self, changes, since, revision):
-        self.revision = revision
+    def apply(self, changes, since, position):
+        self.revision = position.revision
 
 
 @given("a feed of a kind that changes every {period_ms:d} ms")
@@ -137,11 +138,11 @@
 def step_changes_from_peer(context):
     clock = context.clock = ManualClock()
     followed = FollowedKind("servers", clock, NullSink())
-    followed.replace([], 20)
+    followed.replace([], Position(0, 20))
     context.feed = IdleFeed()
     relay = Relay(clock, "e1", lambda vm, message: True, lambda: ["e0"], 60_000)
     relay.follow(followed, context.feed)
-    heartbeat = StoreHeartbeat(kinds=[["servers", 20, 0, True]], leaving=False)
+    heartbeat = StoreHeartbeat(kinds=[["servers", 0, 20, 0, True]], leaving=False)
     relay.receive("e0", heartbeat)
     relay.start()
     clock.advance(500.0)
--- a/tests/features/steps/wire_steps.py
+++ b/tests/features/steps/wire_steps.py
@@ -47,6 +47,7 @@
     ]
     context.message = context.sent = StoreChanges(
         kind="servers",
+        era=0,
         since=0,
         revision=9,
         changes=changes,
--- a/tests/features/store_era.feature
+++ b/tests/features/store_era.feature
@@ -33,3 +33,53 @@
       | 3.5       | 4   |
       | 5 and 6   | 4   |
       | 10^30     | 4   |
+
+  Scenario: a relayed list of a new era replaces a state with a higher revision
+    # Guards against daemons that stay behind as their reader has listed anew.
+    Given a daemon that has the servers "s1" at revision 900 of era 1 from its reader
+    When the reader relays the list "s2" at revision 40 of era 2
+    Then the daemon has "s2" at revision 40 of era 2
+    When a peer relays the list "s1" at revision 950 of era 1
+    And a peer relays the change "s3" after revision 30, at revision 960 of era 1
+    Then the daemon has "s2" at revision 40 of era 2
+
+  Scenario: a revision of an earlier era confirms nothing
+    # Guards against a state that looks up to date as a higher, dead revision is known.
+    Given a daemon that has the servers "s1" at revision 900 of era 1 from its reader
+    When the reader relays the list "s2" at revision 40 of era 2
+    And 5 s later a reader states that it knows revision 950 of era 1
+    Then the state of the daemon is 5 s old
+    When a reader states that it knows revision 40 of era 2
+    Then the state of the daemon is 0 s old
+
+  Scenario: a feed lists again as soon as any answer states a new era
+    # Guards against a feed that goes on from a revision that was given out again.
+    Given a feed that watches from revision 900 of era 1
+    When an answer to another call states era 2
+    Then the feed lists the store at once
+    When the answer to the watch of era 1 arrives with a change at revision 901
+    Then the feed has ignored it
+    When the list of era 2 arrives, up to revision 40
+    Then the feed knows revision 40 of era 2
+
+  Scenario: an older list takes nothing back that a daemon knows better
+    # Guards against acknowledged changes that end because the store has lost them.
+    Given a directory with version 9 and the domain "b1" out of service
+    And its servers "drained" that drains, "again" with its second process, "gone" that has left
+    When the first list of a new era has version 5, no domain out, and older entries
+    Then version 9 is in force and "b1" is out of service
+    And "drained" drains, "again" has its second process and "gone" is not used
+    When the servers write again and the operator takes "b1" out and back
+    Then "again" has its third process, "gone" is used and no domain is out of service
+
+  Scenario: what nobody writes again ends after a time
+    # Guards against a state that differs from the store's for good.
+    Given a directory with version 9 and the domain "b1" out of service
+    And its servers "drained" that drains, "again" with its second process, "gone" that has left
+    When the first list of a new era has version 5, no domain out, and older entries
+    And the operator writes version 7
+    And 11 s pass
+    Then "drained" and "gone" are used as the store has them
+    And version 9 is in force and "b1" is out of service
+    When 50 s pass
+    Then version 7 is in force and no domain is out of service
