Follow rollout orders by era, and keep their verdicts

What operators would have seen: an order written after the store came back older was not carried out, as its revision was below the known one, until revisions had passed that. A rollout whose end the store had lost began again, and one that the store had lost ended without a verdict.

Cause: RolloutManager.set_order compared revisions without their era; an order without a status counted as written again after its end; a missing order counted as removed.

Change: orders and the messages on them have a Position. In a new era an order with the same content is the same order; its verdict stands and is written again, also by daemons that had only been told it. OrderList keeps an order that the first list of the era lacks, or replaces by the one before it, until the store reports a change of it or for 60 s. A reply to a write with another order of a newer era is left to the list.

--- a/hemlockspoke/platform/feeds.py
+++ b/hemlockspoke/platform/feeds.py
@@ -108,7 +108,8 @@
     if isinstance(spec, dict) and "born" in item and "born" not in spec:
         spec = {**spec, "born": item["born"]}
     if isinstance(spec, dict) and kind == objects.ROLLOUT_KIND:
-        spec = {**spec, "revision": revision, "status": item.get("status")}
+        status = item.get("status")
+        spec = {**spec, "era": era, "revision": revision, "status": status}
     known = objects.known_fields(kind, name, spec)
     if known is None:
         logger.warning("malformed object", extra={"kind": kind, "object": name})
--- a/hemlockspoke/platform/objects.py
+++ b/hemlockspoke/platform/objects.py
@@ -39,7 +39,7 @@
     "warmup_left_ms",
     "zone",
 )
-_ROLLOUT_FIELDS = ("duration_s", "revision", "service", "target_version")
+_ROLLOUT_FIELDS = ("duration_s", "era", "revision", "service", "target_version")
 _STATUS_FIELDS = ("state", "target_version")
 _DAEMON_FIELDS = (
     "failure_domain",
@@ -47,6 +47,7 @@
     "renewed_ms",
     "registered_ms",
     "started_ms",
+    "store_era",
 )
 # Raised for values of another type or out of range.
 _MALFORMED = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
@@ -224,7 +225,7 @@
         if isinstance(status, dict) and status.get("target_version") == target_version:
             state = status.get("state")
             final_phase = FINAL_PHASES.get(state)
-        revision = _integer(fields["revision"])
+        revision, era = _integer(fields["revision"]), _integer(fields["era"])
     except _MALFORMED:
         return None
     return Order(
@@ -235,6 +236,7 @@
         revision,
         final_phase,
         is_running=state == RUNNING_STATE,
+        era=era,
     )
 
 
--- a/hemlockspoke/platform/program.py
+++ b/hemlockspoke/platform/program.py
@@ -42,7 +42,7 @@
     )
     for kind, sink in sinks_by_kind(daemon.directory, clock).items():
         daemon.follow(kind, KindSource(calls, kind), sink)
-    follow_rollouts(daemon, calls)
+    follow_rollouts(daemon, calls, clock)
     daemon.set_registrations(Registrations(calls))
     return daemon
 
--- a/hemlockspoke/platform/rollouts.py
+++ b/hemlockspoke/platform/rollouts.py
@@ -2,6 +2,7 @@
 
 from hemlockspoke.platform import objects
 from hemlockspoke.platform.feeds import HTTP_OK, KindSource, decode_change
+from hemlockspoke.tier.rollouts.order_list import OrderList
 from hemlockspoke.tier.rollouts.settling import WriteOutcome
 from hemlockspoke.tier.rollouts.wiring import RolloutSink
 
@@ -23,7 +24,7 @@
         def decode(reply):
             written_order = None
             if isinstance(reply.body, dict):
-                change = decode_change(objects.ROLLOUT_KIND, reply.body)
+                change = decode_change(objects.ROLLOUT_KIND, reply.body, era=reply.era)
                 if change is not None and change.spec is not None:
                     written_order = objects.decode_rollout(change.name, change.spec)
             detail = reply.detail or f"status {reply.status}"
@@ -36,13 +37,13 @@
         )
 
 
-def follow_rollouts(daemon, calls):
+def follow_rollouts(daemon, calls, clock):
     """Let a daemon follow the orders, if its settings have bounds for them."""
     manager = daemon.rollouts
     if manager is None:
         return
     source = KindSource(calls, objects.ROLLOUT_KIND)
-    sink = RolloutSink(manager, objects.decode_rollout)
+    sink = RolloutSink(OrderList(manager, clock), objects.decode_rollout)
     followed = daemon.follow(objects.ROLLOUT_KIND, source, sink)
     manager.versions.confirmed_ms = lambda: followed.confirmed_ms
     manager.set_status_writer(RolloutStatus(calls).write)
--- a/hemlockspoke/tier/messages.py
+++ b/hemlockspoke/tier/messages.py
@@ -266,8 +266,8 @@
 class RolloutEvidence(Message):
     """Tells a collecting daemon what the sender has counted for an order.
 
-    ``service``, ``target_version`` and ``revision`` identify the order: the object's
-    revision when the sender saw it first. ``process`` is the start of the
+    ``service``, ``target_version``, ``era`` and ``revision`` identify the order: the
+    position of the object that the sender knows. ``process`` is the start of the
     sender's process, ``sequence`` rises with each message of it. ``phase`` is the phase
     that the sender applies. ``age_ms`` is how long ago the sender, or a daemon that has
     told it, saw the order first. The other fields are those of a ``Tally``; ``rows``
@@ -278,6 +278,7 @@
     __slots__ = (
         "service",
         "target_version",
+        "era",
         "revision",
         "process",
         "sequence",
@@ -294,8 +295,8 @@
 class RolloutState(Message):
     """Tells which phase of an order holds for the next moments.
 
-    ``service`` and ``target_version`` identify the order, ``revision`` is the newest
-    one of its object that the sender knows. ``share`` is the share of
+    ``service`` and ``target_version`` identify the order, ``era`` and ``revision`` are
+    the newest position of its object that the sender knows. ``share`` is the share of
     the requests that may go to the target version while the phase is ``sampling``.
     ``age_ms`` is as in ``RolloutEvidence``. ``reason`` is a text for the log.
     """
@@ -303,6 +304,7 @@
     __slots__ = (
         "service",
         "target_version",
+        "era",
         "revision",
         "phase",
         "share",
--- a/hemlockspoke/tier/rollouts/manager.py
+++ b/hemlockspoke/tier/rollouts/manager.py
@@ -100,23 +100,17 @@
 
     # Orders of the store.
 
-    def set_orders(self, orders):
-        """Apply the complete list of orders."""
-        services = {order.service for order in orders}
-        for service in set(self.versions.rollouts) - services:
-            self.remove_order(service)
-        for order in orders:
-            self.set_order(order)
-
     def set_order(self, order):
         """Apply a new order, or a later state of one."""
         rollouts, now_ms = self.versions.rollouts, self._clock.now_ms()
         rollout = rollouts.get(order.service)
-        if rollout is not None and order.revision < rollout.order.revision:
+        if rollout is not None and order.position < rollout.order.position:
             return
         if rollout is None or not order.continues(rollout.order):
             lease_ms = min(LEASE_MS, ROLLBACK_FRACTION * self._bounds.rollback_ms)
+            replaced = None if rollout is None else rollout.order
             rollout = rollouts[order.service] = Rollout(order, now_ms, lease_ms)
+            rollout.replaced = replaced
             self.versions.note_old(rollout)
             log_step(rollout, "order seen")
         rollout.order = order
@@ -356,6 +350,9 @@
 
     def _reached_phase(self, rollout, now_ms):
         """Return a phase that an earlier decider has told, or None."""
+        if rollout.phase(now_ms) is Phase.COMPLETED:
+            # The store has lost the end of the order.
+            return Phase.COMPLETED
         for phase in (Phase.ROLLED_BACK, Phase.COMPLETING, Phase.SWITCHING):
             if rollout.phase(now_ms) is phase or rollout.collected.has_phase(phase):
                 return phase
--- a/hemlockspoke/tier/rollouts/messages.py
+++ b/hemlockspoke/tier/rollouts/messages.py
@@ -2,6 +2,7 @@
 
 from hemlockspoke.tier.messages import RolloutEvidence, RolloutState
 from hemlockspoke.tier.rollouts.order import FINAL_PHASES
+from hemlockspoke.tier.state.store_era import Position
 
 # Limit on the age of an order that another daemon may tell: a week.
 MAX_AGE_MS = 7 * 24 * 3_600_000
@@ -13,6 +14,7 @@
     return RolloutEvidence(
         service=order.service,
         target_version=order.target_version,
+        era=order.era,
         revision=order.revision,
         process=process,
         sequence=sequence,
@@ -31,6 +33,7 @@
     return RolloutState(
         service=order.service,
         target_version=order.target_version,
+        era=order.era,
         revision=order.revision,
         phase=rollout.phase(now_ms).value,
         share=rollout.sampling_share(now_ms),
@@ -42,19 +45,22 @@
 def rollout_of(rollouts, message):
     """Return the ``Rollout`` that a message is about, or None.
 
-    ``rollouts`` maps services to them. Messages of a lower revision than the first one
+    ``rollouts`` maps services to them. Messages of a lower position than the first one
     that this daemon has seen are about an earlier order. If it has joined late, they
     may come from daemons that do not know of the status ``running`` yet. Those with a
     final phase are not taken even then: an earlier order may have ended with it.
     """
-    if not isinstance(message.service, str) or type(message.revision) is not int:
+    position = Position(message.era, message.revision)
+    if not isinstance(message.service, str) or any(
+        type(n) is not int for n in position
+    ):
         return None
     if type(message.age_ms) is not int or not 0 <= message.age_ms <= MAX_AGE_MS:
         return None
     rollout = rollouts.get(message.service)
     if rollout is None or message.target_version != rollout.order.target_version:
         return None
-    if message.revision >= rollout.start_revision:
+    if position >= rollout.start_position:
         return rollout
     # A list, since the phase of a malformed message may not be hashable.
     is_final = message.phase in list(FINAL_PHASES)
--- a/hemlockspoke/tier/rollouts/order.py
+++ b/hemlockspoke/tier/rollouts/order.py
@@ -2,6 +2,8 @@
 
 from enum import Enum
 
+from hemlockspoke.tier.state.store_era import UNKNOWN_ERA, Position
+
 
 class Phase(Enum):
     """How far a rollout is, as its decider tells the other daemons."""
@@ -27,13 +29,15 @@
 class Order:
     """One object of the kind ``rollouts``, decoded.
 
-    ``name`` is that of the object and ``revision`` its revision in the store.
+    ``name`` is that of the object, ``revision`` its revision in the store and ``era``
+    the era of the store that has given it out.
     ``final_phase`` is the phase that its status states for ``target_version``, or None
     while the order is open. ``is_running`` is whether it states ``RUNNING_STATE``.
     """
 
     __slots__ = (
         "duration_ms",
+        "era",
         "final_phase",
         "is_running",
         "name",
@@ -51,6 +55,7 @@
         revision,
         final_phase=None,
         is_running=False,
+        era=UNKNOWN_ERA,
     ):
         self.name = name
         self.service = service
@@ -59,11 +64,26 @@
         self.revision = revision
         self.final_phase = final_phase
         self.is_running = is_running
+        self.era = era
+
+    @property
+    def position(self):
+        """The ``Position`` of the object in the store's sequence of changes."""
+        return Position(self.era, self.revision)
+
+    def same_spec(self, other):
+        """Return whether both order the same."""
+        return (
+            self.service == other.service
+            and self.target_version == other.target_version
+            and self.duration_ms == other.duration_ms
+        )
 
     def continues(self, earlier):
         """Return whether this is a later state of the same order.
 
-        An order that is written again after its end is another one.
+        An order that is written again after its end is another one. In a new era of the
+        store it is the same, whose end the store has lost.
 
         >>> first = Order("s", "s", "v2", 12_000.0, 3)
         >>> Order("s", "s", "v2", 12_000.0, 4).continues(first)
@@ -71,10 +91,5 @@
         >>> Order("s", "s", "v3", 12_000.0, 4).continues(first)
         False
         """
-        same_spec = (
-            self.service == earlier.service
-            and self.target_version == earlier.target_version
-            and self.duration_ms == earlier.duration_ms
-        )
         reopened = earlier.final_phase is not None and self.final_phase is None
-        return same_spec and not reopened
+        return self.same_spec(earlier) and not (reopened and self.era == earlier.era)
--- a/hemlockspoke/tier/rollouts/rollout.py
+++ b/hemlockspoke/tier/rollouts/rollout.py
@@ -24,7 +24,8 @@
     ``final_ms`` is the clock time at which a final phase became known. ``decider`` is
     set at daemons that collect. ``saw_old`` is whether the service has had servers of
     another version since the order was seen. ``joined_late`` is whether its status was
-    ``running`` by then, so that its first revision is not known.
+    ``running`` by then, so that its first position is not known. ``replaced`` is the
+    ``Order`` of the service before this one, or None.
     """
 
     __slots__ = (
@@ -39,13 +40,14 @@
         "leader_rank",
         "lease_until_ms",
         "order",
+        "replaced",
         "reported_ms",
         "running_at_ms",
         "saw_old",
         "seen_ms",
         "settled_ms",
         "share",
-        "start_revision",
+        "start_position",
         "tally",
         "told_ms",
         "write_at_ms",
@@ -55,8 +57,9 @@
     def __init__(self, order, now_ms, lease_ms=LEASE_MS):
         self._lease_ms = lease_ms
         self.order = order
-        # Messages about an earlier order with the same target have a lower revision.
-        self.start_revision = order.revision
+        self.replaced = None
+        # Messages about an earlier order with the same target have a lower position.
+        self.start_position = order.position
         self.joined_late = order.is_running
         self.seen_ms = self.joined_ms = now_ms
         self._phase = Phase.SAMPLING
--- a/hemlockspoke/tier/rollouts/settling.py
+++ b/hemlockspoke/tier/rollouts/settling.py
@@ -84,7 +84,8 @@
         """
         now_ms = self._clock.now_ms()
         phase = rollout.phase(now_ms)
-        if phase not in (Phase.COMPLETING, Phase.ROLLED_BACK):
+        # An order that is open in the store although it was completed has lost its end.
+        if phase not in (Phase.COMPLETING, Phase.COMPLETED, Phase.ROLLED_BACK):
             rollout.settled_ms = None
             return
         if rollout.settled_ms is None:
@@ -104,7 +105,7 @@
 
     def _on_noted(self, rollout, outcome):
         if outcome.order is not None:
-            self._adopt(outcome.order)
+            self._adopt_stored(rollout, outcome.order)
         elif not outcome.written:
             _log_failure(rollout, outcome)
 
@@ -112,16 +113,22 @@
         rollout.writing = False
         rollout.write_at_ms = self._clock.now_ms() + RETRY_MS
         if outcome.order is not None:
-            if outcome.order.revision > rollout.order.revision:
+            if outcome.order.position > rollout.order.position:
                 # Its condition was out of date, for instance since ``running`` was
                 # written, and this one is not.
                 rollout.write_at_ms = 0.0
-            self._adopt(outcome.order)
+            self._adopt_stored(rollout, outcome.order)
         if outcome.written:
             self._tell(rollout)
         elif outcome.order is None:
             _log_failure(rollout, outcome)
 
+    def _adopt_stored(self, rollout, order):
+        """Adopt what the store has, unless the list of a new era decides on it."""
+        is_newer_era = order.era > rollout.order.era
+        if order.same_spec(rollout.order) or not is_newer_era:
+            self._adopt(order)
+
 
 def _log_failure(rollout, outcome):
     logger.warning(
--- a/hemlockspoke/tier/rollouts/wiring.py
+++ b/hemlockspoke/tier/rollouts/wiring.py
@@ -26,23 +26,28 @@
 
 
 class RolloutSink:
-    """Applies decoded orders; ``decode(name, spec)`` returns an ``Order`` or None."""
+    """Applies objects to an ``OrderList``.
 
-    __slots__ = ("_decode", "_manager")
+    ``decode(name, spec)`` returns an ``Order`` or None.
+    """
+
+    __slots__ = ("_decode", "_orders")
 
-    def __init__(self, manager, decode):
-        self._manager = manager
+    def __init__(self, orders, decode):
+        self._orders = orders
         self._decode = decode
 
     def replace(self, changes):
         """Replace all orders."""
-        orders = [self._decode(change.name, change.spec) for change in changes]
-        orders = [order for order in orders if order]
-        self._manager.set_orders(orders)
+        self._orders.replace(self._decode_all(changes))
 
     def restore(self, changes):
         """Apply the first list of a new era."""
-        self.replace(changes)
+        self._orders.restore(self._decode_all(changes))
+
+    def _decode_all(self, changes):
+        orders = [self._decode(change.name, change.spec) for change in changes]
+        return [order for order in orders if order]
 
     def apply(self, change):
         """Apply a changed order; a removed or malformed one is no order any more."""
@@ -50,6 +55,6 @@
         if not change.removed:
             order = self._decode(change.name, change.spec)
         if order is None:
-            self._manager.remove_order(change.name)
+            self._orders.remove(change.name)
         else:
-            self._manager.set_order(order)
+            self._orders.set(order)
--- a/tests/features/steps/rollouts_steps.py
+++ b/tests/features/steps/rollouts_steps.py
@@ -88,6 +88,7 @@
     message = RolloutState(
         service=SERVICE,
         target_version="v2",
+        era=0,
         revision=revision,
         phase=phase,
         share=0.0,
@@ -235,6 +236,7 @@
     state = {
         "service": SERVICE,
         "target_version": "v2",
+        "era": 0,
         "revision": 100,
         "phase": "completed",
         "share": 0.5,
@@ -245,6 +247,7 @@
     evidence = {
         "service": SERVICE,
         "target_version": "v2",
+        "era": 0,
         "revision": 100,
         "process": 1,
         "sequence": 10**12,
@@ -262,6 +265,7 @@
         {"share": "all"},
         {"share": float("nan")},
         {"revision": "new"},
+        {"era": "new"},
         {"revision": 1},
         {"target_version": "v3"},
         {"service": "other"},
@@ -287,6 +291,7 @@
         {"process": None},
         {"phase": ["switching"]},
         {"revision": None},
+        {"era": None},
     ]
     decider = world.decider()
     for vm, manager in world.managers.items():
--- /dev/null
+++ b/tests/features/steps/store_era_rollouts_steps.py
@@ -0,0 +1,109 @@
+"""Steps on rollouts when the store has come back older."""
+
+from behave import given, then, when
+
+from hemlockspoke.tier.rollouts.order import Order, Phase
+from hemlockspoke.tier.rollouts.order_list import OrderList
+from tests.rollout_world import DURATION_MS, SERVICE, Fault, RolloutWorld
+
+RATE_PER_S = 20
+SERVERS = 2
+
+
+def order_for(version, revision, era, final_phase=None):
+    return Order(SERVICE, SERVICE, version, DURATION_MS, revision, final_phase, era=era)
+
+
+@given('daemons that know the order for "{version}" at revision {revision:d} of era 1')
+def step_knowing(context, version, revision):
+    context.world = RolloutWorld(2, RATE_PER_S, SERVERS)
+    context.clock = context.world.clock
+    context.lists = [
+        OrderList(manager, context.clock) for manager in context.world.managers.values()
+    ]
+    context.world.order = None
+    for orders in context.lists:
+        orders.set(order_for(version, revision, 1))
+
+
+@given('the order for "{version}" after it, which was rolled back')
+def step_later_order(context, version):
+    for orders in context.lists:
+        orders.set(order_for(version, 910, 1, Phase.ROLLED_BACK))
+
+
+@when("a list of era 2 has no order")
+def step_no_order(context):
+    for orders in context.lists:
+        orders.restore([])
+
+
+@when('a list of era 2 has the order for "{version}"')
+@when('a list of era 2 has the order for "{version}" at revision {revision:d}')
+def step_listed_order(context, version, revision=40):
+    for orders in context.lists:
+        orders.restore([order_for(version, revision, 2)])
+
+
+@when('the order for "{version}" is written again at revision {revision:d} of era 2')
+def step_written_again(context, version, revision):
+    for orders in context.lists:
+        orders.set(order_for(version, revision, 2))
+
+
+def rollouts(context):
+    managers = context.world.managers.values()
+    return [manager.versions.rollouts.get(SERVICE) for manager in managers]
+
+
+@then('they follow the order for "{version}"')
+def step_followed(context, version):
+    versions = [rollout.order.target_version for rollout in rollouts(context)]
+    assert set(versions) == {version}, versions
+
+
+@then("they follow no order")
+def step_none_followed(context):
+    assert rollouts(context) == [None, None]
+
+
+@then('the order for "{version}" is rolled back')
+def step_rolled_back(context, version):
+    now_ms = context.clock.now_ms()
+    step_followed(context, version)
+    phases = {rollout.phase(now_ms) for rollout in rollouts(context)}
+    assert phases == {Phase.ROLLED_BACK}, phases
+
+
+@given("{count:d} daemons whose rollout has ended as {verdict}")
+def step_ended(context, count, verdict):
+    fault = Fault(failing=1.0 if verdict == "rolled_back" else 0.0)
+    world = context.world = RolloutWorld(count, RATE_PER_S, SERVERS, fault=fault)
+    world.run()
+    assert world.states[-1] == verdict, world.states
+
+
+@when("a list of era 2 has the order without its end")
+def step_without_end(context):
+    world = context.world
+    world.order = order_for("v2", 60, 2)
+    world.states.clear()
+    world.sent.clear()
+    context.sampled = world.sent["v2"]
+    for manager in world.managers.values():
+        OrderList(manager, world.clock).restore([world.order])
+
+
+@then("within {limit_s:d} s {verdict} is in the store again")
+def step_in_store(context, limit_s, verdict):
+    world = context.world
+    world.run(1000.0 * limit_s)
+    assert world.order.final_phase is Phase(verdict), world.states
+    assert world.states == [verdict], world.states
+
+
+@then("no request was sampled in the meantime")
+def step_not_sampled(context):
+    """Check that all requests went to one version."""
+    sent = {version: count for version, count in context.world.sent.items() if count}
+    assert len(sent) == 1, sent
--- a/tests/features/store_era.feature
+++ b/tests/features/store_era.feature
@@ -83,3 +83,41 @@
     And version 9 is in force and "b1" is out of service
     When 50 s pass
     Then version 7 is in force and no domain is out of service
+
+  Scenario: an order under a lower revision of a new era is followed
+    # Guards against an order that is dropped as its revision is not above the known one.
+    Given daemons that know the order for "v2" at revision 900 of era 1
+    When a list of era 2 has the order for "v3" at revision 40
+    Then they follow the order for "v3"
+
+  Scenario Outline: a verdict that the store has lost is written again
+    # Guards against a rollout that begins again after its end was told.
+    Given 6 daemons whose rollout has ended as <verdict>
+    When a list of era 2 has the order without its end
+    Then within 3 s <verdict> is in the store again
+    And no request was sampled in the meantime
+
+    Examples:
+      | verdict     |
+      | completed   |
+      | rolled_back |
+
+  Scenario Outline: an order that the store has lost goes on until it is written again
+    # Guards against a verdict that ends with the list of a copy made before the order.
+    Given daemons that know the order for "v2" at revision 900 of era 1
+    And the order for "v3" after it, which was rolled back
+    When a list of era 2 has <orders>
+    Then the order for "v3" is rolled back
+    When the order for "v3" is written again at revision 50 of era 2
+    Then the order for "v3" is rolled back
+
+    Examples:
+      | orders             |
+      | no order           |
+      | the order for "v2" |
+
+  Scenario: an order that nobody writes again ends after a time
+    Given daemons that know the order for "v2" at revision 900 of era 1
+    When a list of era 2 has no order
+    And 61 s pass
+    Then they follow no order
--- a/tests/rollout_world.py
+++ b/tests/rollout_world.py
@@ -232,7 +232,7 @@
 
     def _write(self, order, state, on_written):
         current = self.order
-        if current is None or order.revision != current.revision:
+        if current is None or order.position != current.position:
             outcome = WriteOutcome(False, current)
         else:
             self.states.append(state)
@@ -245,6 +245,7 @@
                     current.revision + 1,
                     FINAL_PHASES.get(state),
                     is_running=state == RUNNING_STATE,
+                    era=current.era,
                 )
             )
             outcome = WriteOutcome(True, self.order)
