Write lost registrations again, and count on those known before

What callers would have seen after a return of the store: daemons that missed others in the list took greater shares of the servers' limits, one that missed itself created no tokens of quotas for ten minutes, and a process that started again could use start tokens a second time, as the store had lost the first use.

Cause: a registration was written again after 120 s at the earliest, a list was taken as it is, and an older object in the store was adopted after a conflict.

Change: when the era rises each daemon reads the list within 2 s, spread at random, and writes its registration again if the store has an older one or none. For 60 s registrations count that a list lacks or has in an older form. An object older than the daemon's own memory is not adopted. A registration names its era, and a process that finds one of an earlier era uses no start tokens.

--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -139,7 +139,11 @@
     def set_registrations(self, registrations):
         """Set the registrations by which daemons find each other."""
         self._membership = Membership(
-            self._clock, self._settings, registrations, self._peering.set_peers
+            self._clock,
+            self._settings,
+            registrations,
+            self._peering.set_peers,
+            eras=self.eras,
         )
         self._peering.membership = self._membership
 
--- a/hemlockspoke/tier/state/members.py
+++ b/hemlockspoke/tier/state/members.py
@@ -10,7 +10,8 @@
     OwnRegistration,
     may_use_start_tokens,
 )
-from hemlockspoke.tier.state.peer_directory import decode_peer
+from hemlockspoke.tier.state.peer_directory import decode_peer, wall_time_ms
+from hemlockspoke.tier.state.store_era import RETENTION_MS, StoreEras
 
 logger = logging.getLogger(__name__)
 
@@ -28,6 +29,9 @@
 # Delay of a read after a stream from an unknown daemon has opened, so that streams of
 # several new daemons cause a single read.
 EARLY_READ_DELAY_MS = 100.0
+# Daemons read the list and write their registrations again within this time after they
+# have seen a new era of the store, so that its rates bear it at hundreds of daemons.
+ERA_SPREAD_MS = 2000.0
 
 
 class WriteResult:
@@ -55,19 +59,28 @@
     whether the last list had this daemon in its failure domain, and its times fit the
     wall clock. ``claim_start`` is for a process that wants to use start tokens of
     quotas.
+
+    When the era in ``eras`` rises, each daemon writes its registration again if the
+    store has lost it. For ``RETENTION_MS`` registrations that a list lacks, or has in
+    an older form, count as this daemon has known them, so that shares of limits do not
+    grow for a moment.
     """
 
     __slots__ = (
         "_claim",
         "_clock",
+        "_eras",
         "_first_spec",
+        "_known_changes",
         "_listed",
+        "_may_be_lost",
         "_on_members",
         "_own",
         "_read_again",
         "_register_timer",
         "_registering",
         "_registrations",
+        "_retain_until_ms",
         "_revision",
         "_rng",
         "_settings",
@@ -77,7 +90,7 @@
         "was_registered",
     )
 
-    def __init__(self, clock, settings, registrations, on_members, rng=None):
+    def __init__(self, clock, settings, registrations, on_members, rng=None, eras=None):
         self._clock = clock
         self._settings = settings
         self._registrations = registrations
@@ -92,7 +105,14 @@
         self._registering = False
         self._writing = False
         self.was_registered = False
-        self._own = OwnRegistration(clock, settings)
+        self._eras = eras or StoreEras()
+        self._eras.on_rise(self._on_era)
+        # What is known of each daemon while it may be missing from the lists.
+        self._known_changes = {}
+        self._retain_until_ms = 0.0
+        # Whether the store may have lost this VM's object.
+        self._may_be_lost = False
+        self._own = OwnRegistration(clock, settings, self._eras)
         # The revision of this VM's object, if known, and what the first list that was
         # read had of it.
         self._revision = None
@@ -133,6 +153,20 @@
                 EARLY_READ_DELAY_MS, self._read_list, False
             )
 
+    def _on_era(self):
+        """Read the list soon, and write the registration again if it is lost."""
+        if self._stopped:
+            return
+        self._retain_until_ms = self._clock.now_ms() + RETENTION_MS
+        self._may_be_lost = True
+        if self._timer is None:
+            # A list is being read, or none was read yet.
+            self._read_again = True
+            return
+        self._timer.cancel()
+        delay_ms = self._rng.uniform(0.0, ERA_SPREAD_MS)
+        self._timer = self._clock.call_later(delay_ms, self._read_list, False)
+
     def registered_ms(self):
         """Return when this daemon was first registered, or would be now."""
         return self._own.next_spec()["registered_ms"]
@@ -182,6 +216,9 @@
             # was executed although its response was lost.
             self._claim, self._first_spec = None, {}
             spec = result.spec if isinstance(result.spec, dict) else {}
+            if self._own.is_lost(spec):
+                self._register(result.revision)
+                return
             self._own.adopt(spec)
             if not self._own.is_current(spec):
                 self._register(result.revision)
@@ -203,15 +240,15 @@
 
     def _read_list(self, stale):
         self._timer = None
-        self._registrations.read(stale, self._on_list)
+        self._registrations.read(stale, lambda changes: self._on_list(changes, stale))
 
-    def _on_list(self, changes):
+    def _on_list(self, changes, stale):
         if self._stopped:
             return
         delay_ms = READ_INTERVAL_MS
         if changes is not None:
             self._listed = True
-            self._apply(changes)
+            self._apply(changes, stale)
         elif not self._listed:
             delay_ms = FIRST_READ_RETRY_MS
         delay_ms *= self._rng.uniform(0.8, 1.2)
@@ -219,18 +256,27 @@
         if self._read_again:
             self.read_soon()
 
-    def _apply(self, changes):
+    def _apply(self, changes, stale):
         """Apply a list; a defect must not end the reads."""
         try:
             own = [change for change in changes if change.name == self._settings.vm]
             spec = own[0].spec if own and isinstance(own[0].spec, dict) else {}
             if not self._registering:
                 self._revision = own[0].revision if own else None
-                self._first_spec = spec if self._own.is_valid(spec) else {}
+                is_usable = self._own.is_valid(spec)
+                is_usable = is_usable and self._own.is_of_newest_era(spec)
+                self._first_spec = spec if is_usable else {}
                 self._own.adopt(spec)
+            elif self._may_be_lost and not stale and not self._writing:
+                self._may_be_lost = False
+                if self._own.is_lost(spec):
+                    self._register(own[0].revision if own else None)
+            changes = self._retain(changes)
             peers = self._decode(changes)
+            known_own = self._known_changes.get(self._settings.vm)
             self.was_registered = (
-                self._own.is_valid(spec)
+                known_own is not None
+                and self._own.is_valid(known_own.spec or {})
                 and any(peer.vm == self._settings.vm for peer in peers)
                 and not self._clock_differs(changes)
             )
@@ -240,6 +286,16 @@
         except Exception:
             logger.exception("defect in applying the list of daemons")
 
+    def _retain(self, changes):
+        """Return the list, with what a store that came back older has lost."""
+        listed = {change.name: change for change in changes}
+        if self._clock.now_ms() < self._retain_until_ms:
+            for name, known in self._known_changes.items():
+                if name not in listed or is_renewed_later(known, listed[name]):
+                    listed[name] = known
+        self._known_changes = listed
+        return list(listed.values())
+
     def _clock_differs(self, changes):
         """Return whether this daemon can't tell which registrations are valid."""
         renewed_times_ms = [
@@ -269,3 +325,12 @@
                 continue
             peers.append(peer)
         return peers
+
+
+def is_renewed_later(change, other):
+    """Return whether a registration was renewed later than another one of its VM."""
+    renewed_ms, other_ms = (
+        wall_time_ms(item.spec.get("renewed_ms")) if item.spec else None
+        for item in (change, other)
+    )
+    return renewed_ms is not None and (other_ms is None or renewed_ms > other_ms)
--- a/hemlockspoke/tier/state/own_registration.py
+++ b/hemlockspoke/tier/state/own_registration.py
@@ -5,6 +5,7 @@
 """
 
 from hemlockspoke.tier.state.peer_directory import wall_time_ms
+from hemlockspoke.tier.state.store_era import StoreEras
 
 # Registrations are renewed, so that those of removed VMs expire. The margin between the
 # two times allows for clocks that differ by some seconds.
@@ -18,14 +19,24 @@
     """The fields that this daemon has last written or read.
 
     ``registered_ms`` is the wall-clock time at which the VM was first registered, and
-    ``started_ms`` the start that last used start tokens of quotas, or None.
+    ``started_ms`` the start that last used start tokens of quotas, or None. Objects
+    name the era of the store in which they were written: one of an earlier era may lack
+    a start that was written after the copy from which the store came back.
     """
 
-    __slots__ = ("_clock", "_settings", "registered_ms", "renewed_ms", "started_ms")
+    __slots__ = (
+        "_clock",
+        "_eras",
+        "_settings",
+        "registered_ms",
+        "renewed_ms",
+        "started_ms",
+    )
 
-    def __init__(self, clock, settings):
+    def __init__(self, clock, settings, eras=None):
         self._clock = clock
         self._settings = settings
+        self._eras = eras or StoreEras()
         self.registered_ms = None
         self.started_ms = None
         self.renewed_ms = None
@@ -50,6 +61,24 @@
         if self.registered_ms is None:
             self.registered_ms = renewed_ms - int(EXPIRY_MS)
 
+    def is_lost(self, spec):
+        """Return whether the store has an older object than this daemon has written.
+
+        >>> from hemlockspoke.clock import ManualClock
+        >>> own = OwnRegistration(ManualClock(), None)
+        >>> own.renewed_ms = 9
+        >>> own.is_lost({"renewed_ms": 8}), own.is_lost({"renewed_ms": 9})
+        (True, False)
+        """
+        renewed_ms = wall_time_ms(spec.get("renewed_ms"))
+        return self.renewed_ms is not None and (
+            renewed_ms is None or renewed_ms < self.renewed_ms
+        )
+
+    def is_of_newest_era(self, spec):
+        """Return whether an object was written in the newest era of the store."""
+        return spec.get("store_era", 0) == self._eras.newest
+
     def is_valid(self, spec):
         """Return whether others count an object as registration in this domain."""
         age_ms = self._age_ms(spec.get("renewed_ms"))
@@ -80,6 +109,7 @@
             "peer_address": str(self._settings.peer_address),
             "renewed_ms": now_ms,
             "registered_ms": registered_ms,
+            "store_era": self._eras.newest,
         }
         if starts:
             started_ms = now_ms
--- a/tests/features/store_era.feature
+++ b/tests/features/store_era.feature
@@ -121,3 +121,29 @@
     When a list of era 2 has no order
     And 61 s pass
     Then they follow no order
+
+  Scenario: a registration that the store has lost is written again, and others count on
+    # Guards against shares of limits that grow, and quotas that stop for ten minutes,
+    # while registrations are missing.
+    Given a daemon "e1" that is registered, and knows "e2"
+    When the store comes back without registrations
+    Then "e1" has written the one of before within 3 s
+    And it counts as registered, and knows "e2", all the time
+    When 61 s pass
+    Then it knows no other daemon
+
+  Scenario: an older registration in the store is not adopted
+    # Guards against a process that forgets that start tokens were used.
+    Given a daemon "e1" that is registered, and has used start tokens
+    When the store comes back with the registration from before that
+    Then within 3 s the store has the registration that names the start
+
+  Scenario Outline: start tokens after a return of the store
+    # Guards against start tokens that are used twice, as the first use was lost.
+    Given a process that finds a registration of era <written> in era <current>
+    Then it <answer> use start tokens
+
+    Examples:
+      | written | current | answer  |
+      | 2       | 2       | may     |
+      | 1       | 2       | may not |
