Keep what a copy has lost over further lists of the same era

Cause: a list that was read again in the new era, after a compaction or by a daemon that takes whole lists from its reader, ended what the first list had kept: servers that drained were ready again, and rollouts that had ended were forgotten.

--- a/hemlockspoke/tier/state/server_list.py
+++ b/hemlockspoke/tier/state/server_list.py
@@ -12,6 +12,7 @@
 OUTDATED_MS = 10_000.0
 # A removed process is remembered for this time. Copies are some seconds old.
 REMOVAL_MEMORY_MS = 60_000.0
+MAX_LOGGED_SERVERS = 20
 
 
 class ServerList:
@@ -19,27 +20,38 @@
 
     An entry in the first list of a new era is outdated if its server has started again
     since, has said that it drains, or has left. Such a server is treated as known until
-    the store reports a change of it, or for ``OUTDATED_MS``.
+    the store reports a change of it, or for ``OUTDATED_MS``, also if it is listed again
+    in the meantime.
     """
 
-    __slots__ = ("_clock", "_directory", "_outdated", "_removed_ms")
+    __slots__ = ("_clock", "_directory", "_outdated", "_removed_ms", "_until_ms")
 
     def __init__(self, directory, clock):
         self._directory = directory
         self._clock = clock
-        # Outdated entries of the newest list by id.
+        # Outdated entries of the newest list by id, and until when they are not used.
         self._outdated = {}
+        self._until_ms = 0.0
         # Clock time at which the entry of a process was removed.
         self._removed_ms = {}
 
     def replace(self, entries):
         """Apply a complete list."""
-        self._outdated.clear()
+        if self._clock.now_ms() < self._until_ms:
+            self._apply_list(entries)
+            return
+        self._outdated = {}
         self._note_unlisted(entries)
         self._directory.set_servers(entries)
 
     def restore(self, entries):
         """Apply the first list of a new era."""
+        self._until_ms = self._clock.now_ms() + OUTDATED_MS
+        self._apply_list(entries)
+        self._clock.call_later(OUTDATED_MS, self._use_outdated)
+
+    def _apply_list(self, entries):
+        """Apply a list without its outdated entries."""
         outdated = {
             entry.server_id: entry for entry in entries if self._is_outdated(entry)
         }
@@ -47,8 +59,10 @@
         self._directory.set_servers(current, kept=outdated)
         self._outdated = outdated
         if outdated:
-            logger.warning("outdated entries", extra={"servers": sorted(outdated)[:20]})
-            self._clock.call_later(OUTDATED_MS, self._use_outdated, outdated)
+            logger.warning(
+                "outdated entries",
+                extra={"servers": sorted(outdated)[:MAX_LOGGED_SERVERS]},
+            )
 
     def set(self, entry):
         """Apply a changed entry."""
@@ -62,12 +76,11 @@
         self._note_removed(server_id)
         self._directory.remove_server(server_id)
 
-    def _use_outdated(self, outdated):
+    def _use_outdated(self):
         """Use what the store still has, as its servers have not written since."""
-        if outdated is not self._outdated:
-            return
-        for entry in list(outdated.values()):
-            self.set(entry)
+        if self._clock.now_ms() >= self._until_ms:
+            for entry in list(self._outdated.values()):
+                self.set(entry)
 
     def _is_outdated(self, entry):
         removed_ms = self._removed_ms.get(entry.process_key())
--- a/tests/features/steps/store_era_decisions_steps.py
+++ b/tests/features/steps/store_era_decisions_steps.py
@@ -216,11 +216,19 @@
     "entries"
 )
 def step_older_list(context, version):
-    context.configurations.restore(RoutingTable(version, [], []))
+    context.older_table = RoutingTable(version, [], [])
+    context.configurations.restore(context.older_table)
     context.domains_out.restore([])
     context.servers.restore(OLDER_ENTRIES)
 
 
+@when("the same list is read again in that era")
+def step_list_again(context):
+    context.configurations.adopt(context.older_table)
+    context.domains_out.replace([])
+    context.servers.replace(OLDER_ENTRIES)
+
+
 @then('version {version:d} is in force and "{domain}" is out of service')
 def step_kept(context, version, domain):
     assert context.directory.routing.version == version
--- a/tests/features/steps/store_era_rollouts_steps.py
+++ b/tests/features/steps/store_era_rollouts_steps.py
@@ -32,17 +32,22 @@
         orders.set(order_for(version, 910, 1, Phase.ROLLED_BACK))
 
 
+def come_back(context, listed):
+    """Apply the first list of an era, which is then read again."""
+    for orders in context.lists:
+        orders.restore(listed)
+        orders.replace(listed)
+
+
 @when("a list of era 2 has no order")
 def step_no_order(context):
-    for orders in context.lists:
-        orders.restore([])
+    come_back(context, [])
 
 
 @when('a list of era 2 has the order for "{version}"')
 @when('a list of era 2 has the order for "{version}" at revision {revision:d}')
 def step_listed_order(context, version, revision=40):
-    for orders in context.lists:
-        orders.restore([order_for(version, revision, 2)])
+    come_back(context, [order_for(version, revision, 2)])
 
 
 @when('the order for "{version}" is written again at revision {revision:d} of era 2')
--- a/tests/features/store_era.feature
+++ b/tests/features/store_era.feature
@@ -69,6 +69,9 @@
     When the first list of a new era has version 5, no domain out, and older entries
     Then version 9 is in force and "b1" is out of service
     And "drained" drains, "again" has its second process and "gone" is not used
+    When the same list is read again in that era
+    Then version 9 is in force and "b1" is out of service
+    And "drained" drains, "again" has its second process and "gone" is not used
     When the servers write again and the operator takes "b1" out and back
     Then "again" has its third process, "gone" is used and no domain is out of service
 
