Read the list of daemons until a fresh read succeeds in a new era

If the one fresh read after the era had risen failed, or a write was in progress, all later reads were stale ones, which are not compared with the own registration: it was written again after 108 s, at its renewal, and quotas of the daemon stopped for ten minutes.

Change: reads are fresh and repeated after 1 s until one succeeds while no write is in progress.

Evidence: "a registration is written again although the first read fails" fails before. With it: fleets of 32 and 100 daemons of a failure domain have the new era within the limits, and one or two of them list the store (both also before this change).

--- a/hemlockspoke/tier/state/members.py
+++ b/hemlockspoke/tier/state/members.py
@@ -245,14 +245,15 @@
     def _on_list(self, changes, stale):
         if self._stopped:
             return
-        delay_ms = READ_INTERVAL_MS
         if changes is not None:
             self._listed = True
             self._apply(changes, stale)
-        elif not self._listed:
-            delay_ms = FIRST_READ_RETRY_MS
+        is_urgent = self._may_be_lost or not self._listed
+        delay_ms = FIRST_READ_RETRY_MS if is_urgent else READ_INTERVAL_MS
         delay_ms *= self._rng.uniform(0.8, 1.2)
-        self._timer = self._clock.call_later(delay_ms, self._read_list, True)
+        self._timer = self._clock.call_later(
+            delay_ms, self._read_list, not self._may_be_lost
+        )
         if self._read_again:
             self.read_soon()
 
@@ -261,16 +262,17 @@
         try:
             own = [change for change in changes if change.name == self._settings.vm]
             spec = own[0].spec if own and isinstance(own[0].spec, dict) else {}
+            is_fresh = not stale and not self._writing
             if not self._registering:
                 self._revision = own[0].revision if own else None
                 is_usable = self._own.is_valid(spec)
                 is_usable = is_usable and self._own.is_of_newest_era(spec)
                 self._first_spec = spec if is_usable else {}
                 self._own.adopt(spec)
-            elif self._may_be_lost and not stale and not self._writing:
+            elif self._may_be_lost and is_fresh and self._own.is_lost(spec):
+                self._register(own[0].revision if own else None)
+            if is_fresh:
                 self._may_be_lost = False
-                if self._own.is_lost(spec):
-                    self._register(own[0].revision if own else None)
             changes = self._retain(changes)
             peers = self._decode(changes)
             known_own = self._known_changes.get(self._settings.vm)
--- a/tests/features/steps/edge_fleet_steps.py
+++ b/tests/features/steps/edge_fleet_steps.py
@@ -16,6 +16,7 @@
 from hemlockspoke.tier.state.followed_kind import FollowedKind, RelayingSink
 from hemlockspoke.tier.state.peer_directory import READER_CANDIDATES
 from hemlockspoke.tier.state.relay import Relay, reading_age_ms
+from hemlockspoke.tier.state.store_era import StoreEras
 
 REGIONS = {f"{region}{index}": region for region in "abc" for index in "12"}
 SLACK = 430
@@ -116,6 +117,8 @@
 
     def __init__(self):
         self.revision = 1
+        self.era = 1
+        self.listers = set()
         self.turned_away = set()
         self.cut_off = set()
         self.callers = set()
@@ -126,12 +129,14 @@
 class DaemonSource:
     """The store as one daemon reads it."""
 
-    def __init__(self, clock, store, vm):
+    def __init__(self, clock, store, vm, eras):
         self._clock = clock
         self._store = store
         self._vm = vm
+        self._eras = eras
 
     def list_page(self, after, on_page, stale=False):
+        self._store.listers.add(self._vm)
         self._answer(on_page, 1200.0)
 
     def watch(self, revision, wait_ms, grace_ms, on_page):
@@ -150,11 +155,13 @@
             self._clock.call_later(timeout_ms, on_page, error)
             return
         store.callers.add(self._vm)
+        self._eras.observe(store.era)
         if self._vm in store.turned_away:
             store.refused_calls[self._vm] += 1
             on_page(FeedError("status 503"))
         else:
-            on_page(Page([Change("o", {}, revision=store.revision)], store.revision))
+            change = Change("o", {}, revision=store.revision)
+            on_page(Page([change], store.revision, era=store.era))
 
 
 class KindSink:
@@ -163,8 +170,7 @@
     def replace(self, changes):
         pass
 
-    def apply(self, change):
-        pass
+    restore = apply = replace
 
 
 class RelayFleet:
@@ -223,9 +229,11 @@
             max_age_ms=reading_age_ms(self.watch_ms),
         )
         followed = self.followed[vm] = FollowedKind("config", clock, KindSink())
-        source = DaemonSource(clock, self.store, vm)
+        eras = StoreEras()
+        source = DaemonSource(clock, self.store, vm, eras)
         sink = RelayingSink(followed, relay)
-        feed = Feed("config", clock, source, sink, self.watch_ms, random.Random(vm))
+        rng = random.Random(vm)
+        feed = Feed("config", clock, source, sink, self.watch_ms, rng, eras=eras)
         feed.on_lost = relay.send_heartbeat
         relay.follow(followed, feed)
         self.relays[vm] = relay
--- a/tests/features/steps/store_era_members_steps.py
+++ b/tests/features/steps/store_era_members_steps.py
@@ -19,10 +19,14 @@
 
     def __init__(self):
         self.specs = {}
-        self.revision = 100
+        self.failing_reads = 0
 
     def read(self, stale, on_read):
         """Read the list."""
+        if self.failing_reads:
+            self.failing_reads -= 1
+            on_read(None)
+            return
         on_read([Change(vm, spec, revision=7) for vm, spec in self.specs.items()])
 
     def write(self, vm, spec, revision, on_written):
@@ -89,6 +93,12 @@
     context.eras.observe(2)
 
 
+@when("the store comes back without registrations, and fails {count:d} reads")
+def step_lost_and_failing(context, count):
+    context.store.failing_reads = count
+    step_lost(context)
+
+
 @then('"e1" has written the one of before within {limit_s:d} s')
 def step_written_again(context, limit_s):
     context.clock.advance(1000.0 * limit_s)
--- a/tests/features/store_era.feature
+++ b/tests/features/store_era.feature
@@ -150,3 +150,24 @@
       | written | current | answer  |
       | 2       | 2       | may     |
       | 1       | 2       | may not |
+
+  Scenario Outline: one daemon of a failure domain lists the store for all
+    # Guards against daemons that stay in the earlier era, and against a list by each.
+    Given <daemons> daemons of a failure domain, of which one reads the store
+    When the store comes back 100 revisions older <trouble>
+    Then the daemons that reach it have its state of 1000 ms before after <limit_ms> ms
+    And at most <listers> daemons have listed it
+
+    Examples:
+      | daemons | trouble                          | limit_ms | listers |
+      | 32      | at once                          | 2000     | 1       |
+      | 100     | at once                          | 2000     | 1       |
+      | 32      | twice within a second            | 2500     | 1       |
+      | 32      | as the reader is cut off from it | 6000    | 2       |
+      | 32      | as the reader is killed          | 4000     | 2       |
+
+  Scenario: a registration is written again although the first read fails
+    # Guards against a lost registration that waits for its renewal.
+    Given a daemon "e1" that is registered, and knows "e2"
+    When the store comes back without registrations, and fails 2 reads
+    Then "e1" has written the one of before within 6 s
