Decide on lower versions and cold servers also from lists of a new era

- A lower version waited for 60 s although a list had brought a higher one meanwhile, and then replaced it.
It also never came into force where only a list had it, so daemons differed for good.
- A server that had turned cold counted as warm if the copy was older than that, until it wrote again: more requests than a cold server bears.

Change: a listed version that is not the one of the era's first list counts as written; an entry that ends the coldness of a known process is outdated.

Evidence: the two scenarios on versions and the step on the cold server fail before.

--- a/hemlockspoke/tier/state/configurations.py
+++ b/hemlockspoke/tier/state/configurations.py
@@ -19,22 +19,35 @@
     Until then he may be writing lost versions again, one after the other.
     """
 
-    __slots__ = ("_clock", "_directory", "_lower", "_restored_ms")
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_lower",
+        "_restored_ms",
+        "_restored_version",
+    )
 
     def __init__(self, directory, clock):
         self._directory = directory
         self._clock = clock
+        # When the first list of the newest era was read, and its version.
         self._restored_ms = None
+        self._restored_version = None
         # The version written last in this era, if it is lower than the one in force.
         self._lower = None
 
     def adopt(self, table):
-        """Apply a listed configuration."""
-        self._directory.adopt_routing(table)
+        """Apply a listed configuration.
+
+        One that differs from that of the era's first list has been written since.
+        """
+        if table.version != self._restored_version:
+            self.change(table)
 
     def restore(self, table):
         """Apply the configuration of the first list of a new era."""
         self._restored_ms = self._clock.now_ms()
+        self._restored_version = table.version
         self._lower = None
         if not self._directory.adopt_routing(table):
             self._log_lower("older configuration in the store", table)
--- a/hemlockspoke/tier/state/server_list.py
+++ b/hemlockspoke/tier/state/server_list.py
@@ -19,9 +19,9 @@
     """Gives the directory the entries that the store has.
 
     An entry in the first list of a new era is outdated if its server has started again
-    since, has said that it drains, or has left. Such a server is treated as known until
-    the store reports a change of it, or for ``OUTDATED_MS``, also if it is listed again
-    in the meantime.
+    since, has turned cold, has said that it drains, or has left. Such a server is
+    treated as known until the store reports a change of it, or for ``OUTDATED_MS``,
+    also if it is listed again in the meantime.
     """
 
     __slots__ = ("_clock", "_directory", "_outdated", "_removed_ms", "_until_ms")
@@ -92,7 +92,10 @@
         known = server.entry
         if known.same_process(entry):
             is_draining = known.state is ServerState.DRAINING
-            return is_draining and entry.state is ServerState.READY
+            cold_until_ms = self._clock.now_ms() + entry.cold_ms
+            return (is_draining and entry.state is ServerState.READY) or (
+                cold_until_ms < server.cold_until_ms
+            )
         if known.started_ms is None or entry.started_ms is None:
             return False
         return entry.started_ms < known.started_ms
--- a/tests/features/steps/store_era_decisions_steps.py
+++ b/tests/features/steps/store_era_decisions_steps.py
@@ -184,7 +184,7 @@
     )
 
 
-OLDER_ENTRIES = [entry("drained"), entry("again"), entry("gone"), entry("calm")]
+OLDER_ENTRIES = [entry(name) for name in ("drained", "again", "gone", "calm", "cold")]
 
 
 @given('a directory with version {version:d} and the domain "{domain}" out of service')
@@ -211,6 +211,18 @@
     context.servers.remove("gone")
 
 
+@given('its server "{name}" that has turned cold for {duration_s:d} s')
+def step_turned_cold(context, name, duration_s):
+    changed = entry(name)
+    changed.cold_ms = 1000.0 * duration_s
+    context.servers.set(changed)
+
+
+@then('"{name}" is still cold')
+def step_still_cold(context, name):
+    assert context.directory.servers[name].cold(context.clock.now_ms())
+
+
 @when(
     "the first list of a new era has version {version:d}, no domain out, and older "
     "entries"
@@ -249,7 +261,7 @@
 
 @then('"drained" drains, "again" has its second process and "gone" is not used')
 def step_servers_kept(context):
-    assert usable(context) == {"again", "calm"}, usable(context)
+    assert usable(context) == {"again", "calm", "cold"}, usable(context)
     assert context.directory.servers["again"].entry.started_ms == 2
 
 
@@ -266,7 +278,7 @@
 )
 def step_new_words(context):
     assert context.directory.servers["again"].entry.started_ms == 3
-    assert usable(context) == {"again", "calm", "gone"}, usable(context)
+    assert usable(context) == {"again", "calm", "cold", "gone"}, usable(context)
     assert not context.directory.domains_out
 
 
@@ -283,3 +295,8 @@
 @then('"drained" and "gone" are used as the store has them')
 def step_as_stored(context):
     assert {"drained", "gone"} <= usable(context), usable(context)
+
+
+@when("version {version:d} is listed")
+def step_listed_version(context, version):
+    context.configurations.adopt(RoutingTable(version, [], []))
--- a/tests/features/store_era.feature
+++ b/tests/features/store_era.feature
@@ -66,9 +66,11 @@
     # Guards against acknowledged changes that end because the store has lost them.
     Given a directory with version 9 and the domain "b1" out of service
     And its servers "drained" that drains, "again" with its second process, "gone" that has left
+    And its server "cold" that has turned cold for 5 s
     When the first list of a new era has version 5, no domain out, and older entries
     Then version 9 is in force and "b1" is out of service
     And "drained" drains, "again" has its second process and "gone" is not used
+    And "cold" is still cold
     When the same list is read again in that era
     Then version 9 is in force and "b1" is out of service
     And "drained" drains, "again" has its second process and "gone" is not used
@@ -79,6 +81,7 @@
     # Guards against a state that differs from the store's for good.
     Given a directory with version 9 and the domain "b1" out of service
     And its servers "drained" that drains, "again" with its second process, "gone" that has left
+    And its server "cold" that has turned cold for 5 s
     When the first list of a new era has version 5, no domain out, and older entries
     And the operator writes version 7
     And 11 s pass
@@ -166,6 +169,23 @@
       | 32      | as the reader is cut off from it | 6000    | 2       |
       | 32      | as the reader is killed          | 4000     | 2       |
 
+  Scenario: a higher version ends the wait of a lower one, however it arrives
+    # Guards against a daemon that goes back to a version after a list had a higher one.
+    Given a directory with version 9 and the domain "b1" out of service
+    When the first list of a new era has version 5, no domain out, and older entries
+    And the operator writes version 7
+    And version 12 is listed
+    And 61 s pass
+    Then version 12 is in force and no domain is out of service
+
+  Scenario: a lower version comes into force also where only a list has it
+    # Guards against daemons that differ for good.
+    Given a directory with version 9 and the domain "b1" out of service
+    When the first list of a new era has version 5, no domain out, and older entries
+    And version 7 is listed
+    And 61 s pass
+    Then version 7 is in force and no domain is out of service
+
   Scenario: a registration is written again although the first read fails
     # Guards against a lost registration that waits for its renewal.
     Given a daemon "e1" that is registered, and knows "e2"
