Keep verdicts when orders are written again in turn or a copy has an earlier one

If a service had been ordered to the same version twice, the verdict of the copy replaced that of the later order. And a kept order whose object in the store was another one was written 7.5 times a second by each of two daemons.

Change: a rollout remembers the last eight orders of its service with their verdicts. A conflict that is not adopted waits for the usual time before the next attempt.

Evidence: "orders that are all written again in turn keep their verdicts" and "an earlier verdict on the same order reverses nothing" fail before. The rate of writes has no test.

--- a/hemlockspoke/tier/rollouts/manager.py
+++ b/hemlockspoke/tier/rollouts/manager.py
@@ -108,9 +108,10 @@
             return
         if rollout is None or not order.continues(rollout.order):
             lease_ms = min(LEASE_MS, ROLLBACK_FRACTION * self._bounds.rollback_ms)
-            replaced = None if rollout is None else rollout.order
+            before = rollout
             rollout = rollouts[order.service] = Rollout(order, now_ms, lease_ms)
-            rollout.replaced = replaced
+            if before is not None:
+                rollout.follow(before)
             self.versions.note_old(rollout)
             log_step(rollout, "order seen")
         rollout.order = order
--- a/hemlockspoke/tier/rollouts/rollout.py
+++ b/hemlockspoke/tier/rollouts/rollout.py
@@ -13,6 +13,9 @@
 # budget allows. Only one that is later by more takes the time of another one.
 SEEN_SPREAD_MS = 2000.0
 
+# Orders of a service that are remembered. A copy of the store is some seconds old.
+MAX_EARLIER = 8
+
 
 class Rollout:
     """The state of an ``Order`` at one daemon.
@@ -24,8 +27,8 @@
     ``final_ms`` is the clock time at which a final phase became known. ``decider`` is
     set at daemons that collect. ``saw_old`` is whether the service has had servers of
     another version since the order was seen. ``joined_late`` is whether its status was
-    ``running`` by then, so that its first position is not known. ``replaced`` is the
-    ``Order`` of the service before this one, or None.
+    ``running`` by then, so that its first position is not known. ``earlier``
+    has the last orders of the service before this one, each with its verdict or None.
     """
 
     __slots__ = (
@@ -33,6 +36,7 @@
         "_phase",
         "collected",
         "decider",
+        "earlier",
         "final_ms",
         "is_reported",
         "joined_late",
@@ -40,7 +44,6 @@
         "leader_rank",
         "lease_until_ms",
         "order",
-        "replaced",
         "reported_ms",
         "running_at_ms",
         "saw_old",
@@ -57,7 +60,7 @@
     def __init__(self, order, now_ms, lease_ms=LEASE_MS):
         self._lease_ms = lease_ms
         self.order = order
-        self.replaced = None
+        self.earlier = ()
         # Messages about an earlier order with the same target have a lower position.
         self.start_position = order.position
         self.joined_late = order.is_running
@@ -81,6 +84,11 @@
         # Earliest time of the next attempt to write that the order is running.
         self.running_at_ms = 0.0
 
+    def follow(self, before):
+        """Remember the rollout that this one has replaced."""
+        earlier = (*before.earlier, (before.order, before.verdict()))
+        self.earlier = earlier[-MAX_EARLIER:]
+
     def note_age(self, age_ms, now_ms):
         """Adopt the age of the order that another daemon tells.
 
@@ -143,6 +151,10 @@
             self.final_ms = now_ms
         return phase is not before
 
+    def verdict(self):
+        """Return the final phase that became known, or None."""
+        return None if self.final_ms is None else self._phase
+
     def set_final(self, phase, now_ms):
         """Adopt the final phase that the store states; return whether it is new."""
         if self.final_ms is not None and self._phase is phase:
--- a/hemlockspoke/tier/rollouts/settling.py
+++ b/hemlockspoke/tier/rollouts/settling.py
@@ -113,21 +113,25 @@
         rollout.writing = False
         rollout.write_at_ms = self._clock.now_ms() + RETRY_MS
         if outcome.order is not None:
-            if outcome.order.position > rollout.order.position:
+            is_newer = outcome.order.position > rollout.order.position
+            if self._adopt_stored(rollout, outcome.order) and is_newer:
                 # Its condition was out of date, for instance since ``running`` was
                 # written, and this one is not.
                 rollout.write_at_ms = 0.0
-            self._adopt_stored(rollout, outcome.order)
         if outcome.written:
             self._tell(rollout)
         elif outcome.order is None:
             _log_failure(rollout, outcome)
 
     def _adopt_stored(self, rollout, order):
-        """Adopt what the store has, unless the list of a new era decides on it."""
-        is_newer_era = order.era > rollout.order.era
-        if order.same_spec(rollout.order) or not is_newer_era:
-            self._adopt(order)
+        """Adopt what the store has, unless the list of a new era decides on it.
+
+        Return whether it was adopted.
+        """
+        if order.era > rollout.order.era and not order.same_spec(rollout.order):
+            return False
+        self._adopt(order)
+        return True
 
 
 def _log_failure(rollout, outcome):
--- a/tests/features/steps/store_era_rollouts_steps.py
+++ b/tests/features/steps/store_era_rollouts_steps.py
@@ -22,14 +22,20 @@
         OrderList(manager, context.clock) for manager in context.world.managers.values()
     ]
     context.world.order = None
+    context.revision = revision
     for orders in context.lists:
         orders.set(order_for(version, revision, 1))
 
 
-@given('the order for "{version}" after it, which was rolled back')
-def step_later_order(context, version):
+@given('the order for "{version}" after it, which was {ending}')
+def step_later_order(context, version, ending):
+    """Write an order, then its end; one that is written anew follows another one."""
     for orders in context.lists:
-        orders.set(order_for(version, 910, 1, Phase.ROLLED_BACK))
+        if ending.startswith("written anew"):
+            context.revision += 1
+            orders.set(order_for(version, context.revision, 1))
+        context.revision += 1
+        orders.set(order_for(version, context.revision, 1, phase_of(ending)))
 
 
 def come_back(context, listed):
@@ -39,6 +45,10 @@
         orders.replace(listed)
 
 
+def phase_of(ending):
+    return Phase(ending.split(" and ")[-1].replace(" ", "_"))
+
+
 @when("a list of era 2 has no order")
 def step_no_order(context):
     come_back(context, [])
@@ -50,6 +60,11 @@
     come_back(context, [order_for(version, revision, 2)])
 
 
+@when('a list of era 2 has the order for "{version}" as {ending}')
+def step_listed_end(context, version, ending):
+    come_back(context, [order_for(version, 40, 2, phase_of(ending))])
+
+
 @when('the order for "{version}" is written again at revision {revision:d} of era 2')
 def step_written_again(context, version, revision):
     for orders in context.lists:
@@ -72,12 +87,12 @@
     assert rollouts(context) == [None, None]
 
 
-@then('the order for "{version}" is rolled back')
-def step_rolled_back(context, version):
+@then('the order for "{version}" is {ending}')
+def step_verdict(context, version, ending):
     now_ms = context.clock.now_ms()
     step_followed(context, version)
     phases = {rollout.phase(now_ms) for rollout in rollouts(context)}
-    assert phases == {Phase.ROLLED_BACK}, phases
+    assert phases == {phase_of(ending)}, phases
 
 
 @given("{count:d} daemons whose rollout has ended as {verdict}")
--- a/tests/features/store_era.feature
+++ b/tests/features/store_era.feature
@@ -186,6 +186,25 @@
     And 61 s pass
     Then version 7 is in force and no domain is out of service
 
+  Scenario: orders that are all written again in turn keep their verdicts
+    # Guards against rollouts that begin again, as each order replaces the one before.
+    Given daemons that know the order for "v2" at revision 900 of era 1
+    And the order for "v2" after it, which was completed
+    And the order for "v3" after it, which was rolled back
+    When a list of era 2 has no order
+    And the order for "v2" is written again at revision 50 of era 2
+    Then the order for "v2" is completed
+    When the order for "v3" is written again at revision 51 of era 2
+    Then the order for "v3" is rolled back
+
+  Scenario: an earlier verdict on the same order reverses nothing
+    # Guards against the verdict of a copy, after the same order was given twice.
+    Given daemons that know the order for "v2" at revision 900 of era 1
+    And the order for "v2" after it, which was rolled back
+    And the order for "v2" after it, which was written anew and completed
+    When a list of era 2 has the order for "v2" as rolled back
+    Then the order for "v2" is completed
+
   Scenario: a registration is written again although the first read fails
     # Guards against a lost registration that waits for its renewal.
     Given a daemon "e1" that is registered, and knows "e2"
