Learn of a new era from relayed lists, and drop answers of earlier ones at one place

A fresh list of daemons from before the return, answered after it, ended the search for the lost registration. A feed that resumed from a relayed position of a later era, at a store that states none, confirmed a state that it did not apply.

Change: FollowedKind tells StoreEras the era of a list that it adopts. StoreCalls takes any answer of an earlier era for none, so feeds, registrations and rollouts need no check of their own.

--- a/hemlockspoke/platform/store.py
+++ b/hemlockspoke/platform/store.py
@@ -14,8 +14,14 @@
 MAX_ERA_DIGITS = 18
 
 
+EARLIER_ERA = "the answer is of an earlier era of the store"
+
+
 class StoreReply:
-    """A reply of the store: a ``JsonReply`` with the ``era`` that it counts for."""
+    """A reply of the store: a ``JsonReply`` with the ``era`` that it counts for.
+
+    ``status`` is None if there was no reply, or only one of an earlier era.
+    """
 
     __slots__ = ("body", "detail", "era", "status")
 
@@ -47,7 +53,10 @@
             era = self._eras.newest
             if reply.status is not None:
                 era = self._eras.observe(stated_era(reply.headers), path)
-            on_reply(StoreReply(reply.status, reply.body, reply.detail, era))
+            if era < self._eras.newest:
+                on_reply(StoreReply(None, detail=EARLIER_ERA, era=era))
+            else:
+                on_reply(StoreReply(reply.status, reply.body, reply.detail, era))
 
         self._metrics.count(f"store.{method.lower()}")
         self._calls.call(method, path, decode, timeout_ms, body)
--- a/hemlockspoke/tier/edge_daemon.py
+++ b/hemlockspoke/tier/edge_daemon.py
@@ -121,7 +121,7 @@
 
     def follow(self, kind, source, sink):
         """Follow a kind of store objects once started; return its ``FollowedKind``."""
-        followed = FollowedKind(kind, self._clock, sink, self._metrics)
+        followed = FollowedKind(kind, self._clock, sink, self._metrics, self.eras)
         relaying_sink = RelayingSink(followed, self._relay)
         feed = Feed(
             kind,
--- a/hemlockspoke/tier/state/feed.py
+++ b/hemlockspoke/tier/state/feed.py
@@ -81,9 +81,8 @@
     The source has ``list_page(after, on_page)`` and ``watch(revision, wait_ms,
     grace_ms, on_page)``, where ``on_page`` takes a ``Page`` or a ``FeedError``. The
     sink has ``replace(changes, position)`` for a complete list and
-    ``apply(changes, since, position)``. A position of an earlier era than the newest
-    one in ``eras`` is never used: the feed lists again as soon as the era rises, and a
-    page of an earlier one counts as a failed call.
+    ``apply(changes, since, position)``. The feed lists again as soon as the newest era
+    in ``eras`` rises; the source has no pages of earlier ones from then on.
 
     A watch is given up after ``wait_ms`` plus ``WATCH_GRACE_MS``, since its connection
     may be broken without an error; then a new one is used. A paused feed ignores the
@@ -224,7 +223,6 @@
         if generation != self._generation:
             return
         self._progress_ms = self._clock.now_ms()
-        page = self._check_era(page)
         if isinstance(page, FeedError):
             self._listed_changes = []
             self._retry(page, self._list, generation, None)
@@ -262,7 +260,6 @@
         if generation != self._generation:
             return
         self._progress_ms = self._clock.now_ms()
-        page = self._check_era(page)
         if isinstance(page, FeedError):
             if page.history_gone:
                 logger.info("history gone", extra={"feed": self._kind})
@@ -282,12 +279,6 @@
         delay_ms = WATCH_INTERVAL_MS - waited_ms
         self._clock.call_later(delay_ms, self._watch, generation)
 
-    def _check_era(self, page):
-        """Return the page, or an error if it is of an earlier era of the store."""
-        if isinstance(page, FeedError) or page.position.era >= self._eras.newest:
-            return page
-        return FeedError("the answer is of an earlier era of the store")
-
     def _note_success(self):
         self._retry_ms = FIRST_RETRY_MS
         self.confirmed = True
--- a/hemlockspoke/tier/state/followed_kind.py
+++ b/hemlockspoke/tier/state/followed_kind.py
@@ -3,6 +3,7 @@
 import logging
 
 from hemlockspoke.tier.metrics import MetricsRegistry
+from hemlockspoke.tier.state.store_era import StoreEras
 
 logger = logging.getLogger(__name__)
 
@@ -21,6 +22,7 @@
 
     __slots__ = (
         "_clock",
+        "_eras",
         "_metrics",
         "_sink",
         "confirmed_ms",
@@ -32,10 +34,11 @@
         "unread_since_ms",
     )
 
-    def __init__(self, kind, clock, sink, metrics=None):
+    def __init__(self, kind, clock, sink, metrics=None, eras=None):
         self.kind = kind
         self._clock = clock
         self._metrics = metrics or MetricsRegistry()
+        self._eras = eras or StoreEras()
         self._sink = sink
         self.feed = None
         self.objects = {}
@@ -58,19 +61,24 @@
         self._confirm(position, age_ms)
         if known is None or position.era == known.era:
             self._sink.replace(changes)
-            return True
+        else:
+            self._log_era(known)
+            self._sink.restore(changes)
+        # A daemon that another one reads for learns of the era by its list.
+        self._eras.observe(position.era)
+        return True
+
+    def _log_era(self, known):
         logger.info(
             "list of a new era",
             extra={
                 "kind": self.kind,
-                "era": position.era,
-                "revision": position.revision,
+                "era": self.position.era,
+                "revision": self.position.revision,
                 "previous_era": known.era,
                 "previous_revision": known.revision,
             },
         )
-        self._sink.restore(changes)
-        return True
 
     def apply(self, changes, position, age_ms=0.0):
         """Apply the changes up to a position of the same era."""
