--- a/tests/features/steps/store_era_decisions_steps.py
+++ b/tests/features/steps/store_era_decisions_steps.py
@@ -46,7 +46,10 @@
 )
 def step_following(context, name, revision, era):
     context.clock = ManualClock()
-    context.followed = FollowedKind("servers", context.clock, NullSink())
+    context.eras = StoreEras()
+    context.followed = FollowedKind(
+        "servers", context.clock, NullSink(), eras=context.eras
+    )
     context.relay = Relay(
         context.clock, "e1", lambda vm, message: True, lambda: ["e0"], 5000.0
     )
@@ -78,6 +81,11 @@
     receive_changes(context, name, 0, revision, era, complete=True)
 
 
+@then("the newest era that the daemon has seen is {era:d}")
+def step_seen(context, era):
+    assert context.eras.newest == era
+
+
 @when(
     'a peer relays the change "{name}" after revision {since:d}, at revision '
     "{revision:d} of era {era:d}"
--- a/tests/features/steps/store_era_steps.py
+++ b/tests/features/steps/store_era_steps.py
@@ -4,7 +4,9 @@
 
 from behave import given, then, when
 
-from hemlockspoke.platform.store import stated_era
+from hemlockspoke.http1.json_calls import JsonReply
+from hemlockspoke.platform.store import StoreCalls, stated_era
+from hemlockspoke.tier.metrics import MetricsRegistry
 from hemlockspoke.tier.state.store_era import StoreEras
 from tests.edge_soak.processes import ProcessWorld
 from tests.reactor_thread import run_in_reactor
@@ -125,6 +127,69 @@
     assert len(received) == count, f"{len(received) - count} requests of 40"
 
 
+@when(
+    'the server "{server_id}" drains, and the store comes back from before that after '
+    "{duration_s:d} s"
+)
+def step_drain_lost(context, server_id, duration_s):
+    world = context.world
+    time.sleep(2.0)
+    copy = run_in_reactor(world.store.copy)
+    world.announce(server_id, "draining")
+    # Longer than the drain time, so that no daemon uses the server any more.
+    time.sleep(3.5)
+    world.store.mode = "reset"
+    time.sleep(duration_s)
+    run_in_reactor(world.store.come_back_from, copy)
+    world.store.mode = "up"
+
+
+@then('no request reaches "{server_id}" in the next {duration_s:d} s')
+def step_unused_for(context, server_id, duration_s):
+    received = context.world.servers[server_id].received_attempts
+    count, end_s = len(received), time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        for vm in context.world.daemons:
+            assert ask(context, vm, "/item/") == 200, vm
+        time.sleep(0.05)
+    assert len(received) == count, f"{len(received) - count} requests"
+
+
+class HeldCalls:
+    """Holds each call, to be answered later."""
+
+    def call(self, method, path, on_reply, timeout_ms, body=None):
+        """Hold a call."""
+        self.on_reply = on_reply
+
+
+@given("calls to a store that has stated era {era:d}")
+def step_calls(context, era):
+    context.eras = StoreEras()
+    context.eras.observe(era)
+    context.calls = StoreCalls(None, None, "", MetricsRegistry(), context.eras)
+    context.calls._calls = HeldCalls()
+
+
+@when("an answer with status {status:d} states era {era:d}")
+def step_answer(context, status, era):
+    replies = []
+    context.calls.list("servers", None, replies.append)
+    headers = [(b"Store-Era", b"%d" % era)]
+    context.calls._calls.on_reply(JsonReply(status, {}, headers=headers))
+    [context.reply] = replies
+
+
+@then("the caller learns that there was no answer")
+def step_no_answer(context):
+    assert context.reply.status is None and context.reply.body is None
+
+
+@then("the caller gets the answer")
+def step_gets_answer(context):
+    assert context.reply.status == 200 and context.reply.era == context.eras.newest
+
+
 @given("the eras of a store that has stated {era:d}")
 def step_eras(context, era):
     context.eras = StoreEras()
--- a/tests/features/store_era.feature
+++ b/tests/features/store_era.feature
@@ -20,6 +20,20 @@
     Then after 6 s all daemons serve the added route and refuse the removed one
     And no request reaches "item-a1" from then on
 
+  Scenario: a server that drains gets no request after a return, if nobody writes again
+    # Guards against a second list of the era, by a daemon's own feed after the relay.
+    Given 6 daemons as processes in 2 failure domains
+    When the server "item-a1" drains, and the store comes back from before that after 3 s
+    Then no request reaches "item-a1" in the next 4 s
+
+  Scenario: an answer of an earlier era that arrives late is none
+    # Guards against lists from before the return that end the search for lost objects.
+    Given calls to a store that has stated era 3
+    When an answer with status 200 states era 2
+    Then the caller learns that there was no answer
+    When an answer with status 200 states era 3
+    Then the caller gets the answer
+
   Scenario: an answer without a readable era counts for the newest known one
     Given the eras of a store that has stated 3
     Then an answer that states <value> counts for era <era>
@@ -43,6 +57,12 @@
     And a peer relays the change "s3" after revision 30, at revision 960 of era 1
     Then the daemon has "s2" at revision 40 of era 2
 
+  Scenario: a daemon learns of a new era by the list that its reader relays
+    # Guards against lost registrations that are noticed with the next read, 10 s later.
+    Given a daemon that has the servers "s1" at revision 900 of era 1 from its reader
+    When the reader relays the list "s2" at revision 40 of era 2
+    Then the newest era that the daemon has seen is 2
+
   Scenario: a revision of an earlier era confirms nothing
     # Guards against a state that looks up to date as a higher, dead revision is known.
     Given a daemon that has the servers "s1" at revision 900 of era 1 from its reader
