Let soaks play a store that comes back from an older copy

The soak had outages and compactions of the store, but no return from a copy, so that lost and reissued revisions met no other faults.

A part of its own draws copies, outages and returns from the seed, some twice within seconds and some with a compaction. Servers write their entries again within 1.2 s and the operator his configuration and orders after 1 to 5 s. Between a copy and its return a server is drained or removed. The schedules of other parts and of the faults stay.

Checks that count from a change count from its second writing only for VMs that had no time to learn of the first one or have started again since. New checks: no request reaches a server that is withdrawn later than the drain time, with the settle time where a VM was disturbed; no order gets a second verdict; registrations and verdicts are in the store at the end.

--- a/tests/edge_soak/accounts.py
+++ b/tests/edge_soak/accounts.py
@@ -214,7 +214,7 @@
             *check_logs(self._world.daemons.values(), KEY_MARK),
             *check_removed_keys(outcomes, servers, self._removed_s, soak, BOUNDS),
             *check_accepted(outcomes, self._added_s, self._removing_s, soak, BOUNDS),
-            *check_limits(account_by_attempt, servers, self._quotas, BOUNDS),
+            *check_limits(account_by_attempt, servers, self._quotas, soak, BOUNDS),
             *check_answered(modest, self._world.domains, soak, BOUNDS),
         ]
 
--- a/tests/features/steps/edge_soak_steps.py
+++ b/tests/features/steps/edge_soak_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from tests.edge_soak import accounts, rolling_stops, rollouts
+from tests.edge_soak import accounts, returns, rolling_stops, rollouts
 from tests.edge_soak.processes import STOP_GRACE_S, ProcessWorld
 from tests.edge_soak.run import run
 from tests.reactor_thread import wait_until
@@ -30,6 +30,7 @@
     draw = {
         "changes of accounts": lambda seed: accounts.draw_schedule(seed, 60, domains),
         "rollouts": lambda seed: rollouts.draw_schedule(seed, 60),
+        "returns of the store": lambda seed: returns.draw_schedule(seed, 60),
     }[part]
     schedules = [draw(seed) for seed in range(20)]
     assert schedules == [draw(seed) for seed in range(20)]
--- a/tests/standins/object_store.py
+++ b/tests/standins/object_store.py
@@ -107,6 +107,10 @@
         item = self._kinds.get(kind, {}).get(name)
         return item.spec if item else None
 
+    def names(self, kind):
+        """Return the names of the objects of a kind."""
+        return sorted(self._kinds.get(kind, {}))
+
     def status(self, kind, name):
         """Return the status of an object, or None."""
         item = self._kinds.get(kind, {}).get(name)
