Keep verdicts over restarts of all that decide, and spread the lists of a new era

- A rollout that an operator had removed after its end, and that the copy had, began again.
- At its first start a daemon registers before any answer, so its registration named no era, and its next process used no start tokens until the renewal after 120 s.
- A claim of start tokens could still rest on a list from before the return.
- After an outage every daemon whose feeds were active listed each kind: 30 lists by 10 daemons within 0.4 s.
Feeds that call less often than others now wait for 150 ms for each unit of that, and take the list that another daemon relays.

Evidence: the scenarios on removed orders, on daemons that decide anew and on the first registration fail before. The fleet scenarios after an outage pass before and after, as their daemons do not call at the same time.

--- a/hemlockspoke/tier/rollouts/manager.py
+++ b/hemlockspoke/tier/rollouts/manager.py
@@ -351,10 +351,13 @@
 
     def _reached_phase(self, rollout, now_ms):
         """Return a phase that an earlier decider has told, or None."""
-        if rollout.phase(now_ms) is Phase.COMPLETED:
-            # The store has lost the end of the order.
-            return Phase.COMPLETED
-        for phase in (Phase.ROLLED_BACK, Phase.COMPLETING, Phase.SWITCHING):
+        # An order is open although it has ended if the store has lost its end.
+        for phase in (
+            Phase.ROLLED_BACK,
+            Phase.COMPLETED,
+            Phase.COMPLETING,
+            Phase.SWITCHING,
+        ):
             if rollout.phase(now_ms) is phase or rollout.collected.has_phase(phase):
                 return phase
         return None
--- a/hemlockspoke/tier/rollouts/order_list.py
+++ b/hemlockspoke/tier/rollouts/order_list.py
@@ -1,11 +1,15 @@
 """The orders of the store, and what is known better than an older list of them."""
 
 import logging
+from collections import deque
 
 from hemlockspoke.tier.state.store_era import RETENTION_MS
 
 logger = logging.getLogger(__name__)
 
+# Orders that are remembered after their removal.
+MAX_REMOVED = 64
+
 
 class OrderList:
     """Gives the ``RolloutManager`` the orders that the store has.
@@ -17,7 +21,14 @@
     that has ended does not begin again, even if all orders are written again in turn.
     """
 
-    __slots__ = ("_clock", "_kept", "_manager", "_until_ms", "_verdicts")
+    __slots__ = (
+        "_clock",
+        "_kept",
+        "_manager",
+        "_removed",
+        "_until_ms",
+        "_verdicts",
+    )
 
     def __init__(self, manager, clock):
         self._manager = manager
@@ -28,6 +39,8 @@
         self._until_ms = 0.0
         # Orders that had ended before the era, each with its verdict.
         self._verdicts = []
+        # The last orders that were removed after their end: their verdicts, and when.
+        self._removed = deque(maxlen=MAX_REMOVED)
 
     def replace(self, orders):
         """Apply a complete list."""
@@ -44,18 +57,26 @@
     def restore(self, orders):
         """Apply the first list of a new era."""
         self._until_ms = self._clock.now_ms() + RETENTION_MS
-        self._verdicts = [
-            (order, verdict)
-            for rollout in self._manager.versions.rollouts.values()
-            for order, verdict in (
-                *rollout.earlier,
-                (rollout.order, rollout.verdict()),
-            )
-            if verdict is not None
-        ]
+        self._verdicts = self._known_verdicts()
         self._apply_list(orders)
         self._clock.call_later(RETENTION_MS, self._end_retention)
 
+    def _known_verdicts(self):
+        """Return the orders that have ended, each with its verdict, the last one last.
+
+        One that has been removed in the last moments may be open in the copy.
+        """
+        since_ms = self._clock.now_ms() - RETENTION_MS
+        verdicts = [
+            (order, verdict)
+            for order, verdict, removed_ms in self._removed
+            if removed_ms > since_ms
+        ]
+        for rollout in self._manager.versions.rollouts.values():
+            verdicts += rollout.earlier
+            verdicts.append((rollout.order, rollout.verdict()))
+        return [known for known in verdicts if known[1] is not None]
+
     def _apply_list(self, orders):
         """Apply a list without the orders that are older than the known ones."""
         listed = {order.service: order for order in orders}
@@ -101,6 +122,10 @@
     def remove(self, service):
         """Apply the removal of an order."""
         self._kept.pop(service, None)
+        rollout = self._manager.versions.rollouts.get(service)
+        if rollout is not None and rollout.verdict() is not None:
+            removed_ms = self._clock.now_ms()
+            self._removed.append((rollout.order, rollout.verdict(), removed_ms))
         self._manager.remove_order(service)
 
     def _end_retention(self):
--- a/hemlockspoke/tier/state/feed.py
+++ b/hemlockspoke/tier/state/feed.py
@@ -27,6 +27,9 @@
 # and whether the store has come back older.
 FIRST_WAIT_MS = 1.0
 
+# Delay of the list of a new era for each unit of the retry factor beyond 1. The list of
+# another daemon is relayed within this time.
+ERA_LIST_STEP_MS = 150.0
 # Delay of the next list after one that could not be applied because of a defect.
 DEFECT_RETRY_MS = 5000.0
 # Interval of checks that a feed makes progress, and what is added to the longest time
@@ -80,9 +83,10 @@
 
     The source has ``list_page(after, on_page)`` and ``watch(revision, wait_ms,
     grace_ms, on_page)``, where ``on_page`` takes a ``Page`` or a ``FeedError``. The
-    sink has ``replace(changes, position)`` for a complete list and
-    ``apply(changes, since, position)``. The feed lists again as soon as the newest era
-    in ``eras`` rises; the source has no pages of earlier ones from then on.
+    sink has ``replace(changes, position)`` for a complete list,
+    ``apply(changes, since, position)`` and the ``position`` of what it has. The feed
+    lists again when the newest era in ``eras`` rises; the source has no pages of
+    earlier ones from then on.
 
     A watch is given up after ``wait_ms`` plus ``WATCH_GRACE_MS``, since its connection
     may be broken without an error; then a new one is used. A paused feed ignores the
@@ -174,10 +178,29 @@
         )
 
     def _on_era(self):
-        """List again, as the revisions known so far are given out again."""
-        if self.active:
-            self._begin_generation()
-            self._list(self._generation, None)
+        """List again, as the revisions known so far are given out again.
+
+        After an outage many feeds of a failure domain are active. Those that call less
+        often than others wait for the list of one that reads for all.
+        """
+        if not self.active:
+            return
+        self._begin_generation()
+        delay_ms = ERA_LIST_STEP_MS * (self.retry_factor - 1.0)
+        if delay_ms > 0.0:
+            self._call_again(delay_ms, self._enter_era, self._generation)
+        else:
+            self._enter_era(self._generation)
+
+    def _enter_era(self, generation):
+        if generation != self._generation:
+            return
+        position = self._sink.position
+        if position is not None and position.era == self._eras.newest:
+            self._position = position
+            self._watch(generation)
+        else:
+            self._list(generation, None)
 
     @property
     def reading(self):
--- a/hemlockspoke/tier/state/followed_kind.py
+++ b/hemlockspoke/tier/state/followed_kind.py
@@ -128,6 +128,11 @@
         self._followed = followed
         self._relay = relay
 
+    @property
+    def position(self):
+        """The position of the known state, whichever daemon has read it."""
+        return self._followed.position
+
     def replace(self, changes, position):
         """Apply a complete list, and relay it."""
         if self._followed.replace(changes, position):
--- a/hemlockspoke/tier/state/members.py
+++ b/hemlockspoke/tier/state/members.py
@@ -159,6 +159,8 @@
             return
         self._retain_until_ms = self._clock.now_ms() + RETENTION_MS
         self._may_be_lost = True
+        # The registration of before may lack a claim that was written after the copy.
+        self._first_spec = {}
         if self._timer is None:
             # A list is being read, or none was read yet.
             self._read_again = True
@@ -206,6 +208,10 @@
                 self._own.adopt(spec)
                 if on_claimed is not None:
                     on_claimed(asked_ms)
+                if not self._own.is_of_newest_era(spec):
+                    # The first answer of the store has stated its era.
+                    self._register(result.revision)
+                    return
             self._on_written(result)
 
         self._registrations.write(self._settings.vm, spec, revision, on_written)
--- a/tests/features/steps/store_era_fleet_steps.py
+++ b/tests/features/steps/store_era_fleet_steps.py
@@ -16,6 +16,10 @@
         fleet.store.cut_off.add("vm-00")
     elif trouble == "as the reader is killed":
         fleet.kill("vm-00")
+    elif trouble.startswith("after it failed"):
+        fleet.store.turned_away = set(fleet.vms)
+        fleet.run(3000)
+        fleet.store.turned_away = set()
     for _ in range(2 if trouble == "twice within a second" else 1):
         fleet.store.revision -= count
         fleet.store.era += 1
--- a/tests/features/steps/store_era_members_steps.py
+++ b/tests/features/steps/store_era_members_steps.py
@@ -20,6 +20,8 @@
     def __init__(self):
         self.specs = {}
         self.failing_reads = 0
+        # Called before each answer.
+        self.on_answer = None
 
     def read(self, stale, on_read):
         """Read the list."""
@@ -27,10 +29,12 @@
             self.failing_reads -= 1
             on_read(None)
             return
+        self.on_answer()
         on_read([Change(vm, spec, revision=7) for vm, spec in self.specs.items()])
 
     def write(self, vm, spec, revision, on_written):
         """Write a registration; one that exists is replaced at a revision only."""
+        self.on_answer()
         if revision is None and vm in self.specs:
             on_written(WriteResult(False, True, 7, self.specs[vm]))
             return
@@ -50,7 +54,7 @@
 
 def start_member(context, era, first_start=False):
     context.eras, context.peers = StoreEras(), []
-    context.eras.observe(era)
+    context.store.on_answer = lambda: context.eras.observe(era)
     settings = EdgeSettings(
         vm="e1",
         failure_domain="a1",
@@ -85,6 +89,11 @@
     assert context.peers[-1] == (["e2"], True), context.peers
 
 
+@then("the store has its registration of era {era:d}")
+def step_era(context, era):
+    assert context.store.specs["e1"]["store_era"] == era, context.store.specs
+
+
 @when("the store comes back without registrations")
 def step_lost(context):
     context.written = context.store.specs.pop("e1")
--- a/tests/features/steps/store_era_rollouts_steps.py
+++ b/tests/features/steps/store_era_rollouts_steps.py
@@ -45,6 +45,12 @@
         orders.replace(listed)
 
 
+@given("that order was removed")
+def step_removed(context):
+    for orders in context.lists:
+        orders.remove(SERVICE)
+
+
 def phase_of(ending):
     return Phase(ending.split(" and ")[-1].replace(" ", "_"))
 
@@ -114,6 +120,17 @@
         OrderList(manager, world.clock).restore([world.order])
 
 
+@when("all that decide start again and a list of era 2 has the order without its end")
+def step_restarted(context):
+    world = context.world
+    deciders = next(iter(world.managers.values())).collectors(SERVICE)
+    for vm in deciders:
+        world.kill(vm)
+    step_without_end(context)
+    for vm in deciders:
+        world.start_daemon(vm)
+
+
 @then("within {limit_s:d} s {verdict} is in the store again")
 def step_in_store(context, limit_s, verdict):
     world = context.world
--- a/tests/features/store_era.feature
+++ b/tests/features/store_era.feature
@@ -142,6 +142,20 @@
       | no order           |
       | the order for "v2" |
 
+  Scenario: an order that was removed after its end does not begin again
+    # Guards against a rollout that the copy still has open.
+    Given daemons that know the order for "v2" at revision 900 of era 1
+    And the order for "v2" after it, which was completed
+    And that order was removed
+    When a list of era 2 has the order for "v2" at revision 40
+    Then the order for "v2" is completed
+
+  Scenario: daemons that decide anew keep to a verdict that others were told
+    # Guards against a verdict that is reversed as all that decide have started again.
+    Given 6 daemons whose rollout has ended as completed
+    When all that decide start again and a list of era 2 has the order without its end
+    Then within 8 s completed is in the store again
+
   Scenario: an order that nobody writes again ends after a time
     Given daemons that know the order for "v2" at revision 900 of era 1
     When a list of era 2 has no order
@@ -164,6 +178,11 @@
     When the store comes back with the registration from before that
     Then within 3 s the store has the registration that names the start
 
+  Scenario: the first registration of a VM names the era of the store
+    # Guards against a restart without start tokens though the store has lost nothing.
+    Given a daemon "e1" that is registered, and knows "e2"
+    Then the store has its registration of era 1
+
   Scenario Outline: start tokens after a return of the store
     # Guards against start tokens that are used twice, as the first use was lost.
     Given a process that finds a registration of era <written> in era <current>
@@ -186,6 +205,8 @@
       | 32      | at once                          | 2000     | 1       |
       | 100     | at once                          | 2000     | 1       |
       | 32      | twice within a second            | 2500     | 1       |
+      | 32      | after it failed all calls for 3 s | 2500    | 4       |
+      | 100     | after it failed all calls for 3 s | 2500    | 4       |
       | 32      | as the reader is cut off from it | 6000    | 2       |
       | 32      | as the reader is killed          | 4000     | 2       |
 
