Let servers of a version leave when its late verdict comes

They leave now at the verdict, if the order's time is over. A verdict on an order that was replaced, which the store had again after a return, is not noted as that order's end, as its operator has gone on to the next; a bad version must not complete even then.

Ruled out: a fault of the daemons; they withheld the version until the next order was written again.

--- a/tests/edge_soak/rollouts.py
+++ b/tests/edge_soak/rollouts.py
@@ -41,6 +41,7 @@
     """One order; times are in seconds, ``state`` and ``ended_s`` as the store has them.
 
     ``begun_s`` is when the store had the order, ``budget_s`` the time that it gives.
+    ``is_over`` is whether that has passed.
     """
 
     __slots__ = (
@@ -48,6 +49,7 @@
         "budget_s",
         "ended_s",
         "is_bad",
+        "is_over",
         "old_ids",
         "state",
         "target_ids",
@@ -64,6 +66,7 @@
         self.budget_s = ORDER_S
         self.ended_s = None
         self.state = None
+        self.is_over = False
         self.was_replaced = False
 
 
@@ -102,8 +105,6 @@
             server.born += 1_000 * (len(self._orders) + 1)
             server.behaviour = "fail_often" if is_bad else "serve"
         order = SoakOrder(version, is_bad, list(self._server_ids), target_ids)
-        if self._orders:
-            self._orders[-1].was_replaced = True
         self._orders.append(order)
         for server_id in target_ids:
             world.announce(server_id)
@@ -113,19 +114,26 @@
             "duration_s": ORDER_S,
         }
         world.put("rollouts", SERVICE, spec)
+        for replaced in self._orders[:-1]:
+            replaced.was_replaced = True
         order.begun_s = time.monotonic()
         self._soak.schedule_end(ORDER_S + LEAVE_DELAY_S, lambda: self._leave(order))
 
     def _leave(self, order):
-        if order.state == "rolled_back":
+        order.is_over = True
+        run_in_reactor(self._retire_rolled_back, order)
+
+    def _retire_rolled_back(self, order):
+        """Remove the servers of a version that was rolled back, after its time."""
+        if order.is_over and order.state == "rolled_back":
             for server_id in order.target_ids:
-                run_in_reactor(self._world.retire, server_id)
+                self._world.retire(server_id)
 
     def _status_written(self, kind, name, status):
         """Note the end of an order; the old servers of a completed one leave at once.
 
         It is called by the store, in the thread of the reactor. After a return from an
-        older copy the store may have the order before.
+        older copy the store may have an order that was replaced; its end is not noted.
         """
         state, version = status.get("state"), status["target_version"]
         if state == "running" or version != self._stored_version():
@@ -135,11 +143,16 @@
             if order.state != state:
                 self._findings.append(f"{version}: {state} after it was {order.state}")
             return
+        if order.was_replaced:
+            if order.is_bad and state == "completed":
+                self._findings.append(f"bad {version}: {state} after it was replaced")
+            return
         order.state, order.ended_s = state, time.monotonic()
         if state == "completed":
             for server_id in order.old_ids:
                 self._world.retire(server_id)
             self._server_ids = order.target_ids
+        self._retire_rolled_back(order)
 
     def _stored_version(self):
         return (self._world.store.get("rollouts", SERVICE) or {}).get("target_version")
