Send nothing to a server that drained before it was known

A daemon that starts, and finds a server draining, used it for a quarter of the drain time if its service had no other.

Such a server gets nothing now. Servers that a daemon knows before they drain are used as before. Ruled out: an effect of the return of the store; the entry was in the store for seconds and any restart does it.

--- a/hemlockspoke/tier/state/directory.py
+++ b/hemlockspoke/tier/state/directory.py
@@ -325,10 +325,7 @@
     def _add(self, entry):
         region = self._failure_domains.get(entry.failure_domain, "")
         pool = ConnectionPool(
-            self._reactor,
-            self._clock,
-            entry.address,
-            self._connection_limit(entry),
+            self._reactor, self._clock, entry.address, self._connection_limit(entry)
         )
         server = TrackedServer(
             entry, pool, region, region == self._region, self._clock.now_ms()
@@ -336,11 +333,8 @@
         self.servers[entry.server_id] = server
         # Of servers that look equal the first one is used, so their order differs by
         # daemon. Otherwise the first requests of all daemons go to the same server.
-        insort(
-            self.services.setdefault(entry.service, []),
-            server,
-            key=lambda other: weight(self._vm, other.server_id),
-        )
+        servers = self.services.setdefault(entry.service, [])
+        insort(servers, server, key=lambda other: weight(self._vm, other.server_id))
         log_server(entry, "added")
         # The entry of a process may return after it has lapsed, or come from a list
         # that is older than what the process has said.
@@ -349,6 +343,9 @@
         usable_until_ms = self.notices.usable_until_ms(process)
         if usable_until_ms is not None:
             self._apply_leaving_notice(server, usable_until_ms)
+        # The drain time of a server that drained before it was known may be over.
+        if entry.state is ServerState.DRAINING:
+            self._start_leaving(server, 0.0)
         return server
 
     def _start_leaving(self, server, grace_ms):
--- a/tests/features/steps/store_era_decisions_steps.py
+++ b/tests/features/steps/store_era_decisions_steps.py
@@ -6,6 +6,7 @@
 from hemlockspoke.clock import ManualClock
 from hemlockspoke.tier.edge_settings import Bounds
 from hemlockspoke.tier.messages import StoreChanges, StoreHeartbeat
+from hemlockspoke.tier.placement.eligibility import has_left
 from hemlockspoke.tier.placement.servers import ServerEntry, ServerState
 from hemlockspoke.tier.state.configurations import Configurations
 from hemlockspoke.tier.state.directory import Directory
@@ -231,6 +232,18 @@
     assert context.directory.servers[name].cold(context.clock.now_ms())
 
 
+@when('a daemon starts and reads that "{server_id}" drains and "{other_id}" is ready')
+def step_first_list(context, server_id, other_id):
+    drained = entry(server_id, state=ServerState.DRAINING)
+    context.servers.replace([drained, entry(other_id)])
+
+
+@then('"{server_id}" gets no request, also if there is no other server')
+def step_not_usable(context, server_id):
+    server = context.directory.servers[server_id]
+    assert has_left(context.directory, server, context.clock.now_ms())
+
+
 @when(
     "the first list of a new era has version {version:d}, no domain out, and older "
     "entries"
--- a/tests/features/store_era.feature
+++ b/tests/features/store_era.feature
@@ -97,6 +97,12 @@
     When the servers write again and the operator takes "b1" out and back
     Then "again" has its third process, "gone" is used and no domain is out of service
 
+  Scenario: a server that drains when a daemon starts gets no request from it
+    # Guards against requests after the drain time, which may be over by then.
+    Given a directory with version 9 and the domain "b1" out of service
+    When a daemon starts and reads that "drained" drains and "calm" is ready
+    Then "drained" gets no request, also if there is no other server
+
   Scenario: what nobody writes again ends after a time
     # Guards against a state that differs from the store's for good.
     Given a directory with version 9 and the domain "b1" out of service
