Tell a change of mind by the versions of the era, and remember unlisted drained servers

Change: a lower version counts as a change of mind only if it is above the newest that the store has had in this era. Draining servers that a list of a new era lacks are remembered like removed ones.

--- a/hemlockspoke/platform/feeds.py
+++ b/hemlockspoke/platform/feeds.py
@@ -134,7 +134,7 @@
 
     def apply(self, change):
         """Apply a changed configuration; a removal leaves the last one in force."""
-        self._apply_all([change], self._configurations.change)
+        self._apply_all([change], self._configurations.adopt)
 
     def _apply_all(self, changes, apply):
         for change in changes:
--- a/hemlockspoke/tier/state/configurations.py
+++ b/hemlockspoke/tier/state/configurations.py
@@ -14,46 +14,37 @@
     """Gives the directory the versions that the store has.
 
     A version that has been in force is not taken back because the store has lost it.
-    An operator who writes a lower one in the new era has changed his mind: it comes
-    into force ``RETENTION_MS`` after the list of the era, if it is the newest by then.
-    Until then he may be writing lost versions again, one after the other.
+    An operator who goes on from the older version of the new era, with one below that
+    in force, has changed his mind: it comes into force ``RETENTION_MS`` after the list
+    of the era, if it is the newest by then. Until then he may be writing lost versions
+    again, one after the other.
     """
 
-    __slots__ = (
-        "_clock",
-        "_directory",
-        "_lower",
-        "_restored_ms",
-        "_restored_version",
-    )
+    __slots__ = ("_clock", "_directory", "_era_version", "_lower", "_restored_ms")
 
     def __init__(self, directory, clock):
         self._directory = directory
         self._clock = clock
-        # When the first list of the newest era was read, and its version.
+        # When the first list of the newest era was read; None if there was no return.
         self._restored_ms = None
-        self._restored_version = None
-        # The version written last in this era, if it is lower than the one in force.
+        # The newest version that the store has had in this era.
+        self._era_version = None
+        # That version, if it was written in this era and is lower than that in force.
         self._lower = None
 
-    def adopt(self, table):
-        """Apply a listed configuration.
-
-        One that differs from that of the era's first list has been written since.
-        """
-        if table.version != self._restored_version:
-            self.change(table)
-
     def restore(self, table):
         """Apply the configuration of the first list of a new era."""
         self._restored_ms = self._clock.now_ms()
-        self._restored_version = table.version
+        self._era_version = table.version
         self._lower = None
         if not self._directory.adopt_routing(table):
             self._log_lower("older configuration in the store", table)
 
-    def change(self, table):
-        """Apply a configuration that has been written."""
+    def adopt(self, table):
+        """Apply a configuration that has been listed or written."""
+        if self._era_version is not None and table.version <= self._era_version:
+            return
+        self._era_version = table.version
         self._lower = None
         if self._directory.adopt_routing(table) or self._restored_ms is None:
             return
--- a/hemlockspoke/tier/state/server_list.py
+++ b/hemlockspoke/tier/state/server_list.py
@@ -56,6 +56,8 @@
             entry.server_id: entry for entry in entries if self._is_outdated(entry)
         }
         current = [entry for entry in entries if entry.server_id not in outdated]
+        # A further return may be from a copy in which these are ready.
+        self._note_unlisted(entries, ServerState.DRAINING)
         self._directory.set_servers(current, kept=outdated)
         self._outdated = outdated
         if outdated:
@@ -100,10 +102,13 @@
             return False
         return entry.started_ms < known.started_ms
 
-    def _note_unlisted(self, entries):
+    def _note_unlisted(self, entries, state=None):
+        """Note the servers that a list lacks, or those of them in a state."""
         listed = {entry.server_id for entry in entries}
         for server_id in self._directory.servers.keys() - listed:
-            self._note_removed(server_id)
+            known = self._directory.servers[server_id].entry
+            if state is None or known.state is state:
+                self._note_removed(server_id)
 
     def _note_removed(self, server_id):
         now_ms = self._clock.now_ms()
--- a/tests/features/steps/store_era_decisions_steps.py
+++ b/tests/features/steps/store_era_decisions_steps.py
@@ -305,7 +305,7 @@
 
 @when("the operator writes version {version:d}")
 def step_lower_version(context, version):
-    context.configurations.change(RoutingTable(version, [], []))
+    context.configurations.adopt(RoutingTable(version, [], []))
 
 
 @when("{duration_s:d} s pass")
@@ -321,3 +321,15 @@
 @when("version {version:d} is listed")
 def step_listed_version(context, version):
     context.configurations.adopt(RoutingTable(version, [], []))
+
+
+@when("a new era has no servers, and the next one older entries")
+def step_two_returns(context):
+    context.servers.restore([])
+    context.clock.advance(500.0)
+    context.servers.restore(OLDER_ENTRIES)
+
+
+@then('"{server_id}" is not used')
+def step_unused_server(context, server_id):
+    assert server_id not in usable(context), usable(context)
--- a/tests/features/store_era.feature
+++ b/tests/features/store_era.feature
@@ -225,6 +225,23 @@
     And 61 s pass
     Then version 12 is in force and no domain is out of service
 
+  Scenario: a draining server that one copy lacks and an older one has stays unused
+    # Guards against two returns within seconds, the second one from an older copy.
+    Given a directory with version 9 and the domain "b1" out of service
+    And its servers "drained" that drains, "again" with its second process, "gone" that has left
+    When a new era has no servers, and the next one older entries
+    Then "drained" is not used
+
+  Scenario: long after a return a lower version is no change of mind
+    # Guards against versions that go down though the store has had a higher one since.
+    Given a directory with version 9 and the domain "b1" out of service
+    When the first list of a new era has version 5, no domain out, and older entries
+    And the operator writes version 12
+    And 61 s pass
+    And the operator writes version 10
+    And 61 s pass
+    Then version 12 is in force and no domain is out of service
+
   Scenario: a lower version comes into force also where only a list has it
     # Guards against daemons that differ for good.
     Given a directory with version 9 and the domain "b1" out of service
