List after a watch whose reply is too long

The store had turned the failure domain away for 7 s and answered all its calls again.

Cause: a reply of over 8 MB is rejected, and the changes since a revision have no limit. The feed took that for any failed call and watched from the same revision again, so each further reply was longer, until the store had dropped that history. The daemon that took over failed in the same way.

Change: the parser tells a body beyond its limit from other malformed responses, and JsonReply, StoreReply and FeedError carry that on. After such a watch the feed lists, whose pages are short, after the delay of a failed call. Only a watch that succeeds makes the delays short again, and further long watches are no loss of the store while lists succeed, so that daemons don't take over from each other in turn. store_too_long_total, a warning for each such reply and a line of the feed tell of it.

Ruled out: a higher limit; a list at once.

--- a/hemlockspoke/http1/connection.py
+++ b/hemlockspoke/http1/connection.py
@@ -45,7 +45,8 @@
     request, and the connection is not used again; it also sets ``unidentified`` if the
     response has no id. No connection of ``avoided`` is used. ``partial`` is a
     ``Response`` without a body that has the headers of interim responses, and of one
-    whose body did not arrive; None without such headers.
+    whose body did not arrive; None without such headers. ``too_long`` is True after a
+    response with a body beyond the limit.
     """
 
     __slots__ = (
@@ -64,6 +65,7 @@
         "reused_connection",
         "sent_ms",
         "size_bytes",
+        "too_long",
         "unidentified",
     )
 
@@ -88,6 +90,7 @@
         self.is_own = is_own or (lambda response: True)
         self.avoided = avoided
         self.partial = None
+        self.too_long = False
         self.reused_connection = False
         self.unidentified = False
         self.sent_ms = None
@@ -207,6 +210,7 @@
         self._exchange = self._parser = None
         if exchange is not None:
             exchange.partial = parser.partial_response()
+            exchange.too_long = parser.too_long
         return exchange
 
     def _fail_exchange(self, failure, detail):
--- a/hemlockspoke/http1/json_calls.py
+++ b/hemlockspoke/http1/json_calls.py
@@ -8,25 +8,29 @@
 from hemlockspoke.http1.pool import ConnectionPool
 
 # Limit on the body of a reply. A page of a list holds about 1 MB and at most one more
-# object of that size.
+# object of that size. The changes that a watch reports may exceed the limit.
 MAX_REPLY_BYTES = 8 * 1024 * 1024
 
 
 class JsonReply:
     """Status and decoded body of a reply; ``status`` is None if there was no reply.
 
-    ``detail`` then says why; ``sent`` says whether the request may have been sent.
+    ``detail`` then says why; ``sent`` says whether the request may have been sent, and
+    ``too_long`` whether there was a reply with a body over ``MAX_REPLY_BYTES``.
     ``headers`` lists pairs of byte strings.
     """
 
-    __slots__ = ("body", "detail", "headers", "sent", "status")
+    __slots__ = ("body", "detail", "headers", "sent", "status", "too_long")
 
-    def __init__(self, status, body=None, detail="", sent=True, headers=()):
+    def __init__(
+        self, status, body=None, detail="", sent=True, headers=(), too_long=False
+    ):
         self.status = status
         self.body = body
         self.detail = detail
         self.sent = sent
         self.headers = headers
+        self.too_long = too_long
 
 
 class JsonCalls:
@@ -57,11 +61,9 @@
             finish(JsonReply(response.status, body, headers=response.headers))
 
         def on_failure(failure, detail):
-            finish(
-                JsonReply(
-                    None, detail=detail, sent=failure is not ExchangeFailure.UNSENT
-                )
-            )
+            sent = failure is not ExchangeFailure.UNSENT
+            too_long = exchange.too_long
+            finish(JsonReply(None, detail=detail, sent=sent, too_long=too_long))
 
         def on_timeout():
             sent = exchange.sent_ms is not None
--- a/hemlockspoke/http1/response_parser.py
+++ b/hemlockspoke/http1/response_parser.py
@@ -26,7 +26,8 @@
     ``response`` is set once the response is complete. ``has_trailing_data`` is True if
     bytes followed it. ``malformed`` is the first reason why the bytes are not an HTTP
     response within the limits, or an empty string; a malformed response is never
-    completed. With ``head_only`` the response has no body, as the request was a HEAD.
+    completed. ``too_long`` is True if the reason is the limit on the body. With
+    ``head_only`` the response has no body, as the request was a HEAD.
     """
 
     __slots__ = (
@@ -42,6 +43,7 @@
         "head_only",
         "malformed",
         "response",
+        "too_long",
     )
 
     def __init__(self, head_only=False, max_body_bytes=MAX_BODY_BYTES):
@@ -59,6 +61,7 @@
         self._until_close = False
         self.response = None
         self.malformed = ""
+        self.too_long = False
         self.has_trailing_data = False
 
     def feed(self, data):
@@ -81,6 +84,7 @@
         overhead_bytes = self._received_bytes - body_bytes
         allowed_bytes = MAX_OVERHEAD_BYTES + MAX_CHUNK_OVERHEAD * body_bytes
         if body_bytes > self._max_body_bytes:
+            self.too_long = True
             self._reject(f"the body is longer than {self._max_body_bytes} bytes")
         elif overhead_bytes > allowed_bytes:
             self._reject(f"{overhead_bytes} bytes without an end of the head or body")
--- a/hemlockspoke/platform/feeds.py
+++ b/hemlockspoke/platform/feeds.py
@@ -87,7 +87,7 @@
     detail = reply.detail or f"status {reply.status}"
     if reply.status == HTTP_OK:
         detail = "the reply has no page of objects"
-    return FeedError(detail, history_gone=reply.status == HTTP_GONE)
+    return FeedError(detail, reply.status == HTTP_GONE, reply.too_long)
 
 
 def decode_change(kind, item, removed=False, era=UNKNOWN_ERA):
--- a/hemlockspoke/platform/store.py
+++ b/hemlockspoke/platform/store.py
@@ -1,10 +1,13 @@
 """Calls to the platform's object API."""
 
+import logging
 from urllib.parse import quote, urlencode
 
 from hemlockspoke.http1.json_calls import JsonCalls
 from hemlockspoke.tier.state.store_era import UNKNOWN_ERA
 
+logger = logging.getLogger(__name__)
+
 # The store answers within a few ms; the timeout still covers a tenfold slowdown.
 CALL_TIMEOUT_MS = 1200
 # Connections of one daemon to the store; each pending watch occupies one.
@@ -12,8 +15,6 @@
 ERA_HEADER = b"store-era"
 # Longer numbers are no era. A message between daemons holds integers of 64 bits.
 MAX_ERA_DIGITS = 18
-
-
 EARLIER_ERA = "the answer is of an earlier era of the store"
 
 
@@ -23,13 +24,14 @@
     ``status`` is None if there was no reply, or only one of an earlier era.
     """
 
-    __slots__ = ("body", "detail", "era", "status")
+    __slots__ = ("body", "detail", "era", "status", "too_long")
 
-    def __init__(self, status, body=None, detail="", era=UNKNOWN_ERA):
+    def __init__(self, status, body=None, detail="", era=UNKNOWN_ERA, too_long=False):
         self.status = status
         self.body = body
         self.detail = detail
         self.era = era
+        self.too_long = too_long
 
 
 class StoreCalls:
@@ -53,10 +55,18 @@
             era = self._eras.newest
             if reply.status is not None:
                 era = self._eras.observe(stated_era(reply.headers), path)
+            if reply.too_long:
+                self._metrics.count("store.too_long")
+                logger.warning(
+                    "reply of the store is too long",
+                    extra={"path": path, "reason": reply.detail},
+                )
             if era < self._eras.newest:
                 on_reply(StoreReply(None, detail=EARLIER_ERA, era=era))
-            else:
-                on_reply(StoreReply(reply.status, reply.body, reply.detail, era))
+                return
+            on_reply(
+                StoreReply(reply.status, reply.body, reply.detail, era, reply.too_long)
+            )
 
         self._metrics.count(f"store.{method.lower()}")
         self._calls.call(method, path, decode, timeout_ms, body)
--- a/hemlockspoke/tier/state/feed.py
+++ b/hemlockspoke/tier/state/feed.py
@@ -68,14 +68,16 @@
     """Why there is no page.
 
     With ``history_gone`` the store no longer has the changes after the revision of the
-    watch, so a new list must be read.
+    watch, so a new list must be read. With ``too_long`` the reply exceeded the limit of
+    this daemon; that to a further watch from the same revision would be no shorter.
     """
 
-    __slots__ = ("detail", "history_gone")
+    __slots__ = ("detail", "history_gone", "too_long")
 
-    def __init__(self, detail, history_gone=False):
+    def __init__(self, detail, history_gone=False, too_long=False):
         self.detail = detail
         self.history_gone = history_gone
+        self.too_long = too_long
 
 
 class Feed:
@@ -96,6 +98,11 @@
     ``lost`` becomes true. The delays after failed calls are multiplied by
     ``retry_factor``.
 
+    After a watch whose reply is too long the feed lists, since the pages of a list are
+    short. Until a watch succeeds, the delays before these lists grow as those after
+    failed calls, and the store counts as lost only if a list fails as well: another
+    daemon that took over would get no shorter replies.
+
     A defect in the sink does not end the feed: it is logged and counted. If a feed has
     neither made a call nor got a reply for too long, it starts again with a list.
     """
@@ -116,6 +123,7 @@
         "_source",
         "_wait_ms",
         "_watch_started_ms",
+        "_watch_was_too_long",
         "active",
         "confirmed",
         "lost",
@@ -143,6 +151,8 @@
         self._listed_position = None
         self._retry_ms = FIRST_RETRY_MS
         self._watch_started_ms = 0.0
+        # True from a watch whose reply was too long to the next one that succeeds.
+        self._watch_was_too_long = False
         # Incremented by each pause and resume, to ignore results of earlier calls.
         self._generation = 0
         self.active = False
@@ -159,6 +169,7 @@
         self.active = True
         self.confirmed = False
         self.lost = False
+        self._watch_was_too_long = False
         # Others have just failed if this feed is to call less often than they do.
         self._retry_ms = FIRST_RETRY_MS if self.retry_factor <= 1.0 else MAX_RETRY_MS
         self._begin_generation()
@@ -287,9 +298,19 @@
             if page.history_gone:
                 logger.info("history gone", extra={"feed": self._kind})
                 self._list(generation, None)
+            elif page.too_long:
+                logger.info(
+                    "listing instead of watching",
+                    extra={"feed": self._kind, "reason": page.detail},
+                )
+                if not self._watch_was_too_long:
+                    self._note_failure(page)
+                self._watch_was_too_long = True
+                self._call_after_failure(self._list, generation, None)
             else:
                 self._retry(page, self._watch, generation)
             return
+        self._watch_was_too_long = False
         self._note_success()
         since = self._position
         if page.position.era > since.era:
@@ -303,13 +324,18 @@
         self._clock.call_later(delay_ms, self._watch, generation)
 
     def _note_success(self):
-        self._retry_ms = FIRST_RETRY_MS
+        if not self._watch_was_too_long:
+            self._retry_ms = FIRST_RETRY_MS
         self.confirmed = True
         if self.lost:
             self.lost = False
             logger.info("store regained", extra={"feed": self._kind})
 
     def _retry(self, error, function, *args):
+        self._note_failure(error)
+        self._call_after_failure(function, *args)
+
+    def _note_failure(self, error):
         if not self.lost:
             self.lost = True
             logger.warning(
@@ -317,6 +343,8 @@
             )
             if self.on_lost is not None:
                 self.on_lost()
+
+    def _call_after_failure(self, function, *args):
         delay_ms = self._retry_ms * self.retry_factor * self._rng.uniform(0.7, 1.0)
         self._retry_ms = min(MAX_RETRY_MS, 2 * self._retry_ms)
         self._call_again(delay_ms, function, *args)
