List after a watch whose long reply did not arrive whole

Cause: a watch is given up 0.6 s after its wait. Changes that take longer to arrive made it time out, and it was repeated from the same revision, with more changes each time.

Change: a reply that breaks off or times out after over 1 MB counts as too long as well. An Exchange says how many bytes of its response have arrived, also when it is cancelled, and the detail of such a failure says it.

Ruled out: a longer timeout, which would delay the notice of a silent connection; a list after any timeout, since most have received nothing, and the store may be away.

--- a/hemlockspoke/http1/connection.py
+++ b/hemlockspoke/http1/connection.py
@@ -46,7 +46,8 @@
     response has no id. No connection of ``avoided`` is used. ``partial`` is a
     ``Response`` without a body that has the headers of interim responses, and of one
     whose body did not arrive; None without such headers. ``too_long`` is True after a
-    response with a body beyond the limit.
+    response with a body beyond the limit. ``received_bytes`` is the length of the
+    response, or of its part that arrived before the exchange failed or was cancelled.
     """
 
     __slots__ = (
@@ -62,6 +63,7 @@
         "on_failure",
         "on_response",
         "partial",
+        "received_bytes",
         "reused_connection",
         "sent_ms",
         "size_bytes",
@@ -90,6 +92,7 @@
         self.is_own = is_own or (lambda response: True)
         self.avoided = avoided
         self.partial = None
+        self.received_bytes = 0
         self.too_long = False
         self.reused_connection = False
         self.unidentified = False
@@ -211,6 +214,7 @@
         if exchange is not None:
             exchange.partial = parser.partial_response()
             exchange.too_long = parser.too_long
+            exchange.received_bytes = parser.received_bytes
         return exchange
 
     def _fail_exchange(self, failure, detail):
@@ -220,6 +224,8 @@
 
     def abort(self):
         """Close at once and discard unsent bytes."""
+        if self._exchange is not None:
+            self._exchange.received_bytes = self._parser.received_bytes
         self._exchange = self._parser = None
         self._pool.lost(self)
         self.transport.abortConnection()
--- a/hemlockspoke/http1/json_calls.py
+++ b/hemlockspoke/http1/json_calls.py
@@ -10,13 +10,17 @@
 # Limit on the body of a reply. A page of a list holds about 1 MB and at most one more
 # object of that size. The changes that a watch reports may exceed the limit.
 MAX_REPLY_BYTES = 8 * 1024 * 1024
+# A reply that breaks off or times out beyond this length counts as too long as well: on
+# a slow link no longer reply arrives in time, while a page of a list does.
+LONG_REPLY_BYTES = 1024 * 1024
 
 
 class JsonReply:
     """Status and decoded body of a reply; ``status`` is None if there was no reply.
 
     ``detail`` then says why; ``sent`` says whether the request may have been sent, and
-    ``too_long`` whether there was a reply with a body over ``MAX_REPLY_BYTES``.
+    ``too_long`` whether there was a reply with a body over ``MAX_REPLY_BYTES``, or the
+    beginning of one with over ``LONG_REPLY_BYTES``.
     ``headers`` lists pairs of byte strings.
     """
 
@@ -61,16 +65,20 @@
             finish(JsonReply(response.status, body, headers=response.headers))
 
         def on_failure(failure, detail):
-            sent = failure is not ExchangeFailure.UNSENT
-            too_long = exchange.too_long
-            finish(JsonReply(None, detail=detail, sent=sent, too_long=too_long))
+            finish(failed(detail, failure is not ExchangeFailure.UNSENT))
 
         def on_timeout():
             sent = exchange.sent_ms is not None
             self._pool.close_idle()
             exchange.cancel()
-            detail = f"no answer in {timeout_ms:.0f} ms"
-            on_reply(JsonReply(None, detail=detail, sent=sent))
+            on_reply(failed(f"no answer in {timeout_ms:.0f} ms", sent))
+
+        def failed(detail, sent):
+            received_bytes = exchange.received_bytes
+            too_long = exchange.too_long or received_bytes > LONG_REPLY_BYTES
+            if too_long:
+                detail += f", {received_bytes} bytes received"
+            return JsonReply(None, detail=detail, sent=sent, too_long=too_long)
 
         exchange = Exchange(
             lambda: data, on_response, on_failure, max_body_bytes=MAX_REPLY_BYTES
--- a/hemlockspoke/http1/response_parser.py
+++ b/hemlockspoke/http1/response_parser.py
@@ -95,6 +95,11 @@
             self._headers.clear()
         self._body.clear()
 
+    @property
+    def received_bytes(self):
+        """Return how many bytes have been parsed."""
+        return self._received_bytes
+
     def end(self):
         """Handle a clean close; return whether it completed the response."""
         if self.response is None and self._until_close and not self.malformed:
--- a/hemlockspoke/tier/state/feed.py
+++ b/hemlockspoke/tier/state/feed.py
@@ -69,7 +69,8 @@
 
     With ``history_gone`` the store no longer has the changes after the revision of the
     watch, so a new list must be read. With ``too_long`` the reply exceeded the limit of
-    this daemon; that to a further watch from the same revision would be no shorter.
+    this daemon, or was long and did not arrive whole; that to a further watch from the
+    same revision would be no shorter.
     """
 
     __slots__ = ("detail", "history_gone", "too_long")
--- a/tests/features/edge_long_replies.feature
+++ b/tests/features/edge_long_replies.feature
@@ -11,6 +11,18 @@
     When "newer" of "servers" is written
     Then within 2 s the feed of "servers" knows "newer"
 
+  Scenario: changes that take longer to arrive than a watch do not end the following
+    # Guards against a feed on a slow link that watches from the same revision for good:
+    # no reply of a watch arrives whole in time, and each further one is longer.
+    Given a store with an object of "servers", and a feed that follows it
+    When the store sends 4000000 bytes a second
+    And the store is away while an object of 500000 bytes is written 12 times
+    And it is back, and "new" of "servers" is written
+    Then within 3 s the feed of "servers" knows "new"
+    And one reply was counted as too long, and the log names the call and the feed
+    When "newer" of "servers" is written
+    Then within 2 s the feed of "servers" knows "newer"
+
   Scenario Outline: the other kinds are followed while no reply of one fits
     # Guards against replies of one kind that cost the calls of the others.
     Given a store with an object of "servers", and a feed that follows it
--- a/tests/features/steps/edge_long_replies_steps.py
+++ b/tests/features/steps/edge_long_replies_steps.py
@@ -95,6 +95,11 @@
     start_feed(context, "config")
 
 
+@when("the store sends {count:d} bytes a second")
+def step_slow(context, count):
+    context.store.bytes_per_s = count
+
+
 @when("the store is away while an object of {size:d} bytes is written {count:d} times")
 def step_away(context, size, count):
     context.store.away = True
--- a/tests/standins/long_replies_store.py
+++ b/tests/standins/long_replies_store.py
@@ -13,13 +13,15 @@
 PAGE_BYTES = 1_000_000
 ENDLESS_REPLY = b"x" * (9 * 1024 * 1024)
 WATCH_STEP_S = 0.005
+WRITE_BYTES = 50_000
 
 
 class LongRepliesStore:
     """Objects by kind, with all changes since its start.
 
     ``away`` refuses all calls. Kinds in ``endless_watches`` and ``endless_lists`` get a
-    reply of 9 MB. ``calls`` counts the lists and watches of each kind.
+    reply of 9 MB. ``calls`` counts the lists and watches of each kind. Without
+    ``bytes_per_s`` bodies are sent at once.
     """
 
     def __init__(self):
@@ -27,6 +29,7 @@
         self.endless_watches = set()
         self.endless_lists = set()
         self.calls = Counter()
+        self.bytes_per_s = None
         self._revision = 1
         self._objects = {}
         self._events = []
@@ -110,11 +113,20 @@
             self.send_header("Store-Era", "1")
             self.send_header("Content-Length", str(len(body)))
             self.end_headers()
-            self.wfile.write(body)
+            self._send(body)
         except OSError:
             # The daemon has cut a reply that is too long.
             self.close_connection = True
 
+    def _send(self, body):
+        bytes_per_s = self.server.store.bytes_per_s
+        if bytes_per_s is None:
+            self.wfile.write(body)
+            return
+        for start in range(0, len(body), WRITE_BYTES):
+            self.wfile.write(body[start : start + WRITE_BYTES])
+            time.sleep(WRITE_BYTES / bytes_per_s)
+
     def handle_one_request(self):
         """Read a request, unless the daemon has reset the connection."""
         try:
