Play a daemon that starts before lost changes are written again

Cause: the cases of store_returns wrote the lost changes again 0.2 s after the return whenever a daemon was restarted, so a state that only its peers still have was never asked for.

Measured: with the reader killed right after the return and the changes written again after 5 s, it answers 404 on a confirmed route (18 and 11 times) and sends into an evacuated domain (17 and 10 times), up to 9.1 s after the acknowledgement. This remains open.

--- a/tests/edge_soak/store_returns.py
+++ b/tests/edge_soak/store_returns.py
@@ -36,6 +36,7 @@
     "reader-suspended": {"before": "suspend"},
     "reader-restarted": {"before": "restart"},
     "restarted-after": {"after": "restart"},
+    "restarted-5s": {"after": "restart", "again_s": 5.0},
 }
 
 
