--- a/tests/features/steps/edge_fleet_steps.py
+++ b/tests/features/steps/edge_fleet_steps.py
@@ -160,8 +160,7 @@
             store.refused_calls[self._vm] += 1
             on_page(FeedError("status 503"))
         else:
-            change = Change("o", {}, revision=store.revision)
-            on_page(Page([change], store.revision, era=store.era))
+            on_page(Page([Change("o", {})], store.revision, era=store.era))
 
 
 class KindSink:
@@ -229,8 +228,7 @@
             max_age_ms=reading_age_ms(self.watch_ms),
         )
         followed = self.followed[vm] = FollowedKind("config", clock, KindSink())
-        eras = StoreEras()
-        source = DaemonSource(clock, self.store, vm, eras)
+        source = DaemonSource(clock, self.store, vm, eras := StoreEras())
         sink = RelayingSink(followed, relay)
         rng = random.Random(vm)
         feed = Feed("config", clock, source, sink, self.watch_ms, rng, eras=eras)
