--- a/hemlockspoke/tier/rollouts/manager.py
+++ b/hemlockspoke/tier/rollouts/manager.py
@@ -111,7 +111,7 @@
             before = rollout
             rollout = rollouts[order.service] = Rollout(order, now_ms, lease_ms)
             if before is not None:
-                rollout.follow(before)
+                rollout.remember_earlier(before)
             self.versions.note_old(rollout)
             log_step(rollout, "order seen")
         rollout.order = order
--- a/hemlockspoke/tier/rollouts/order_list.py
+++ b/hemlockspoke/tier/rollouts/order_list.py
@@ -101,6 +101,7 @@
         if order.service in rollouts and has_earlier_verdict(
             order, rollouts[order.service]
         ):
+            # The rollout goes on as it is, and its own end is written to the store.
             order.final_phase = None
         self._manager.set_order(order)
         if order.final_phase is None and self._clock.now_ms() < self._until_ms:
--- a/hemlockspoke/tier/rollouts/rollout.py
+++ b/hemlockspoke/tier/rollouts/rollout.py
@@ -84,7 +84,7 @@
         # Earliest time of the next attempt to write that the order is running.
         self.running_at_ms = 0.0
 
-    def follow(self, before):
+    def remember_earlier(self, before):
         """Remember the rollout that this one has replaced."""
         earlier = (*before.earlier, (before.order, before.verdict()))
         self.earlier = earlier[-MAX_EARLIER:]
